--- /dev/null
+++ b/cmake/turmericwing.cmake
@@ -0,0 +1,26 @@
+# Build helpers: every library, program and test of the workspace is declared through these functions.
+
+add_library(turmericwing_options INTERFACE)
+target_include_directories(turmericwing_options INTERFACE ${CMAKE_SOURCE_DIR}/include)
+target_compile_options(turmericwing_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+if(TURMERICWING_SANITIZE)
+    target_compile_options(turmericwing_options INTERFACE
+        -fsanitize=${TURMERICWING_SANITIZE} -fno-sanitize-recover=all -fno-omit-frame-pointer)
+    target_link_options(turmericwing_options INTERFACE -fsanitize=${TURMERICWING_SANITIZE})
+endif()
+
+# tw_library(NAME SOURCES a.cc DEPS base): library target turmericwing_NAME from the current directory.
+function(tw_library name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+    add_library(turmericwing_${name} STATIC ${ARG_SOURCES})
+    target_link_libraries(turmericwing_${name} PUBLIC turmericwing_options ${ARG_DEPS})
+endfunction()
+
+# tw_test(NAME SOURCES x-test.cc DEPS turmericwing_x): one doctest program, registered with CTest.
+function(tw_test name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+    add_executable(${name}-test ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/test/doctest-main.cc)
+    target_link_libraries(${name}-test PRIVATE turmericwing_options ${ARG_DEPS})
+    add_test(NAME ${name} COMMAND ${name}-test WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+    set_tests_properties(${name} PROPERTIES TIMEOUT 120)
+endfunction()
--- /dev/null
+++ b/include/turmericwing/base/hash.h
@@ -0,0 +1,25 @@
+// Hashing: xxHash for placement, SHA-256 for digests of keys, configurations and claims.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace turmericwing {
+
+/// 64-bit hash that is the same on every host and in every release.
+uint64_t hash64(std::string_view data, uint64_t seed = 0);
+
+/// Rendezvous weight of placing `key` on `node`; the highest weight wins.
+uint64_t rendezvousWeight(std::string_view key, std::string_view node);
+
+/// SHA-256 as 64 lower-case hexadecimal digits.
+std::string sha256Hex(std::string_view data);
+
+/// HMAC-SHA-256 as 64 lower-case hexadecimal digits.
+std::string hmacSha256Hex(std::string_view secret, std::string_view data);
+
+/// Compares in time that depends on the lengths only.
+bool constantTimeEqual(std::string_view a, std::string_view b);
+
+} // namespace turmericwing
