--- /dev/null
+++ b/include/turmericwing/host/snapshot.h
@@ -0,0 +1,68 @@
+// What a request sees: an immutable index over the configuration and the view in force. The control loop replaces
+// it as a whole; a request uses the one that it started with.
+#pragma once
+
+#include "turmericwing/base/time.h"
+#include "turmericwing/control/head.h"
+#include "turmericwing/model/objects.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace turmericwing::host {
+
+struct Snapshot {
+    std::shared_ptr<const model::ObjectSet> set_;
+    control::Head head_; ///< The view in force; digest_ names set_.
+    std::unordered_map<std::string, const model::Key*> keys_; ///< By digest; points into set_.
+    std::map<std::string, std::vector<const model::Route*>> routes_; ///< By service, longest path first.
+    std::set<std::string> revokedKeys_; ///< Digests that a newer configuration, not yet in force, takes away.
+    std::set<std::string> drained_; ///< Upstreams without new work, from the head and all known configurations.
+    std::set<std::string> stoppedMoves_; ///< Moves that are held or rolled back.
+};
+
+/// Builds the index. `restrictions` are newer sets that are learned but not yet in force.
+std::shared_ptr<const Snapshot> makeSnapshot(std::shared_ptr<const model::ObjectSet> set, control::Head head,
+    const std::vector<std::shared_ptr<const model::ObjectSet>>& restrictions);
+
+/// The workspace of a key, or nullptr when the key is unknown or revoked. Takes the key itself, not its digest.
+const model::Workspace* authenticate(const Snapshot&, std::string_view key);
+
+enum class RouteMatch { Found, NoService, NoRoute, NoMethod };
+
+struct RouteLookup {
+    RouteMatch match_ = RouteMatch::NoService;
+    const model::Route* route_ = nullptr;
+};
+
+/// The route for a method and a path below the service; the longest prefix that lists the method wins.
+RouteLookup findRoute(const Snapshot&, const std::string& service, std::string_view path, std::string_view method);
+
+/// State shared by all threads of a host. The lease end is absolute, so a thread that was paused sees that it has
+/// expired whatever the control loop does.
+class SharedState {
+public:
+    std::shared_ptr<const Snapshot> snapshot() const;
+    void setSnapshot(std::shared_ptr<const Snapshot>);
+
+    TimePoint leaseEnd() const { return TimePoint(Duration(leaseEnd_.load())); }
+    void setLeaseEnd(TimePoint end) { leaseEnd_.store(end.time_since_epoch().count()); }
+
+    bool draining() const { return draining_.load(); }
+    void setDraining() { draining_.store(true); }
+
+private:
+    mutable std::mutex mutex_;
+    std::shared_ptr<const Snapshot> snapshot_;
+    std::atomic<int64_t> leaseEnd_ { 0 };
+    std::atomic<bool> draining_ { false };
+};
+
+} // namespace turmericwing::host
--- /dev/null
+++ b/src/host/path.cc
@@ -0,0 +1,532 @@
+// Request path. Each step either passes or ends the request with a reason; what the request holds by then (token,
+// claim, slot) is given back in reverse order.
+#include "turmericwing/host/path.h"
+
+#include "turmericwing/base/hash.h"
+#include "turmericwing/base/random.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <strings.h>
+
+namespace turmericwing::host {
+
+namespace detail {
+
+    /// Bodies up to this size are read before the first attempt, so that they can be sent again.
+    constexpr uint64_t bufferedBodyBytes = 64 * 1024;
+    constexpr size_t maximumAttempts = 3;
+    constexpr size_t maximumIdempotencyKeyBytes = 255;
+
+    constexpr const char* timeoutHeader = "Turmericwing-Timeout-Ms";
+    constexpr const char* requestIdHeader = "Turmericwing-Request-Id";
+
+    bool equalNames(const std::string& a, const char* b) { return strcasecmp(a.c_str(), b) == 0; }
+
+    std::string headerValue(const HeaderList& headers, const char* name)
+    {
+        for (const auto& [key, value] : headers) {
+            if (equalNames(key, name))
+                return value;
+        }
+        return {};
+    }
+
+    /// Headers that belong to one connection, to the caller's credentials, or to this system.
+    bool isPrivateHeader(const std::string& name)
+    {
+        static constexpr std::array hopByHop { "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authorization",
+            "Proxy-Authenticate", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Host",
+            "Authorization", "Cookie", "REMOTE_ADDR", "REMOTE_PORT", "LOCAL_ADDR", "LOCAL_PORT" };
+        const bool listed
+            = std::any_of(hopByHop.begin(), hopByHop.end(), [&](const char* hop) { return equalNames(name, hop); });
+        return listed || strncasecmp(name.c_str(), "Turmericwing-", 13) == 0;
+    }
+
+    /// Headers that the Connection header names end at this host too.
+    std::string connectionOptions(const HeaderList& headers) { return headerValue(headers, "Connection"); }
+
+    HeaderList forwardedHeaders(const HeaderList& headers)
+    {
+        const std::string named = connectionOptions(headers);
+        HeaderList kept;
+        for (const auto& [name, value] : headers) {
+            if (!isPrivateHeader(name) && strcasestr(named.c_str(), name.c_str()) == nullptr)
+                kept.emplace_back(name, value);
+        }
+        return kept;
+    }
+
+    std::string newRequestId()
+    {
+        thread_local Random random = makeRandom();
+        return randomId(random);
+    }
+
+    /// "/service/rest?query" split at the service.
+    struct Target {
+        std::string service_;
+        std::string path_; ///< Below the service, starts with "/".
+        std::string rest_; ///< Path and query below the service.
+    };
+
+    Target splitTarget(const std::string& target)
+    {
+        const size_t end = target.find_first_of("/?", 1);
+        Target split;
+        split.service_ = target.substr(1, end == std::string::npos ? end : end - 1);
+        split.rest_ = end == std::string::npos ? "/" : target.substr(end);
+        if (split.rest_[0] != '/')
+            split.rest_ = "/" + split.rest_;
+        split.path_ = split.rest_.substr(0, split.rest_.find('?'));
+        return split;
+    }
+
+    /// A dot segment would let one route's path reach another route on the upstream.
+    bool hasDotSegments(const std::string& path)
+    {
+        std::string decoded;
+        for (size_t i = 0; i < path.size(); ++i) {
+            if (strncasecmp(path.c_str() + i, "%2e", 3) == 0) {
+                decoded += '.';
+                i += 2;
+            } else
+                decoded += path[i];
+        }
+        return (decoded + "/").find("/../") != std::string::npos || (decoded + "/").find("/./") != std::string::npos;
+    }
+
+    struct Ended {
+        Reason reason_;
+        std::string text_;
+        Duration retryAfter_ { 0 };
+    };
+
+    /// Everything that one request carries through the steps.
+    struct Context {
+        const PathParts& parts_;
+        const CallerRequest& request_;
+        std::string requestId_ = newRequestId();
+        TimePoint start_ = monotonicNow();
+        TimePoint deadline_;
+        std::shared_ptr<const Snapshot> snapshot_;
+        Target target_;
+        const model::Route* route_ = nullptr;
+        const model::Workspace* workspace_ = nullptr;
+        std::optional<Tokens::TokenSource> token_;
+        std::string body_; ///< Complete, unless streaming_.
+        bool streaming_ = false;
+        bool bodyConsumed_ = false; ///< Part of a streaming body has been handed to an upstream.
+        std::string fingerprint_;
+        std::optional<ClaimKey> claim_;
+        std::string claimToken_;
+        std::vector<std::string> upstreams_;
+    };
+
+    std::string workspaceName(const Context& context) { return context.workspace_ ? context.workspace_->name_ : ""; }
+
+    void record(const Context& context, const std::string& result, int status, const std::string& text)
+    {
+        const auto duration = std::chrono::duration_cast<Duration>(monotonicNow() - context.start_);
+        const std::string service = context.route_ ? context.target_.service_ : "";
+        context.parts_.metrics_.countRequest(service, workspaceName(context), result);
+        if (context.route_)
+            context.parts_.metrics_.observeLatency(service, duration);
+        context.parts_.trace_.add({ context.requestId_, wallNow(), service,
+            context.route_ ? context.route_->name_ : "", workspaceName(context), result, status, text,
+            context.upstreams_, context.snapshot_ ? context.snapshot_->head_.revision_ : 0, duration });
+    }
+
+    /// Reads the rest of the caller's body, because the connection cannot be reused with unread bytes on it.
+    void discardBody(const CallerRequest& request)
+    {
+        if (request.hasBody_ && request.readBody_)
+            request.readBody_([](const char*, size_t) { return true; });
+    }
+
+    CallerResponse refuse(Context& context, const Ended& ended)
+    {
+        if (context.token_ && outcomeOf(ended.reason_) == Outcome::NotRun)
+            context.parts_.tokens_.putBack(context.workspace_->name_, *context.token_);
+        record(context, toString(ended.reason_), statusOf(ended.reason_), ended.text_);
+        CallerResponse response;
+        response.status_ = statusOf(ended.reason_);
+        response.body_ = problemJson(ended.reason_, ended.text_, context.requestId_);
+        response.headers_ = { { "Content-Type", "application/problem+json" },
+            { outcomeHeader, toString(outcomeOf(ended.reason_)) }, { requestIdHeader, context.requestId_ } };
+        if (outcomeOf(ended.reason_) == Outcome::NotRun && response.status_ >= 429) {
+            const double wait = std::max(1.0, std::ceil(seconds(ended.retryAfter_)));
+            response.headers_.emplace_back("Retry-After", std::to_string(static_cast<int>(wait)));
+        }
+        return response;
+    }
+
+    std::optional<Ended> findTarget(Context& context)
+    {
+        context.snapshot_ = context.parts_.state_.snapshot();
+        if (!context.snapshot_)
+            return Ended { Reason::NotReady, "the host has no configuration yet" };
+        if (context.request_.target_.empty() || context.request_.target_[0] != '/')
+            return Ended { Reason::BadRequest, "the request target must start with /" };
+        context.target_ = splitTarget(context.request_.target_);
+        if (hasDotSegments(context.target_.path_))
+            return Ended { Reason::BadRequest, "the path contains dot segments" };
+        const RouteLookup found = findRoute(
+            *context.snapshot_, context.target_.service_, context.target_.path_, context.request_.method_);
+        switch (found.match_) {
+        case RouteMatch::NoService:
+            return Ended { Reason::NoSuchService, "no service '" + context.target_.service_ + "'" };
+        case RouteMatch::NoRoute:
+            return Ended { Reason::NoSuchRoute, "no route of '" + context.target_.service_ + "' covers this path" };
+        case RouteMatch::NoMethod:
+            return Ended { Reason::MethodNotAllowed, "the route does not accept " + context.request_.method_ };
+        case RouteMatch::Found:
+            break;
+        }
+        context.route_ = found.route_;
+        return std::nullopt;
+    }
+
+    std::optional<Ended> setDeadline(Context& context)
+    {
+        uint64_t timeoutMs = context.route_->timeoutMs_;
+        const std::string wanted = headerValue(context.request_.headers_, timeoutHeader);
+        if (!wanted.empty()) {
+            uint64_t parsed = 0;
+            const char* end = wanted.data() + wanted.size();
+            const auto [rest, status] = std::from_chars(wanted.data(), end, parsed);
+            if (status != std::errc() || rest != end || parsed == 0)
+                return Ended { Reason::BadRequest, std::string(timeoutHeader) + " must be a positive number" };
+            timeoutMs = std::min(timeoutMs, parsed);
+        }
+        context.deadline_ = context.start_ + std::chrono::milliseconds(timeoutMs);
+        return std::nullopt;
+    }
+
+    std::optional<Ended> checkKey(Context& context)
+    {
+        if (context.route_->open_)
+            return std::nullopt;
+        if (monotonicNow() >= context.parts_.state_.leaseEnd())
+            return Ended { Reason::StaleConfiguration,
+                "the host cannot show that its configuration is current; use another host" };
+        const std::string authorization = headerValue(context.request_.headers_, "Authorization");
+        if (strncasecmp(authorization.c_str(), "Bearer ", 7) != 0)
+            return Ended { Reason::KeyMissing, "send the workspace's key as Authorization: Bearer" };
+        context.workspace_ = authenticate(*context.snapshot_, std::string_view(authorization).substr(7));
+        if (!context.workspace_)
+            return Ended { Reason::KeyRefused, "the key is unknown or withdrawn" };
+        return std::nullopt;
+    }
+
+    std::optional<Ended> checkSize(Context& context)
+    {
+        const uint64_t limit = context.route_->maxBodyBytes_;
+        if (context.request_.bodyLength_.value_or(0) > limit)
+            return Ended { Reason::TooLarge, "the body exceeds the route's " + std::to_string(limit) + " bytes" };
+        return std::nullopt;
+    }
+
+    std::optional<Ended> takeToken(Context& context)
+    {
+        if (!context.workspace_)
+            return std::nullopt;
+        const Tokens::Taken taken = context.parts_.tokens_.take(context.workspace_->name_, context.deadline_);
+        context.token_ = taken.source_;
+        if (taken.source_)
+            return std::nullopt;
+        return Ended { Reason::RateLimited, "workspace '" + context.workspace_->name_ + "' is at its rate",
+            taken.retryAfter_ };
+    }
+
+    /// Reads small bodies completely and decides whether the body streams.
+    std::optional<Ended> readSmallBody(Context& context)
+    {
+        if (!context.request_.hasBody_)
+            return std::nullopt;
+        const auto length = context.request_.bodyLength_;
+        if (!length || *length > bufferedBodyBytes) {
+            context.streaming_ = true;
+            return std::nullopt;
+        }
+        const bool whole = context.request_.readBody_([&](const char* data, size_t size) {
+            context.body_.append(data, size);
+            return true;
+        });
+        if (!whole || context.body_.size() != *length)
+            return Ended { Reason::BadRequest, "the body ended early" };
+        return std::nullopt;
+    }
+
+    std::optional<Ended> checkQuarantine(Context& context)
+    {
+        std::string identity = workspaceName(context) + "\n" + context.route_->name_ + "\n" + context.request_.method_
+            + "\n" + context.request_.target_ + "\n" + std::to_string(context.request_.bodyLength_.value_or(0)) + "\n";
+        context.fingerprint_ = sha256Hex(identity + context.body_);
+        if (!context.parts_.quarantines_.contains(context.fingerprint_))
+            return std::nullopt;
+        return Ended { Reason::Quarantined, "this request crashed upstreams and is held back",
+            context.parts_.quarantines_.remaining(context.fingerprint_) };
+    }
+
+    CallerResponse replay(Context& context, const StoredResponse& stored)
+    {
+        record(context, "answered", stored.status_, "stored response");
+        CallerResponse response;
+        response.status_ = stored.status_;
+        response.body_ = stored.body_;
+        response.headers_ = { { outcomeHeader, toString(Outcome::Answered) }, { "Turmericwing-Replayed", "1" },
+            { requestIdHeader, context.requestId_ } };
+        if (!stored.contentType_.empty())
+            response.headers_.emplace_back("Content-Type", stored.contentType_);
+        if (stored.tooLarge_)
+            response.headers_.emplace_back("Turmericwing-Body-Omitted", "1");
+        return response;
+    }
+
+    std::optional<CallerResponse> takeClaim(Context& context)
+    {
+        const std::string key = headerValue(context.request_.headers_, "Idempotency-Key");
+        if (context.route_->idempotent_ || key.empty())
+            return std::nullopt;
+        if (key.size() > maximumIdempotencyKeyBytes)
+            return refuse(context, { Reason::BadRequest, "Idempotency-Key is longer than 255 bytes" });
+        const ClaimKey claim { workspaceName(context), key, context.fingerprint_ };
+        const ClaimDecision decision = context.parts_.claims_.begin(claim, context.deadline_);
+        if (decision.begin_ == ClaimBegin::Replay)
+            return replay(context, decision.response_);
+        if (decision.begin_ == ClaimBegin::Refuse)
+            return refuse(context, { decision.reason_, "Idempotency-Key cannot be claimed now" });
+        context.claim_ = claim;
+        context.claimToken_ = decision.token_;
+        return std::nullopt;
+    }
+
+    UpstreamRequest upstreamRequest(const Context& context, const Assignment& assignment)
+    {
+        UpstreamRequest request;
+        request.address_ = assignment.address_;
+        request.method_ = context.request_.method_;
+        request.target_ = context.target_.rest_;
+        request.headers_ = forwardedHeaders(context.request_.headers_);
+        if (context.workspace_)
+            request.headers_.emplace_back("Turmericwing-Workspace", context.workspace_->name_);
+        const auto left
+            = std::chrono::duration_cast<std::chrono::milliseconds>(assignment.deadline_ - monotonicNow()).count();
+        request.headers_.emplace_back("Turmericwing-Deadline-Ms", std::to_string(std::max<int64_t>(left, 1)));
+        request.requestId_ = context.requestId_ + "-" + std::to_string(context.upstreams_.size());
+        request.streaming_ = context.streaming_;
+        if (context.streaming_)
+            request.bodyLength_ = context.request_.bodyLength_;
+        else
+            request.body_ = context.body_;
+        request.deadline_ = assignment.deadline_;
+        return request;
+    }
+
+    /// Passes the caller's body on. The body is read to its end even when the upstream stops reading.
+    void pumpBody(Context& context, UpstreamCall& call)
+    {
+        uint64_t total = 0;
+        const uint64_t limit = context.route_->maxBodyBytes_;
+        bool forwarding = true;
+        const bool whole = context.request_.readBody_([&](const char* data, size_t size) {
+            total += size;
+            context.bodyConsumed_ = true;
+            forwarding = forwarding && total <= limit && call.body().write(data, size, call.request().deadline_);
+            return total <= limit;
+        });
+        call.body().close(whole && forwarding ? PipeState::Finished : PipeState::Failed);
+    }
+
+    AttemptEnd attemptEnd(CallState state, const ResponseHead& head)
+    {
+        switch (state) {
+        case CallState::NotSent:
+            return AttemptEnd::NotSent;
+        case CallState::Broken:
+        case CallState::Waiting:
+            return AttemptEnd::Crashed;
+        case CallState::Incomplete:
+        case CallState::Mismatched:
+            return AttemptEnd::Failed;
+        case CallState::Responding:
+        case CallState::Complete:
+            break;
+        }
+        if (head.status_ == 503 && !headerValue(head.headers_, "Turmericwing-Overload").empty())
+            return AttemptEnd::Overloaded;
+        if (head.status_ == 503 && !headerValue(head.headers_, "Turmericwing-Draining").empty())
+            return AttemptEnd::Draining;
+        return AttemptEnd::Answered;
+    }
+
+    /// The upstream cannot have run any part of the request.
+    bool provablyNotRun(AttemptEnd end)
+    {
+        return end == AttemptEnd::NotSent || end == AttemptEnd::Overloaded || end == AttemptEnd::Draining;
+    }
+
+    void endClaimNotRun(Context& context)
+    {
+        if (context.claim_)
+            context.parts_.claims_.release(*context.claim_, context.claimToken_, context.deadline_);
+        context.claim_.reset();
+    }
+
+    void endClaimUnknown(Context& context)
+    {
+        if (context.claim_)
+            context.parts_.claims_.markUnknown(*context.claim_, context.claimToken_);
+        context.claim_.reset();
+    }
+
+    /// Holds the slot of a response that is still streaming to the caller.
+    struct StreamingAttempt {
+        Dispatch& dispatch_;
+        Assignment assignment_;
+        std::shared_ptr<UpstreamCall> call_;
+
+        StreamingAttempt(Dispatch& dispatch, Assignment assignment, std::shared_ptr<UpstreamCall> call)
+            : dispatch_(dispatch)
+            , assignment_(std::move(assignment))
+            , call_(std::move(call))
+        {
+        }
+        StreamingAttempt(const StreamingAttempt&) = delete;
+        StreamingAttempt& operator=(const StreamingAttempt&) = delete;
+        ~StreamingAttempt()
+        {
+            const bool whole = call_->state() == CallState::Complete;
+            if (!whole)
+                call_->cancel();
+            dispatch_.release(assignment_,
+                { whole ? AttemptEnd::Answered : AttemptEnd::Failed, call_->head().status_, false });
+        }
+    };
+
+    CallerResponse respond(Context& context, const Assignment& assignment, std::shared_ptr<UpstreamCall> call)
+    {
+        const ResponseHead head = call->head();
+        CallerResponse response;
+        response.status_ = head.status_;
+        response.headers_ = forwardedHeaders(head.headers_);
+        response.headers_.emplace_back(outcomeHeader, toString(Outcome::Answered));
+        response.headers_.emplace_back(requestIdHeader, context.requestId_);
+        response.length_ = head.length_;
+        if (call->state() != CallState::Complete) {
+            if (context.claim_)
+                context.parts_.claims_.complete(*context.claim_, context.claimToken_,
+                    { head.status_, headerValue(head.headers_, "Content-Type"), {}, true }, context.deadline_);
+            response.finish_ = std::make_shared<StreamingAttempt>(context.parts_.dispatch_, assignment, call);
+            response.stream_ = std::move(call);
+            return response;
+        }
+        for (std::string chunk = call->readBody(); !chunk.empty(); chunk = call->readBody())
+            response.body_ += chunk;
+        context.parts_.dispatch_.release(assignment, { AttemptEnd::Answered, head.status_, false });
+        if (context.claim_)
+            context.parts_.claims_.complete(*context.claim_, context.claimToken_,
+                { head.status_, headerValue(head.headers_, "Content-Type"), response.body_, false },
+                context.deadline_);
+        return response;
+    }
+
+    bool mayTryAgain(Context& context, AttemptEnd end)
+    {
+        if (context.upstreams_.size() >= maximumAttempts || monotonicNow() >= context.deadline_)
+            return false;
+        if (end == AttemptEnd::Overloaded || context.bodyConsumed_)
+            return false;
+        if (!provablyNotRun(end) && !context.route_->idempotent_)
+            return false;
+        if (context.parts_.quarantines_.contains(context.fingerprint_))
+            return false;
+        return context.parts_.dispatch_.mayRetry(context.target_.service_);
+    }
+
+    Ended lastFailure(AttemptEnd end, bool anyMayHaveRun)
+    {
+        if (end == AttemptEnd::Overloaded && !anyMayHaveRun)
+            return { Reason::Overloaded, "the upstream is overloaded", std::chrono::seconds(1) };
+        if (provablyNotRun(end) && !anyMayHaveRun)
+            return { Reason::Overloaded, "no upstream could be reached", std::chrono::seconds(1) };
+        return { Reason::UpstreamFailed, "the upstream's response was lost; the request may have run" };
+    }
+
+    CallerResponse dispatch(Context& context)
+    {
+        bool anyMayHaveRun = false;
+        AttemptEnd end = AttemptEnd::NotSent;
+        do {
+            if (!context.upstreams_.empty())
+                context.parts_.metrics_.countRetry(context.target_.service_);
+            const auto assigned = context.parts_.dispatch_.acquire({ context.snapshot_, context.target_.service_,
+                context.route_->name_, workspaceName(context), context.workspace_ ? context.workspace_->share_ : 1,
+                context.route_->idempotent_, context.deadline_, context.upstreams_ });
+            if (const auto* refusal = std::get_if<Refusal>(&assigned)) {
+                if (anyMayHaveRun)
+                    break;
+                endClaimNotRun(context);
+                return refuse(context, { refusal->reason_, refusal->detail_, refusal->retryAfter_ });
+            }
+            const Assignment& assignment = std::get<Assignment>(assigned);
+            auto request = upstreamRequest(context, assignment);
+            context.upstreams_.push_back(assignment.upstream_);
+            const auto running = context.parts_.quarantines_.enter(assignment.upstream_, context.fingerprint_);
+            auto call = context.parts_.upstreams_.start(std::move(request));
+            if (context.streaming_)
+                pumpBody(context, *call);
+            const CallState state = call->waitBuffered();
+            end = attemptEnd(state, call->head());
+            if (end == AttemptEnd::Answered) {
+                CallerResponse response = respond(context, assignment, std::move(call));
+                record(context, "answered", response.status_, {});
+                return response;
+            }
+            const bool late = end == AttemptEnd::Crashed && monotonicNow() >= assignment.deadline_;
+            if (end == AttemptEnd::Crashed && !late)
+                context.parts_.quarantines_.reportCrash(assignment.upstream_);
+            const bool poisoned = context.parts_.quarantines_.contains(context.fingerprint_);
+            anyMayHaveRun = anyMayHaveRun || !provablyNotRun(end);
+            context.parts_.dispatch_.release(assignment, { late ? AttemptEnd::Failed : end, 0, poisoned });
+        } while (mayTryAgain(context, end));
+        if (anyMayHaveRun)
+            endClaimUnknown(context);
+        else
+            endClaimNotRun(context);
+        if (anyMayHaveRun && monotonicNow() >= context.deadline_)
+            return refuse(context, { Reason::UpstreamTimeout, "no response before the deadline; may have run" });
+        return refuse(context, lastFailure(end, anyMayHaveRun));
+    }
+
+    CallerResponse handle(Context& context)
+    {
+        using Step = std::optional<Ended> (*)(Context&);
+        static constexpr std::array<Step, 7> steps { findTarget, setDeadline, checkKey, checkSize, readSmallBody,
+            checkQuarantine, takeToken };
+        for (const Step step : steps) {
+            if (const auto ended = step(context))
+                return refuse(context, *ended);
+        }
+        if (auto response = takeClaim(context))
+            return std::move(*response);
+        return dispatch(context);
+    }
+
+} // namespace detail
+
+CallerResponse handleRequest(const PathParts& parts, const CallerRequest& request)
+{
+    detail::Context context { parts, request };
+    ++parts.inFlight_;
+    CallerResponse response = detail::handle(context);
+    --parts.inFlight_;
+    if (context.streaming_ ? !context.bodyConsumed_ : context.body_.empty())
+        detail::discardBody(request);
+    return response;
+}
+
+} // namespace turmericwing::host
