--- a/include/turmericwing/model/objects.h
+++ b/include/turmericwing/model/objects.h
@@ -39,6 +39,9 @@
 struct Service {
     std::string name_;
     std::string version_; ///< Version that receives all traffic outside moves.
+    uint32_t typicalMs_ = 0; ///< Typical time that a request occupies a slot, in ms; sizes the slots.
+    double rateFraction_ = 1; ///< Planned part of the workspaces' summed rate, in (0, 1].
+    uint32_t minSlots_ = 1; ///< Fewest slots without drain in each region where it has upstreams.
     friend auto operator<=>(const Service&, const Service&) = default;
 };
 
