--- a/src/model/parse.cc
+++ b/src/model/parse.cc
@@ -350,7 +350,7 @@
                 continue;
             if (!std::exchange(headed, true)) {
                 const std::string& name = set.regions_[region].name_;
-                out += "[client-blocks " + name + "]\nregion = " + name + "\n";
+                out.append("[client-blocks ").append(name).append("]\nregion = ").append(name).append("\n");
             }
             out += "block = " + blockText(block) + "\n";
         }
--- /dev/null
+++ b/test/model/check-test.cc
@@ -0,0 +1,102 @@
+// Tests of the checks across objects.
+#include "small-set.h"
+
+#include "turmericwing/model/move.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing::model;
+
+namespace {
+
+const std::string digest(64, 'b');
+const std::string secondVersion
+    = "[version orders-v2]\nservice = orders\n[upstream orders-2]\nservice = orders\nversion "
+      "= orders-v2\nfailure-domain = amman-a\naddress = 127.0.0.1:9002\nslots = "
+      "3\nconnections = 9\n";
+
+std::string move(const std::string& name, const std::string& from, const std::string& to,
+    const std::string& hours, const std::string& more = "step-ms = 60000\n")
+{
+    const size_t dash = hours.find('-');
+    return "[move " + name + "]\nservice = orders\nfrom-version = " + from + "\nto-version = " + to
+        + "\nstart = 2026-12-04T" + hours.substr(0, dash) + ":00:00Z\ndeadline = 2026-12-04T"
+        + hours.substr(dash + 1) + ":00:00Z\ncap = 0.5\n" + more;
+}
+
+} // namespace
+
+TEST_CASE("each rule across objects reports object, field and reason")
+{
+    // Guards against a faulty set that passes the check and reaches the hosts.
+    struct Case {
+        std::string text_;
+        std::string expected_;
+    };
+    const Case cases[] = {
+        { "[link a]\nfrom = amman\nto = mars\ncapacity-mbps = 1\n",
+            "add.ini:3: link a: to: unknown region \"mars\"\n" },
+        { "[link a]\nfrom = amman\nto = amman\ncapacity-mbps = 1\n",
+            "add.ini:3: link a: to: a link connects two different regions\n" },
+        { "[key z]\nworkspace = petra\nsha256 = " + std::string(64, 'a') + "\n",
+            "add.ini:3: key z: sha256: is the same as that of key \"petra-1\"\n" },
+        { "[key b]\nworkspace = nobody\nsha256 = " + digest + "\n",
+            "add.ini:2: key b: workspace: unknown workspace \"nobody\"\n" },
+        { "[route z]\nservice = orders\npath = /create\nmethods = GET\ntimeout-ms = 1\nmax-body-bytes = 0\n",
+            "add.ini:3: route z: path: GET /create is already handled by route \"orders-create\"\n" },
+        { "[client-blocks b]\nregion = amman\nblock = 10.0.0.0/8\nblock = 10.0.0.1/8\nblock = 10.0.0/8\n",
+            "add.ini:3: client-blocks b: block: 10.0.0.0/8 is already listed in client-blocks jordan at "
+            "base.ini:32\n"
+            "add.ini:4: client-blocks b: block: \"10.0.0.1/8\" has address bits set beyond its length\n"
+            "add.ini:5: client-blocks b: block: \"10.0.0/8\" is not a block a.b.c.d/length\n" },
+        { "[workspace big]\nregion = amman\nrate = 100\nburst = 1\n",
+            "base.ini:6: service orders: typical-ms: workspaces may send 112.5 requests/s, but 3 slots at 50 "
+            "ms carry "
+            "60\n" },
+        { secondVersion + move("a", "orders-v1", "orders-v2", "09-10", "step-ms = 1200001\n"),
+            "add.ini:15: move a: deadline: 3 steps of 1200001 ms need 3600003 ms, but the deadline is "
+            "3600000 ms after "
+            "the start\n" },
+        { secondVersion + move("a", "orders-v1", "orders-v2", "09-10")
+                + move("b", "orders-v2", "orders-v1", "10-11"),
+            "add.ini:13: move a: to-version: moves lead from version orders-v2 back to version orders-v1\n"
+            "add.ini:21: move b: to-version: moves lead from version orders-v1 back to version orders-v2\n" },
+        { secondVersion + move("a", "orders-v1", "orders-v2", "09-10")
+                + move("b", "orders-v1", "orders-v2", "09-11"),
+            "add.ini:22: move b: start: overlaps with move \"a\" of service \"orders\"\n" },
+        { secondVersion
+                + move("a", "orders-v1", "orders-v2", "09-10", "step-ms = 60000\nstate = rolled-back\n")
+                + move("b", "orders-v1", "orders-v2", "10-11"),
+            "add.ini:22: move b: to-version: version \"orders-v2\" was rolled back by move \"a\"\n" },
+        { secondVersion
+                + move("a", "orders-v1", "orders-v2", "09-10", "step-ms = 60000\nfrom-region = amman\n"),
+            "add.ini:12: move a: from-version: a move has either from-version and to-version or from-region "
+            "and "
+            "to-region\n" },
+    };
+    for (const auto& one : cases)
+        CHECK(faultsOf(one.text_) == one.expected_);
+    CHECK(faultsOf(secondVersion + move("a", "orders-v1", "orders-v2", "09-10")) == "");
+}
+
+TEST_CASE("a drain below the slots that a region needs is refused")
+{
+    // Guards against a publication that leaves a region without capacity.
+    CHECK(faultsOf("", replaced(smallSet, "typical-ms = 50\n", "typical-ms = 50\nmin-slots = 4\n"))
+        == "base.ini:7: service orders: min-slots: region \"amman\" has 3 slots without drain, needs 4\n");
+    CHECK(faultsOf("", replaced(smallSet, "slots = 3\n", "slots = 3\ndrain = true\n"))
+              .find("has 0 slots without drain")
+        != std::string::npos);
+    CHECK(faultsOf("", replaced(smallSet, "typical-ms = 50\n", "typical-ms = 50\nrate-fraction = 0.5\n"))
+              .find("sum up to 0.5, at least 1")
+        != std::string::npos);
+}
+
+TEST_CASE("step count covers the whole traffic")
+{
+    // Guards against accepting a deadline that the controller cannot meet.
+    CHECK(minimumSteps(1) == 2);
+    CHECK(minimumSteps(0.33) == 4);
+    CHECK(minimumSteps(0.1) == 11);
+    CHECK(minimumSteps(0.005) == 200);
+}
--- a/test/model/parse-test.cc
+++ b/test/model/parse-test.cc
@@ -1,57 +1,10 @@
 // Tests of the INI parser and the canonical text.
-#include "turmericwing/model/parse.h"
+#include "small-set.h"
 
 #include <doctest/doctest.h>
 
 using namespace turmericwing::model;
 
-namespace {
-
-const std::string smallSet = R"([region amman]
-[failure-domain amman-a]
-region = amman
-[service orders]
-version = orders-v1
-typical-ms = 50
-[version orders-v1]
-service = orders
-[upstream orders-1]
-service = orders
-version = orders-v1
-failure-domain = amman-a
-address = 127.0.0.1:9001
-slots = 3
-connections = 400
-[route orders-create]
-service = orders
-path = /create
-methods = POST, GET
-timeout-ms = 2000
-max-body-bytes = 65536
-[workspace petra]
-region = amman
-rate = 12.5
-burst = 20
-[key petra-1]
-workspace = petra
-sha256 = aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa
-[client-blocks jordan]
-region = amman
-block = 10.1.0.0/16
-block = 10.0.0.0/8
-)";
-
-/// The faults of the small set with additional text, as one string.
-std::string faultsOf(const std::string& text)
-{
-    std::string out;
-    for (const auto& fault : parseSet({ { "base.ini", smallSet }, { "add.ini", text } }).faults_)
-        out += toString(fault) + "\n";
-    return out;
-}
-
-} // namespace
-
 TEST_CASE("a set survives its canonical text")
 {
     // Guards against hosts that apply a different set from the one that was checked.
@@ -79,3 +32,62 @@
            "or digit\n"
            "add.ini:8: is neither a section, a comment nor a line \"field = value\"\n");
 }
+
+TEST_CASE("layout variants are read as one meaning or refused")
+{
+    // Guards against text that inih silently splits, joins or drops.
+    CHECK(faultsOf("\xEF\xBB\xBF; comment\r\n[ region  irbid ] ; comment\r\n\r\n  # note\r\n") == "");
+    CHECK(faultsOf("colour = red\n") == "add.ini:1: colour: field stands before the first section\n");
+    CHECK(faultsOf("[region irbid\n[region a] b\n")
+        == "add.ini:1: section heading has no closing bracket\nadd.ini:2: text follows the section "
+           "heading\n");
+    CHECK(faultsOf("[region irbid]\n" + std::string(300, 'x') + " = 1\n")
+              .starts_with("add.ini:2: line is longer than"));
+    CHECK(faultsOf(std::string("[region irbid]\na\0b = 1\n", 23))
+        == "add.ini:2: line contains a control character\n");
+    CHECK(faultsOf("[failure-domain amman-b]\nregion = amman\n  region = amman\n")
+        == "add.ini:3: failure-domain amman-b: region: field is set twice\n");
+    CHECK(faultsOf("[client-blocks x]\nblock = 1.0.0.0/8\n[client-blocks x]\nregion = mars\n")
+        == "add.ini:1: client-blocks x: region: required field is missing\n"
+           "add.ini:3: client-blocks x: name is used twice\n"
+           "add.ini:4: client-blocks x: region: unknown region \"mars\"\n");
+}
+
+TEST_CASE("field values outside their range are refused")
+{
+    // Guards against values that overflow or reach the decision code as nonsense.
+    const auto refused = [](const std::string& from, const std::string& to) {
+        return faultsOf("", replaced(smallSet, from, to))
+                   .find("\"" + to.substr(to.find("= ") + 2) + "\" is not")
+            != std::string::npos;
+    };
+    CHECK(refused("rate = 12.5", "rate = nan"));
+    CHECK(refused("rate = 12.5", "rate = -1"));
+    CHECK(refused("rate = 12.5", "rate = 0x10"));
+    CHECK(refused("slots = 3", "slots = 4294967297"));
+    CHECK(refused("slots = 3", "slots = 3.5"));
+    CHECK(refused("address = 127.0.0.1:9001", "address = localhost:9001"));
+    CHECK(refused("address = 127.0.0.1:9001", "address = 127.0.0.1:65536"));
+    CHECK(refused("path = /create", "path = /a//b"));
+    CHECK_FALSE(refused("address = 127.0.0.1:9001", "address = [::1]:9001"));
+}
+
+TEST_CASE("times are UTC and keep milliseconds")
+{
+    // Guards against a move whose deadline shifts when the set is written back.
+    const std::string v2
+        = "[version orders-v2]\nservice = orders\n[upstream orders-2]\nservice = orders\n"
+          "version = orders-v2\nfailure-domain = amman-a\naddress = 127.0.0.1:9002\n"
+          "slots = 3\nconnections = 9\n[move m]\nservice = orders\nfrom-version = orders-v1\n"
+          "to-version = orders-v2\ncap = 0.5\nstep-ms = 60000\n";
+    const auto parsed = parseSet(
+        { { "a", smallSet + v2 + "start = 2026-12-04T09:00:00Z\ndeadline = 2026-12-04T09:03:00.250Z\n" } });
+    CHECK(parsed.faults_.empty());
+    CHECK(parsed.set_.moves_.at(0).startMs_ == 1796374800000);
+    CHECK(parsed.set_.moves_.at(0).deadlineMs_ == 1796374980250);
+    CHECK(parseSet({ { "b", canonicalText(parsed.set_) } }).set_ == parsed.set_);
+    CHECK(faultsOf(v2 + "start = 2026-02-30T09:00:00Z\ndeadline = 2026-12-04T09:03:00+01:00\n")
+        == "add.ini:16: move m: start: \"2026-02-30T09:00:00Z\" is not a UTC time like 2026-12-04T09:00:00Z\n"
+           "add.ini:17: move m: deadline: \"2026-12-04T09:03:00+01:00\" is not a UTC time like "
+           "2026-12-04T09:00:00Z\n");
+}
