--- /dev/null
+++ b/src/limits/bucket.cc
@@ -0,0 +1,114 @@
+// Implementation of the token bucket.
+#include "turmericwing/limits/bucket.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericwing::limits {
+
+namespace detail {
+
+    constexpr double nsPerSecond = 1e9;
+
+    // Bounds every product below, so that a tiny rate cannot overflow 64-bit nanoseconds (about 31 years).
+    constexpr int64_t maxSpanNs = 1'000'000'000'000'000'000;
+
+    int64_t toNs(TimePoint t) { return std::chrono::nanoseconds(t.time_since_epoch()).count(); }
+
+    int64_t costNs(const Bucket& bucket, uint64_t tokens)
+    {
+        if (bucket.limits_.rate_ <= 0)
+            return tokens == 0 ? 0 : maxSpanNs;
+        const double ns = std::ceil(static_cast<double>(tokens) * nsPerSecond / bucket.limits_.rate_);
+        return ns >= static_cast<double>(maxSpanNs) ? maxSpanNs : static_cast<int64_t>(ns);
+    }
+
+    int64_t burstNs(const Bucket& bucket)
+    {
+        if (bucket.limits_.rate_ <= 0)
+            return 0;
+        const double ns = std::floor(bucket.limits_.burst_ * nsPerSecond / bucket.limits_.rate_);
+        return ns >= static_cast<double>(maxSpanNs) ? maxSpanNs : static_cast<int64_t>(ns);
+    }
+
+    int64_t levelNs(const Bucket& bucket, int64_t nowNs)
+    {
+        return std::clamp<int64_t>(nowNs - bucket.emptyAtNs_, 0, burstNs(bucket));
+    }
+
+} // namespace detail
+
+Bucket makeEmptyBucket(BucketLimits limits, TimePoint since) { return { limits, detail::toNs(since) }; }
+
+uint64_t availableTokens(const Bucket& bucket, TimePoint now)
+{
+    const int64_t level = detail::levelNs(bucket, detail::toNs(now));
+    auto tokens
+        = static_cast<uint64_t>(static_cast<double>(level) * bucket.limits_.rate_ / detail::nsPerSecond);
+    // The product may round in either direction by one token.
+    if (detail::costNs(bucket, tokens + 1) <= level)
+        return tokens + 1;
+    if (tokens > 0 && detail::costNs(bucket, tokens) > level)
+        return tokens - 1;
+    return tokens;
+}
+
+bool takeTokens(Bucket& bucket, uint64_t tokens, TimePoint now)
+{
+    const int64_t nowNs = detail::toNs(now);
+    const int64_t level = detail::levelNs(bucket, nowNs);
+    const int64_t cost = detail::costNs(bucket, tokens);
+    if (tokens == 0 || cost > level)
+        return tokens == 0;
+    bucket.emptyAtNs_ = nowNs - level + cost;
+    return true;
+}
+
+void putBackTokens(Bucket& bucket, uint64_t tokens, TimePoint now)
+{
+    const int64_t nowNs = detail::toNs(now);
+    if (bucket.limits_.rate_ <= 0)
+        return;
+    // A bucket whose filling starts in the future keeps that start as the base.
+    const int64_t base = std::max(bucket.emptyAtNs_, nowNs - detail::burstNs(bucket));
+    // Rounded down, because the cost was rounded up when the tokens were taken.
+    bucket.emptyAtNs_ = base - detail::costNs(bucket, tokens) + static_cast<int64_t>(tokens != 0);
+}
+
+void capLevel(Bucket& bucket, uint64_t reserved, TimePoint now)
+{
+    const int64_t room = std::max<int64_t>(0, detail::burstNs(bucket) - detail::costNs(bucket, reserved));
+    bucket.emptyAtNs_ = std::max(bucket.emptyAtNs_, detail::toNs(now) - room);
+}
+
+void setLimits(Bucket& bucket, BucketLimits limits, TimePoint now)
+{
+    const int64_t nowNs = detail::toNs(now);
+    if (bucket.limits_ == limits)
+        return;
+    if (bucket.emptyAtNs_ >= nowNs) {
+        // Not filling yet, for example just after a take-over: the start stays.
+        bucket.limits_ = limits;
+        return;
+    }
+    const double level
+        = static_cast<double>(detail::levelNs(bucket, nowNs)) * bucket.limits_.rate_ / detail::nsPerSecond;
+    bucket.limits_ = limits;
+    const double span = limits.rate_ <= 0 ? 0
+                                          : std::min(std::floor(level * detail::nsPerSecond / limits.rate_),
+                                              static_cast<double>(detail::burstNs(bucket)));
+    bucket.emptyAtNs_ = nowNs - static_cast<int64_t>(span);
+}
+
+TimePoint tokensReadyAt(const Bucket& bucket, uint64_t tokens, TimePoint now)
+{
+    const int64_t cost = detail::costNs(bucket, tokens);
+    if (cost > detail::burstNs(bucket))
+        return TimePoint::max();
+    const int64_t nowNs = detail::toNs(now);
+    const int64_t base = std::max(bucket.emptyAtNs_, nowNs - detail::burstNs(bucket));
+    const int64_t readyNs = std::max(nowNs, base + cost);
+    return TimePoint(Duration((readyNs + 999) / 1000));
+}
+
+} // namespace turmericwing::limits
