--- /dev/null
+++ b/test/control/config-test.cc
@@ -0,0 +1,65 @@
+// Tests of the activation of configurations.
+#include "turmericwing/control/config.h"
+
+#include "turmericwing/base/hash.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::control;
+
+namespace {
+
+TimePoint at(int ms) { return TimePoint {} + std::chrono::milliseconds(ms); }
+
+Head headOf(uint64_t revision, const std::string& blob)
+{
+    Head head;
+    head.version_ = revision;
+    head.revision_ = revision;
+    head.digest_ = sha256Hex(blob);
+    return head;
+}
+
+} // namespace
+
+TEST_CASE("a configuration is fetched, prepared and active in order, and never reverts")
+{
+    // Guards against a host that falls back to an older revision.
+    ReadLease lease;
+    ConfigState state;
+    for (const uint64_t revision : { 1, 2, 1 }) {
+        const Head head = headOf(revision, "blob " + std::to_string(revision));
+        const TimePoint now = at(100 * static_cast<int>(revision));
+        REQUIRE(recordRead(lease, {}, head, now, now));
+        learnRevision(state, {}, markOf(head), now);
+    }
+    REQUIRE(state.entries_.size() == 2);
+    CHECK(acceptBlob(state, lease, sha256Hex("blob 2"), "blob 2").value() == 2);
+    CHECK_FALSE(evaluate(lease, {}, at(300)).admitKeyed_);
+    CHECK(acceptBlob(state, lease, sha256Hex("blob 1"), "forged").has_error());
+    CHECK(acceptBlob(state, lease, sha256Hex("blob 1"), "blob 1").value() == 1);
+    CHECK(activateConfigs(state, evaluate(lease, {}, at(300))));
+    CHECK(state.activeRevision_ == 1);
+    CHECK(state.entries_.size() == 2);
+    CHECK(activateConfigs(state, evaluate(lease, {}, at(2200))));
+    CHECK(state.activeRevision_ == 2);
+    CHECK(state.entries_.size() == 1);
+    CHECK(acceptBlob(state, lease, sha256Hex("blob 1"), "blob 1").has_error());
+    CHECK_FALSE(isOverdue(state, at(60000)));
+}
+
+TEST_CASE("blobs come from peers first, then from the store, and overdue ones are reported")
+{
+    // Guards against a fetch that hangs on one peer, and against serving an old revision after 6 s.
+    ConfigState state;
+    const Head head = headOf(1, "blob");
+    learnRevision(state, {}, markOf(head), at(0));
+    const auto fetch = [&](int ms) { return dueFetches(state, {}, { "p1", "p2" }, at(ms)); };
+    CHECK(fetch(0) == std::vector<FetchAction> { { head.digest_, false, "p1" } });
+    CHECK(fetch(199).empty());
+    CHECK(fetch(200) == std::vector<FetchAction> { { head.digest_, false, "p2" } });
+    CHECK(fetch(400) == std::vector<FetchAction> { { head.digest_, true, "" } });
+    CHECK_FALSE(isOverdue(state, at(5499)));
+    CHECK(isOverdue(state, at(5500)));
+}
--- /dev/null
+++ b/test/control/lease-test.cc
@@ -0,0 +1,115 @@
+// Tests of the read lease.
+#include "turmericwing/control/lease.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::control;
+
+namespace {
+
+TimePoint at(int ms) { return TimePoint {} + std::chrono::milliseconds(ms); }
+
+Head headOf(uint64_t version, uint64_t revision = 1, uint64_t epoch = 1)
+{
+    Head head;
+    head.version_ = version;
+    head.revision_ = revision;
+    head.epoch_ = epoch;
+    head.digest_ = std::string(64, static_cast<char>('0' + revision));
+    return head;
+}
+
+ReadLease leaseAt(int ms)
+{
+    ReadLease lease;
+    recordPrepared(lease, 1);
+    REQUIRE(recordRead(lease, {}, headOf(1), at(ms), at(ms)).value() == LearnOutcome::Learned);
+    return lease;
+}
+
+} // namespace
+
+TEST_CASE("the lease runs from the sending of the read, less a relay's age")
+{
+    // Guards against a slow response or a relay's old copy that stretches the lease.
+    ReadLease lease;
+    recordPrepared(lease, 1);
+    CHECK_FALSE(evaluate(lease, {}, at(0)).admitKeyed_);
+    REQUIRE(recordRead(lease, {}, headOf(1), at(1000), at(2500), std::chrono::milliseconds(300)));
+    CHECK(evaluate(lease, {}, at(2599)).admitKeyed_);
+    CHECK_FALSE(evaluate(lease, {}, at(2600)).admitKeyed_);
+    // A negative age from a faulty relay does not stretch it either.
+    REQUIRE(recordRead(lease, {}, headOf(1), at(3000), at(3000), std::chrono::milliseconds(-900)));
+    CHECK_FALSE(isLeaseValid(lease, {}, at(4900)));
+}
+
+TEST_CASE("restrictions apply at once and extensions after the delay")
+{
+    // Guards against two hosts that hold one share after a view change.
+    ReadLease lease = leaseAt(0);
+    CHECK(evaluate(lease, {}, at(0)).admitKeyed_);
+    CHECK_FALSE(evaluate(lease, {}, at(1800)).sharesUsable_);
+    REQUIRE(recordRead(lease, {}, headOf(1), at(1800), at(1800)));
+    CHECK(evaluate(lease, {}, at(2000)).sharesUsable_);
+    REQUIRE(recordRead(lease, {}, headOf(2, 1, 2), at(3000), at(3010)));
+    Effective now = evaluate(lease, {}, at(3010));
+    CHECK(now.extensions_->version_ == 1);
+    REQUIRE(now.restrictions_.size() == 1);
+    CHECK(now.restrictions_[0].version_ == 2);
+    REQUIRE(recordRead(lease, {}, headOf(2, 1, 2), at(4800), at(4800)));
+    CHECK(evaluate(lease, {}, at(5009)).extensions_->version_ == 1);
+    now = evaluate(lease, {}, at(5010));
+    CHECK(now.extensions_->version_ == 2);
+    CHECK(now.restrictions_.empty());
+    CHECK(now.sharesUsable_);
+}
+
+TEST_CASE("versions, revisions and epochs only increase")
+{
+    // Guards against a stale copy or a damaged row that reverts a host.
+    ReadLease lease = leaseAt(0);
+    REQUIRE(recordRead(lease, {}, headOf(5, 1, 2), at(100), at(100)));
+    CHECK(recordRead(lease, {}, headOf(4, 1, 2), at(1000), at(1000)).value() == LearnOutcome::Stale);
+    CHECK(recordRead(lease, {}, headOf(6, 0, 2), at(1000), at(1000)).has_error());
+    CHECK(recordRead(lease, {}, headOf(6, 1, 1), at(1000), at(1000)).has_error());
+    CHECK(recordRead(lease, {}, headOf(5, 2, 2), at(1000), at(1000)).has_error());
+    CHECK(lease.known_->version_ == 5);
+    CHECK(lease.start_ == at(100));
+}
+
+TEST_CASE("a skipped view withholds shares until the newest version is active")
+{
+    // Guards against a share that moved away and back between two reads and is still used elsewhere.
+    for (const bool detect : { true, false }) {
+        const LeaseOptions options { .detectSkips_ = detect };
+        ReadLease lease = leaseAt(0);
+        REQUIRE(recordRead(lease, options, headOf(1), at(1800), at(1800)));
+        REQUIRE(recordRead(lease, options, headOf(3, 1, 3), at(3000), at(3000)));
+        CHECK(evaluate(lease, options, at(3000)).admitKeyed_);
+        CHECK(evaluate(lease, options, at(3000)).sharesUsable_ == !detect);
+        REQUIRE(recordRead(lease, options, headOf(3, 1, 3), at(4900), at(4900)));
+        CHECK(evaluate(lease, options, at(5000)).sharesUsable_);
+    }
+}
+
+TEST_CASE("a revision without its blob does not renew the lease")
+{
+    // Guards against admitting a key that an unread configuration revokes.
+    ReadLease lease = leaseAt(0);
+    REQUIRE(recordRead(lease, {}, headOf(2, 2), at(1000), at(1000)));
+    CHECK(evaluate(lease, {}, at(1899)).admitKeyed_);
+    CHECK_FALSE(evaluate(lease, {}, at(1900)).admitKeyed_);
+    recordPrepared(lease, 2);
+    CHECK(evaluate(lease, {}, at(1900)).admitKeyed_);
+}
+
+TEST_CASE("after a pause the expiry is seen before an extension")
+{
+    // Guards against a paused process that admits with an old lease or activates a version it cannot prove.
+    ReadLease lease = leaseAt(0);
+    REQUIRE(recordRead(lease, {}, headOf(2, 1, 2), at(100), at(100)));
+    const Effective late = evaluate(lease, {}, at(60000));
+    CHECK_FALSE(late.admitKeyed_);
+    CHECK_FALSE(late.sharesUsable_);
+}
