--- a/include/turmericwing/host/snapshot.h
+++ b/include/turmericwing/host/snapshot.h
@@ -18,9 +18,17 @@
 
 namespace turmericwing::host {
 
+/// A head with the configuration that it names.
+struct Version {
+    control::Head head_;
+    std::shared_ptr<const model::ObjectSet> set_;
+};
+
 struct Snapshot {
     std::shared_ptr<const model::ObjectSet> set_;
     control::Head head_; ///< The view in force; digest_ names set_.
+    std::vector<Version> newer_; ///< Learned but not yet in force: they only take away.
+    bool sharesUsable_ = false; ///< False while this host cannot know which shares it holds.
     std::unordered_map<std::string, const model::Key*> keys_; ///< By digest; points into set_.
     std::map<std::string, std::vector<const model::Route*>> routes_; ///< By service, longest path first.
     std::set<std::string> revokedKeys_; ///< Digests that a newer configuration, not yet in force, takes away.
@@ -28,9 +36,8 @@
     std::set<std::string> stoppedMoves_; ///< Moves that are held or rolled back.
 };
 
-/// Builds the index. `restrictions` are newer sets that are learned but not yet in force.
-std::shared_ptr<const Snapshot> makeSnapshot(std::shared_ptr<const model::ObjectSet> set, control::Head head,
-    const std::vector<std::shared_ptr<const model::ObjectSet>>& restrictions);
+/// Builds the index.
+std::shared_ptr<const Snapshot> makeSnapshot(Version inForce, std::vector<Version> newer, bool sharesUsable);
 
 /// The workspace of a key, or nullptr when the key is unknown or revoked. Takes the key itself, not its digest.
 const model::Workspace* authenticate(const Snapshot&, std::string_view key);
--- a/include/turmericwing/host/tokens.h
+++ b/include/turmericwing/host/tokens.h
@@ -77,6 +77,7 @@
     std::vector<Pull> planPulls(Workspace&, TimePoint now);
     void send(const std::vector<Pull>&);
     void refresh(Workspace&, TimePoint now);
+    void dropRemoved(const Snapshot&);
 
     const std::string host_;
     const uint64_t incarnation_;
--- a/src/host/snapshot.cc
+++ b/src/host/snapshot.cc
@@ -39,8 +39,13 @@
         return path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/';
     }
 
-    void addRestrictions(Snapshot& snapshot, const model::ObjectSet& set)
+    void addRestrictions(Snapshot& snapshot, const control::Head& head, const model::ObjectSet& set)
     {
+        snapshot.drained_.insert(head.drainedUpstreams_.begin(), head.drainedUpstreams_.end());
+        for (const control::MoveStatus& move : head.moves_) {
+            if (move.phase_ == control::MovePhase::RolledBack)
+                snapshot.stoppedMoves_.insert(move.name_);
+        }
         for (const model::Upstream& upstream : set.upstreams_) {
             if (upstream.drain_)
                 snapshot.drained_.insert(upstream.name_);
@@ -53,27 +58,28 @@
 
 } // namespace detail
 
-std::shared_ptr<const Snapshot> makeSnapshot(std::shared_ptr<const model::ObjectSet> set, control::Head head,
-    const std::vector<std::shared_ptr<const model::ObjectSet>>& restrictions)
+std::shared_ptr<const Snapshot> makeSnapshot(Version inForce, std::vector<Version> newer, bool sharesUsable)
 {
     auto snapshot = std::make_shared<Snapshot>();
-    snapshot->keys_ = detail::usableKeys(*set);
-    for (const model::Service& service : set->services_)
+    snapshot->set_ = std::move(inForce.set_);
+    snapshot->head_ = std::move(inForce.head_);
+    snapshot->newer_ = std::move(newer);
+    snapshot->sharesUsable_ = sharesUsable;
+    const model::ObjectSet& set = *snapshot->set_;
+    snapshot->keys_ = detail::usableKeys(set);
+    for (const model::Service& service : set.services_)
         snapshot->routes_[service.name_];
-    for (const model::Route& route : set->routes_)
+    for (const model::Route& route : set.routes_)
         snapshot->routes_[route.service_].push_back(&route);
     for (auto& [service, routes] : snapshot->routes_) {
         std::stable_sort(routes.begin(), routes.end(),
             [](const model::Route* a, const model::Route* b) { return a->path_.size() > b->path_.size(); });
     }
-    snapshot->drained_.insert(head.drainedUpstreams_.begin(), head.drainedUpstreams_.end());
-    detail::addRestrictions(*snapshot, *set);
-    for (const auto& newer : restrictions) {
-        detail::addRevoked(snapshot->revokedKeys_, snapshot->keys_, *newer);
-        detail::addRestrictions(*snapshot, *newer);
+    detail::addRestrictions(*snapshot, snapshot->head_, set);
+    for (const Version& version : snapshot->newer_) {
+        detail::addRevoked(snapshot->revokedKeys_, snapshot->keys_, *version.set_);
+        detail::addRestrictions(*snapshot, version.head_, *version.set_);
     }
-    snapshot->set_ = std::move(set);
-    snapshot->head_ = std::move(head);
     return snapshot;
 }
 
--- a/src/host/tokens.cc
+++ b/src/host/tokens.cc
@@ -28,6 +28,24 @@
         return hosts;
     }
 
+    /// Keeps the shares that this host also holds in a newer version, with the smaller limits.
+    void restrictShares(std::map<limits::ShareKind, limits::BucketLimits>& own, const std::string& workspace,
+        const std::string& host, const Version& newer)
+    {
+        std::map<limits::ShareKind, limits::BucketLimits> kept;
+        const model::Workspace* definition = model::find(newer.set_->workspaces_, workspace);
+        const auto shares = definition ? sharesOf(*definition, placementHosts(newer.head_)) : std::vector<limits::Share>();
+        for (const limits::Share& share : shares) {
+            const auto found = own.find(share.kind_);
+            if (share.host_ != host || found == own.end())
+                continue;
+            kept.emplace(share.kind_,
+                limits::BucketLimits { std::min(found->second.rate_, share.limits_.rate_),
+                    std::min(found->second.burst_, share.limits_.burst_) });
+        }
+        own = std::move(kept);
+    }
+
 } // namespace detail
 
 Tokens::Tokens(std::string host, uint64_t incarnation, const SharedState& state, Outbox outbox)
@@ -53,23 +71,42 @@
         workspace.pulled_.incarnation_ = incarnation_;
         workspace.epoch_ = snapshot.head_.epoch_;
         workspace.targets_.clear();
-        std::set<limits::ShareKind> kept;
+        std::map<limits::ShareKind, limits::BucketLimits> own;
         for (const limits::Share& share : detail::sharesOf(definition, members)) {
-            if (share.host_ != host_) {
+            if (share.host_ == host_)
+                own.emplace(share.kind_, share.limits_);
+            else
                 workspace.targets_.push_back({ share.host_, share.kind_, share.limits_.burst_ });
-                continue;
-            }
-            kept.insert(share.kind_);
-            const auto held = workspace.held_.find(share.kind_);
+        }
+        for (const Version& newer : snapshot.newer_)
+            detail::restrictShares(own, definition.name_, host_, newer);
+        if (!snapshot.sharesUsable_)
+            own.clear();
+        std::erase_if(workspace.held_, [&](const auto& entry) { return own.count(entry.first) == 0; });
+        for (const auto& [kind, limits] : own) {
+            const auto held = workspace.held_.find(kind);
             if (held == workspace.held_.end())
-                workspace.held_.emplace(
-                    share.kind_, limits::acquireShare(share.limits_, workspace.epoch_, now, options_));
+                workspace.held_.emplace(kind, limits::acquireShare(limits, workspace.epoch_, now, options_));
             else
-                limits::updateShare(held->second, share.limits_, workspace.epoch_, now, options_);
+                limits::updateShare(held->second, limits, workspace.epoch_, now, options_);
         }
-        std::erase_if(workspace.held_, [&](const auto& entry) { return kept.count(entry.first) == 0; });
         shard.changed_.notify_all();
     }
+    dropRemoved(snapshot);
+}
+
+void Tokens::dropRemoved(const Snapshot& snapshot)
+{
+    for (Shard& shard : shards_) {
+        std::lock_guard lock(shard.mutex_);
+        for (auto& [name, workspace] : shard.workspaces_) {
+            // Waiting requests hold references, so the entry stays and only loses its shares and targets.
+            if (!model::find(snapshot.set_->workspaces_, name)) {
+                workspace.held_.clear();
+                workspace.targets_.clear();
+            }
+        }
+    }
 }
 
 void Tokens::refresh(Workspace& workspace, TimePoint now)
