Add evidence of a store outage and guarded changes of the head

Cause: a late write of the store can take effect long after it was sent, so reports of contact alone do not bound it. Change: a writer announces the candidate to f other members before the write; every extension by evidence hears at least one holder and applies what the candidate takes away. Recovery of new incarnations, operator's declaration, summaries per failure domain.

--- a/include/turmericwing/control/lease.h
+++ b/include/turmericwing/control/lease.h
@@ -41,6 +41,8 @@
     std::vector<PendingHead> pending_;
     std::optional<TimePoint> start_; ///< No version newer than known_ takes effect before start_ + 2 s.
     std::optional<TimePoint> usableStart_; ///< As start_, for the time when the blob of known_ was at hand.
+    std::optional<TimePoint> readStart_; ///< As start_, from reads alone.
+    std::optional<TimePoint> usableReadStart_; ///< As usableStart_, from reads alone.
     uint64_t preparedRevision_ = 0; ///< Newest revision whose blob has been fetched and checked.
     uint64_t sharesVersion_ = 0; ///< Shares are unusable until a version from this one on is active.
     TimePoint sharesFrom_; ///< And not before this time.
@@ -52,8 +54,8 @@
     Stale, ///< An older version than known; proves nothing.
 };
 
-/// Keys and rules of the first head that a process learns apply at once, because an earlier version that it
-/// could contradict was never in use here; its shares wait for the activation delay.
+/// Keys and rules of a head that a host learns without a valid lease (also of the first one) apply at once;
+/// only its shares wait for the activation delay.
 ///
 /// Records that a read sent at local time `sentAt` showed `head`. For a relay's copy, `age` is the time that
 /// passed at the relay from its own read to its reply. Errors: Invalid if a newer version has a lower
@@ -75,6 +77,8 @@
 /// What applies at `now`.
 struct Effective {
     bool admitKeyed_ = false; ///< The read lease is valid.
+    /// Reads alone do not prove the lease: candidates in doubt (control/evidence.h) restrict too.
+    bool needsEvidence_ = false;
     bool sharesUsable_ = false; ///< Shares of extensions_ may be used (as far as restrictions_ keep them).
     std::optional<HeadMark> extensions_; ///< Grants come from this version.
     std::vector<HeadMark> restrictions_; ///< Newer versions that only take away, ascending.
--- /dev/null
+++ b/src/control/evidence.cc
@@ -0,0 +1,346 @@
+// Evidence of the members about the head.
+#include "turmericwing/control/evidence.h"
+
+#include <algorithm>
+
+namespace turmericwing::control {
+
+namespace detail {
+
+    constexpr size_t maxCandidates = 64;
+
+    /// Notes that `version` exists, which resolves all candidates based on older ones.
+    void raiseVersion(Knowledge& knowledge, uint64_t version)
+    {
+        if (version <= knowledge.newestVersion_)
+            return;
+        knowledge.newestVersion_ = version;
+        std::erase_if(knowledge.candidates_, [&](const Candidate& c) { return c.baseVersion_ < version; });
+    }
+
+    bool holdCandidate(Knowledge& knowledge, const Candidate& candidate)
+    {
+        raiseVersion(knowledge, candidate.baseVersion_);
+        if (candidate.baseVersion_ < knowledge.newestVersion_)
+            return false;
+        auto& held = knowledge.candidates_;
+        const auto at = std::lower_bound(held.begin(), held.end(), candidate);
+        if (at != held.end() && *at == candidate)
+            return true;
+        if (held.size() >= maxCandidates)
+            return false;
+        held.insert(at, candidate);
+        return true;
+    }
+
+    bool isLost(const LostHosts& lost, const Head& base, const std::string& host)
+    {
+        return base.version_ >= lost.minVersion_
+            && std::binary_search(lost.hosts_.begin(), lost.hosts_.end(), host);
+    }
+
+    /// Members that count: those not declared lost.
+    std::vector<const Member*> countedMembers(const Head& view, const Head& base, const LostHosts& lost)
+    {
+        std::vector<const Member*> out;
+        for (const Member& member : view.members_) {
+            if (!isLost(lost, base, member.host_))
+                out.push_back(&member);
+        }
+        return out;
+    }
+
+    /// Time of the evidence of `member`, if it counts for a host that knows `version`.
+    std::optional<TimePoint> evidenceStart(const EvidenceLog& log, const Knowledge& knowledge,
+        const EvidenceOptions& options, const Member& member, uint64_t version, TimePoint now)
+    {
+        if (member.host_ == knowledge.host_)
+            return knowledge.eligible_ ? std::optional(now) : std::nullopt;
+        const auto it = log.hosts_.find(member.host_);
+        if (it == log.hosts_.end() || it->second.second.incarnation_ < member.incarnation_
+            || it->second.second.newestVersion_ > version || it->second.first + options.validity_ <= now)
+            return std::nullopt;
+        return it->second.first;
+    }
+
+    /// The best summary of a domain that refers to `version` and counts the view `nonce`.
+    const std::pair<TimePoint, Summary>* bestSummary(const EvidenceLog& log, const EvidenceOptions& options,
+        const std::string& domain, uint64_t version, const std::string& nonce, size_t& heard, TimePoint now)
+    {
+        const std::pair<TimePoint, Summary>* best = nullptr;
+        for (auto it = log.summaries_.lower_bound({ domain, "" });
+             it != log.summaries_.end() && it->first.first == domain; ++it) {
+            const auto& [start, summary] = it->second;
+            if (summary.newestVersion_ != version || start + options.validity_ <= now)
+                continue;
+            const auto count = std::find_if(summary.counts_.begin(), summary.counts_.end(),
+                [&](const ViewCount& c) { return c.nonce_ == nonce; });
+            if (count != summary.counts_.end() && (!best || count->heard_ > heard)) {
+                best = &it->second;
+                heard = count->heard_;
+            }
+        }
+        return best;
+    }
+
+    struct ViewProof {
+        std::optional<TimePoint> start_;
+        size_t heard_ = 0;
+        size_t needed_ = 0;
+    };
+
+    /// Proof for one view: all its counted members but f, each by its own evidence or by a summary of its
+    /// domain.
+    ViewProof proveView(const EvidenceLog& log, const Knowledge& knowledge, const EvidenceOptions& options,
+        const Head& base, const Head& view, const std::string& nonce, const LostHosts& lost, TimePoint now)
+    {
+        const std::vector<const Member*> members = countedMembers(view, base, lost);
+        ViewProof out;
+        out.needed_ = members.size() - toleratedMembers(members.size());
+        std::map<std::string, std::vector<const Member*>> domains;
+        for (const Member* member : members)
+            domains[member->failureDomain_].push_back(member);
+        std::vector<TimePoint> starts;
+        for (const auto& [domain, inDomain] : domains) {
+            size_t heard = 0;
+            const auto* summary = bestSummary(log, options, domain, base.version_, nonce, heard, now);
+            if (summary) {
+                starts.insert(starts.end(), std::min(heard, inDomain.size()), summary->first);
+                continue;
+            }
+            for (const Member* member : inDomain) {
+                if (const auto start = evidenceStart(log, knowledge, options, *member, base.version_, now))
+                    starts.push_back(*start);
+            }
+        }
+        out.heard_ = starts.size();
+        if (members.empty() || starts.size() < out.needed_)
+            return out;
+        std::sort(starts.begin(), starts.end(), std::greater<>());
+        out.start_ = starts[out.needed_ - 1];
+        return out;
+    }
+
+    /// Members other than the writer that must hold a candidate or know an outcome: together with the writer
+    /// one more than f, so that they meet every set of all members but f.
+    bool enoughAcks(const std::map<std::string, Ack>& acks, const Knowledge& knowledge,
+        const EvidenceOptions& options, const Head& base, const LostHosts& lost, TimePoint now)
+    {
+        const std::vector<const Member*> members = countedMembers(base, base, lost);
+        if (members.empty() || !options.requireAcks_)
+            return true;
+        size_t holders = 0;
+        for (const Member* member : members) {
+            const auto ack = acks.find(member->host_);
+            if (member->host_ == knowledge.host_)
+                holders += knowledge.incarnation_ >= member->incarnation_ ? 1 : 0;
+            else if (ack != acks.end() && ack->second.incarnation_ >= member->incarnation_
+                && now < ack->second.reportSentAt_ + options.ackLifetime_)
+                ++holders;
+        }
+        return holders >= toleratedMembers(members.size()) + 1;
+    }
+
+} // namespace detail
+
+size_t toleratedMembers(size_t members)
+{
+    if (members < 3)
+        return 0;
+    return members < 7 ? 1 : 2;
+}
+
+void noteHead(Knowledge& knowledge, const Head& head)
+{
+    detail::raiseVersion(knowledge, head.version_);
+    const bool lists = std::any_of(head.members_.begin(), head.members_.end(), [&](const Member& member) {
+        return member.host_ == knowledge.host_ && member.incarnation_ == knowledge.incarnation_;
+    });
+    // Candidates that an earlier process of this host acknowledged are based on versions before the one that
+    // lists this incarnation, so they are resolved.
+    knowledge.listed_ = knowledge.listed_ || lists;
+    knowledge.eligible_ = knowledge.eligible_ || lists;
+}
+
+void noteContact(Knowledge& knowledge, TimePoint sentAt)
+{
+    if (!knowledge.lastContact_ || sentAt > *knowledge.lastContact_)
+        knowledge.lastContact_ = sentAt;
+}
+
+bool hasContact(const Knowledge& knowledge, const EvidenceOptions& options, TimePoint now)
+{
+    return knowledge.lastContact_ && now < *knowledge.lastContact_ + options.contactLifetime_;
+}
+
+bool acknowledgeCandidate(Knowledge& knowledge, const Candidate& candidate)
+{
+    return detail::holdCandidate(knowledge, candidate);
+}
+
+std::optional<Evidence> giveEvidence(
+    const Knowledge& knowledge, const EvidenceOptions& options, TimePoint now)
+{
+    if (!knowledge.eligible_)
+        return std::nullopt;
+    return Evidence { knowledge.host_, knowledge.incarnation_, knowledge.newestVersion_,
+        hasContact(knowledge, options, now), knowledge.candidates_ };
+}
+
+LostHosts lostRegion(const Head& head, const std::string& region, uint64_t minVersion)
+{
+    LostHosts out;
+    out.minVersion_ = minVersion;
+    for (const Member& member : head.members_) {
+        if (member.region_ == region)
+            out.hosts_.push_back(member.host_);
+    }
+    std::sort(out.hosts_.begin(), out.hosts_.end());
+    return out;
+}
+
+void recordEvidence(
+    EvidenceLog& log, Knowledge& knowledge, LostHosts& lost, TimePoint sentAt, const Evidence& evidence)
+{
+    detail::raiseVersion(knowledge, evidence.newestVersion_);
+    for (const Candidate& candidate : evidence.candidates_)
+        detail::holdCandidate(knowledge, candidate);
+    if (std::binary_search(lost.hosts_.begin(), lost.hosts_.end(), evidence.host_))
+        lost = {};
+    auto [it, inserted] = log.hosts_.try_emplace(evidence.host_, sentAt, evidence);
+    const bool newer = evidence.incarnation_ > it->second.second.incarnation_
+        || (evidence.incarnation_ == it->second.second.incarnation_ && sentAt > it->second.first);
+    if (!inserted && newer)
+        it->second = { sentAt, evidence };
+}
+
+void recordSummary(EvidenceLog& log, Knowledge& knowledge, TimePoint sentAt, const Summary& summary)
+{
+    detail::raiseVersion(knowledge, summary.newestVersion_);
+    for (const Candidate& candidate : summary.candidates_)
+        detail::holdCandidate(knowledge, candidate);
+    const TimePoint start = sentAt - std::max(summary.age_, Duration::zero());
+    auto [it, inserted]
+        = log.summaries_.try_emplace({ summary.failureDomain_, summary.relay_ }, start, summary);
+    if (!inserted && start > it->second.first)
+        it->second = { start, summary };
+}
+
+Summary summarise(const EvidenceLog& log, const Knowledge& knowledge, const EvidenceOptions& options,
+    const Head& base, const CandidateHeads& heads, const std::string& failureDomain, TimePoint now)
+{
+    Summary out;
+    out.relay_ = knowledge.host_;
+    out.failureDomain_ = failureDomain;
+    out.newestVersion_ = knowledge.newestVersion_;
+    out.candidates_ = knowledge.candidates_;
+    // Counts are withheld while the relay does not hold the newest head itself.
+    if (base.version_ != knowledge.newestVersion_)
+        return out;
+    const auto count = [&](const Head& view, const std::string& nonce) {
+        size_t heard = 0;
+        for (const Member& member : view.members_) {
+            if (member.failureDomain_ != failureDomain)
+                continue;
+            const auto start = detail::evidenceStart(log, knowledge, options, member, base.version_, now);
+            heard += start ? 1 : 0;
+            if (start)
+                out.age_ = std::max(out.age_, now - *start);
+            if (!nonce.empty())
+                continue;
+            out.notHeard_ += start ? 0 : 1;
+            const auto it = log.hosts_.find(member.host_);
+            const bool contact = member.host_ == knowledge.host_
+                ? hasContact(knowledge, options, now)
+                : it != log.hosts_.end() && it->second.second.contact_;
+            out.withoutContact_ += start && !contact ? 1 : 0;
+        }
+        out.counts_.push_back({ nonce, heard });
+    };
+    count(base, "");
+    for (const Candidate& candidate : knowledge.candidates_) {
+        const auto it = heads.find(candidate.digest_);
+        if (it != heads.end())
+            count(it->second, candidate.nonce_);
+    }
+    return out;
+}
+
+Extension evaluateEvidence(const EvidenceLog& log, const Knowledge& knowledge, const EvidenceOptions& options,
+    const Head& base, const CandidateHeads& heads, const LostHosts& lost, TimePoint now)
+{
+    Extension out;
+    for (const auto& [host, entry] : log.hosts_) {
+        const bool fresh = entry.first + options.validity_ > now;
+        out.withoutContact_ += fresh && !entry.second.contact_ ? 1 : 0;
+    }
+    for (const auto& [key, entry] : log.summaries_)
+        out.withoutContact_ += entry.first + options.validity_ > now ? entry.second.withoutContact_ : 0;
+    detail::ViewProof proof
+        = detail::proveView(log, knowledge, options, base, base, std::string(), lost, now);
+    out.heard_ = proof.heard_;
+    out.needed_ = proof.needed_;
+    out.start_ = proof.start_;
+    if (knowledge.newestVersion_ > base.version_) {
+        out.newerVersion_ = knowledge.newestVersion_;
+        out.start_ = std::nullopt;
+        return out;
+    }
+    out.restrictBy_ = knowledge.candidates_;
+    // The candidate may already be the head, and later changes need acknowledgements in its view only.
+    for (const Candidate& candidate : knowledge.candidates_) {
+        const auto it = heads.find(candidate.digest_);
+        if (it == heads.end()) {
+            out.unknown_.push_back(candidate);
+            out.start_ = std::nullopt;
+            continue;
+        }
+        const detail::ViewProof joint
+            = detail::proveView(log, knowledge, options, base, it->second, candidate.nonce_, lost, now);
+        out.start_ = out.start_ && joint.start_ ? std::min(out.start_, joint.start_) : std::nullopt;
+    }
+    // An earlier process of this host may have acted on the candidate, and no revision may fall on a host.
+    if (!knowledge.listed_ && !knowledge.candidates_.empty())
+        out.start_ = std::nullopt;
+    return out;
+}
+
+bool tryRecover(Knowledge& knowledge, const EvidenceLog& log, const EvidenceOptions& options,
+    const Head& base, const CandidateHeads& heads, const LostHosts& lost, TimePoint now)
+{
+    if (knowledge.eligible_)
+        return true;
+    // Probes that were sent before any acknowledgement of the earlier process had expired prove nothing: an
+    // answer may precede the answering host's own acknowledgement of the same candidate.
+    const Extension extension = evaluateEvidence(log, knowledge, options, base, heads, lost, now);
+    knowledge.eligible_ = extension.start_ && extension.newerVersion_ == 0
+        && *extension.start_ >= knowledge.startedAt_ + options.incarnationWait_;
+    return knowledge.eligible_;
+}
+
+void recordAck(std::map<std::string, Ack>& acks, const std::string& host, const Ack& ack)
+{
+    auto [it, inserted] = acks.try_emplace(host, ack);
+    if (!inserted && ack.reportSentAt_ > it->second.reportSentAt_)
+        it->second = ack;
+}
+
+Result<bool> mayWrite(const Proposal& proposal, const Knowledge& knowledge, const EvidenceOptions& options,
+    const Head& base, const LostHosts& lost, TimePoint now)
+{
+    if (proposal.candidate_.baseVersion_ != base.version_ || knowledge.newestVersion_ != base.version_)
+        return makeError(ErrorCode::Conflict, "head: a newer version exists than the candidate's base");
+    if (!hasContact(knowledge, options, now))
+        return makeError(ErrorCode::Unavailable, "head: no contact with the store");
+    if (!detail::enoughAcks(proposal.acks_, knowledge, options, base, lost, now))
+        return makeError(ErrorCode::Unavailable, "head: too few members have acknowledged the candidate");
+    return true;
+}
+
+bool isAccepted(const Proposal& proposal, const Knowledge& knowledge, const EvidenceOptions& options,
+    const Head& base, const LostHosts& lost, TimePoint now)
+{
+    return detail::enoughAcks(proposal.outcomeAcks_, knowledge, options, base, lost, now);
+}
+
+} // namespace turmericwing::control
--- a/src/control/lease.cc
+++ b/src/control/lease.cc
@@ -19,16 +19,12 @@
         lease.pending_.erase(lease.pending_.begin(), lease.pending_.begin() + static_cast<ptrdiff_t>(due));
     }
 
-    void holdShares(ReadLease& lease, uint64_t version, TimePoint until)
-    {
-        lease.sharesVersion_ = version;
-        lease.sharesFrom_ = until;
-    }
-
     void refreshUsable(ReadLease& lease)
     {
-        if (lease.known_ && lease.known_->revision_ <= lease.preparedRevision_)
+        if (lease.known_ && lease.known_->revision_ <= lease.preparedRevision_) {
             lease.usableStart_ = lease.start_;
+            lease.usableReadStart_ = lease.readStart_;
+        }
     }
 
 } // namespace detail
@@ -38,11 +34,8 @@
 Result<LearnOutcome> learnHead(ReadLease& lease, const LeaseOptions& options, const Head& head, TimePoint now)
 {
     HeadMark mark = markOf(head);
-    const TimePoint extensionsFrom = now + options.activationDelay_;
-    if (!lease.known_) {
-        lease.pending_.push_back({ mark, now });
-        detail::holdShares(lease, mark.version_, extensionsFrom);
-    } else {
+    uint64_t changes = 0; // Of (revision, view) since the known head.
+    if (lease.known_) {
         const HeadMark& known = *lease.known_;
         if (mark.version_ < known.version_)
             return LearnOutcome::Stale;
@@ -57,21 +50,27 @@
             return makeError(ErrorCode::Invalid, "head: epoch fell");
         if (mark.revision_ == known.revision_ && mark.digest_ != known.digest_)
             return makeError(ErrorCode::Invalid, "head: digest changed without a new revision");
-        // Of two or more changes of (revision, view), one that this host never saw may have given its share
-        // to another host, which may still use it for the rest of its lease.
-        const uint64_t changes = (mark.revision_ - known.revision_) + (mark.epoch_ - known.epoch_);
-        if (options.detectSkips_ && changes > 1)
-            detail::holdShares(lease, mark.version_, extensionsFrom);
-        detail::activateDue(lease, now);
-        lease.pending_.push_back({ mark, extensionsFrom });
+        changes = (mark.revision_ - known.revision_) + (mark.epoch_ - known.epoch_);
     }
-    // Bounds the state during a burst of changes; the middle versions' restrictions on shares are then
-    // unknown.
+    detail::activateDue(lease, now);
+    // Bounds the state during a burst of changes. What a dropped version took away is then unknown.
     constexpr size_t maxPending = 16;
-    if (lease.pending_.size() > maxPending) {
+    const bool overflow = lease.pending_.size() >= maxPending;
+    if (overflow)
         lease.pending_.erase(lease.pending_.begin() + 1);
-        detail::holdShares(lease, mark.version_, extensionsFrom);
+    // Of two or more changes, one that this host never saw may have given its share to another host, which
+    // may still use it for the rest of its lease.
+    const bool skipped = options.detectSkips_ && changes > 1;
+    // Without a valid lease nothing is in use here, so keys and rules need no delay.
+    const bool idle = !isLeaseValid(lease, options, now);
+    const TimePoint extensionsFrom = now + options.activationDelay_;
+    if (overflow || skipped || idle) {
+        lease.sharesVersion_ = mark.version_;
+        lease.sharesFrom_ = extensionsFrom;
     }
+    if (idle)
+        lease.pending_.clear();
+    lease.pending_.push_back({ mark, idle ? now : extensionsFrom });
     lease.known_ = std::move(mark);
     return LearnOutcome::Learned;
 }
@@ -80,8 +79,12 @@
     TimePoint sentAt, TimePoint now, Duration age)
 {
     BOOST_OUTCOME_TRY(outcome, learnHead(lease, options, head, now));
-    if (outcome != LearnOutcome::Stale)
-        extendLease(lease, head.version_, sentAt - std::max(age, Duration::zero()));
+    if (outcome != LearnOutcome::Stale) {
+        const TimePoint start = sentAt - std::max(age, Duration::zero());
+        if (!lease.readStart_ || start > *lease.readStart_)
+            lease.readStart_ = start;
+        extendLease(lease, head.version_, start);
+    }
     return outcome;
 }
 
--- a/test/control/config-test.cc
+++ b/test/control/config-test.cc
@@ -28,24 +28,35 @@
     // Guards against a host that falls back to an older revision.
     ReadLease lease;
     ConfigState state;
-    for (const uint64_t revision : { 1, 2, 1 }) {
+    const auto learn = [&](uint64_t revision, int ms) {
         const Head head = headOf(revision, "blob " + std::to_string(revision));
-        const TimePoint now = at(100 * static_cast<int>(revision));
-        REQUIRE(recordRead(lease, {}, head, now, now));
-        learnRevision(state, {}, markOf(head), now);
-    }
-    REQUIRE(state.entries_.size() == 2);
-    CHECK(acceptBlob(state, lease, sha256Hex("blob 2"), "blob 2").value() == 2);
-    CHECK_FALSE(evaluate(lease, {}, at(300)).admitKeyed_);
-    CHECK(acceptBlob(state, lease, sha256Hex("blob 1"), "forged").has_error());
-    CHECK(acceptBlob(state, lease, sha256Hex("blob 1"), "blob 1").value() == 1);
-    CHECK(activateConfigs(state, evaluate(lease, {}, at(300))));
-    CHECK(state.activeRevision_ == 1);
-    CHECK(state.entries_.size() == 2);
+        REQUIRE(recordRead(lease, {}, head, at(ms), at(ms)));
+        learnRevision(state, {}, markOf(head), at(ms));
+    };
+    const auto accept = [&](int revision, const std::string& blob) {
+        return acceptBlob(state, lease, sha256Hex("blob " + std::to_string(revision)), blob);
+    };
+    learn(1, 100);
+    CHECK(accept(1, "forged").has_error());
+    CHECK_FALSE(evaluate(lease, {}, at(150)).admitKeyed_);
+    CHECK(accept(1, "blob 1").value() == 1);
+    CHECK(activateConfigs(state, evaluate(lease, {}, at(150))));
+    learn(2, 200);
+    learn(1, 250);
+    learn(3, 300);
+    REQUIRE(state.entries_.size() == 3);
+    // Revision 3 counts as prepared only once revision 2, whose restrictions apply too, is at hand.
+    CHECK(accept(3, "blob 3").value() == 3);
+    CHECK(lease.preparedRevision_ == 1);
+    CHECK(accept(2, "blob 2").value() == 2);
+    CHECK(lease.preparedRevision_ == 3);
+    CHECK_FALSE(activateConfigs(state, evaluate(lease, {}, at(2199))));
     CHECK(activateConfigs(state, evaluate(lease, {}, at(2200))));
     CHECK(state.activeRevision_ == 2);
+    CHECK(activateConfigs(state, evaluate(lease, {}, at(2300))));
+    CHECK(state.activeRevision_ == 3);
     CHECK(state.entries_.size() == 1);
-    CHECK(acceptBlob(state, lease, sha256Hex("blob 1"), "blob 1").has_error());
+    CHECK(accept(1, "blob 1").has_error());
     CHECK_FALSE(isOverdue(state, at(60000)));
 }
 
--- a/test/control/lease-test.cc
+++ b/test/control/lease-test.cc
@@ -113,3 +113,15 @@
     CHECK_FALSE(late.admitKeyed_);
     CHECK_FALSE(late.sharesUsable_);
 }
+
+TEST_CASE("after an expiry a changed head applies at once, except its shares")
+{
+    // Guards against a host that regains its lease and serves an outdated revision for the activation delay.
+    ReadLease lease = leaseAt(0);
+    recordPrepared(lease, 2);
+    REQUIRE(recordRead(lease, {}, headOf(2, 2), at(9000), at(9000)));
+    CHECK(evaluate(lease, {}, at(9000)).extensions_->version_ == 2);
+    CHECK_FALSE(evaluate(lease, {}, at(9000)).sharesUsable_);
+    REQUIRE(recordRead(lease, {}, headOf(2, 2), at(10000), at(10000)));
+    CHECK(evaluate(lease, {}, at(11000)).sharesUsable_);
+}
