--- /dev/null
+++ b/test/routing/slots-test.cc
@@ -0,0 +1,509 @@
+// Tests of slot homes and of the slot table, over a fake of several hosts, a head and an upstream.
+#include "turmericwing/base/random.h"
+#include "turmericwing/routing/slots.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <functional>
+#include <set>
+
+using namespace turmericwing;
+using namespace turmericwing::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start { 1000s };
+
+/// Several hosts, the head with its members, and one upstream that counts what runs. Time is virtual.
+struct Fleet {
+    struct Host {
+        SlotTable table_;
+        bool member_ = false;
+        bool paused_ = false;
+        TimePoint leaseEnds_ {};
+        bool partitioned_ = false; ///< From the store.
+        TimePoint nextRead_ {};
+        std::vector<SlotTicket> running_;
+        uint32_t idleConnections_ = 0;
+    };
+    struct Running {
+        size_t host_;
+        uint64_t serial_;
+        TimePoint deadline_;
+    };
+    struct Change {
+        TimePoint at_;
+        Placement placement_;
+    };
+
+    explicit Fleet(uint64_t seed, SlotOptions options)
+        : random_(seed)
+        , options_(options)
+    {
+        for (size_t i = 0; i < 4; ++i)
+            hosts_.emplace_back();
+        for (size_t i = 0; i < hosts_.size(); ++i)
+            restart(i);
+        publish(0, 0);
+        for (size_t i = 0; i < 3; ++i) {
+            hosts_[i].member_ = true;
+            publish(1, i == 0 ? 1 : 0);
+        }
+        for (size_t i = 0; i < hosts_.size(); ++i)
+            learnPlacement(hosts_[i].table_, now_, head_.front().placement_, false);
+        advance(500ms);
+    }
+
+    double chance() { return uniform(random_); }
+    Duration delay(Duration longest)
+    {
+        return Duration(static_cast<int64_t>(chance() * static_cast<double>(longest.count())));
+    }
+    static std::string nameOf(size_t host) { return "h" + std::to_string(host); }
+
+    void publish(uint64_t epochStep, uint64_t revisionStep)
+    {
+        Placement next;
+        if (!head_.empty())
+            next.id_ = head_.back().placement_.id_;
+        next.id_.epoch_ += epochStep;
+        next.id_.revision_ += revisionStep;
+        std::vector<SlotHost> members;
+        for (size_t i = 0; i < hosts_.size(); ++i) {
+            if (hosts_[i].member_)
+                members.push_back({ nameOf(i), hosts_[i].table_.incarnation_, "r" });
+        }
+        if (next.id_.revision_ > 0)
+            next.upstreams_ = { { "u", "s", "r", 3, 7, timeout_ } };
+        next.homes_ = slotHomes(members, next.upstreams_);
+        head_.push_back({ now_, next });
+    }
+
+    void restart(size_t i)
+    {
+        Host fresh;
+        fresh.table_.host_ = nameOf(i);
+        fresh.table_.incarnation_ = ++incarnations_;
+        fresh.table_.options_ = options_;
+        const bool wasMember = hosts_[i].member_;
+        hosts_[i]
+            = fresh; // Connections of an ended process are closed; its requests run on to their deadlines.
+        hosts_[i].member_ = wasMember;
+    }
+
+    /// Reads the head. The lease starts when the read is sent, the answer may come late.
+    void read(size_t i)
+    {
+        const TimePoint sent = now_;
+        const Placement placement = head_.back().placement_;
+        const uint64_t incarnation = hosts_[i].table_.incarnation_;
+        const auto deliver = [this, i, sent, placement, incarnation] {
+            Host& host = hosts_[i];
+            if (host.paused_ || host.table_.incarnation_ != incarnation
+                || placement.id_.number() < host.table_.placement_.number())
+                return;
+            learnPlacement(host.table_, now_, placement, now_ < host.leaseEnds_);
+            host.leaseEnds_ = std::max(host.leaseEnds_, sent + 1900ms);
+        };
+        messages_.emplace(now_ + delay(chance() < 0.05 ? Duration(3s) : Duration(50ms)), deliver);
+    }
+
+    void send(std::function<void()> deliver)
+    {
+        for (int copies = chance() < 0.15 ? 2 : 1; copies > 0; --copies) {
+            if (chance() > 0.15)
+                messages_.emplace(now_ + delay(chance() < 0.1 ? Duration(6s) : Duration(50ms)), deliver);
+        }
+    }
+
+    void sendReturns(const std::vector<LoanReturnTo>& returns)
+    {
+        for (const LoanReturnTo& back : returns) {
+            for (size_t j = 0; j < hosts_.size(); ++j) {
+                if (nameOf(j) == back.lender_)
+                    send([this, j, back] {
+                        toHost(j, [=, this](Host& h) { takeReturn(h.table_, now_, back.return_); });
+                    });
+            }
+        }
+    }
+
+    /// A paused host handles the message when it resumes.
+    void toHost(size_t i, const std::function<void(Host&)>& handle)
+    {
+        if (hosts_[i].paused_)
+            messages_.emplace(now_ + 300ms, [this, i, handle] { toHost(i, handle); });
+        else
+            handle(hosts_[i]);
+    }
+
+    void startRequest(size_t i)
+    {
+        Host& host = hosts_[i];
+        const TimePoint deadline = now_ + 1ms + delay(timeout_);
+        const auto ticket = acquire(host.table_, now_, host.leaseEnds_, "u", deadline);
+        if (!ticket)
+            return;
+        if (host.idleConnections_ > 0)
+            --host.idleConnections_;
+        else if (!openConnection(host.table_, now_, host.leaseEnds_, "u")) {
+            finish(host.table_, now_, *ticket, RequestEnd::Complete);
+            return;
+        }
+        host.running_.push_back(*ticket);
+        running_.push_back({ i, ticket->serial_, deadline });
+        ++started_;
+        borrowedStarts_ += ticket->borrowed_ ? 1 : 0;
+        check();
+    }
+
+    void endRequest(size_t i, bool abandon)
+    {
+        Host& host = hosts_[i];
+        if (host.running_.empty())
+            return;
+        const SlotTicket ticket = host.running_[random_() % host.running_.size()];
+        std::erase_if(host.running_, [&](const SlotTicket& t) { return t.serial_ == ticket.serial_; });
+        if (abandon) {
+            finish(host.table_, now_, ticket, RequestEnd::Abandoned);
+            closeConnection(host.table_, now_, "u");
+            return; // The upstream runs it until its deadline.
+        }
+        std::erase_if(
+            running_, [&](const Running& r) { return r.host_ == i && r.serial_ == ticket.serial_; });
+        finish(host.table_, now_, ticket, RequestEnd::Complete);
+        ++host.idleConnections_;
+    }
+
+    void work(size_t i)
+    {
+        Host& host = hosts_[i];
+        if (host.paused_)
+            return;
+        // The upstream ends requests at their deadlines; the host notices.
+        for (size_t k = host.running_.size(); k-- > 0;) {
+            const SlotTicket ticket = host.running_[k];
+            const bool runs = std::any_of(running_.begin(), running_.end(),
+                [&](const Running& r) { return r.host_ == i && r.serial_ == ticket.serial_; });
+            if (runs)
+                continue;
+            host.running_.erase(host.running_.begin() + static_cast<std::ptrdiff_t>(k));
+            finish(host.table_, now_, ticket, RequestEnd::Complete);
+            closeConnection(host.table_, now_, "u");
+        }
+        if (host.leaseEnds_ <= now_)
+            sendReturns(discardGrants(host.table_, now_));
+        for (uint32_t n = connectionsToClose(host.table_, now_, "u"); n > 0 && host.idleConnections_ > 0;
+             --n) {
+            --host.idleConnections_;
+            closeConnection(host.table_, now_, "u");
+        }
+        sendReturns(tick(host.table_, now_));
+        if (chance() < 0.1) {
+            for (const SlotRelease& release : releases(host.table_, now_)) {
+                for (size_t j = 0; j < hosts_.size(); ++j)
+                    send([this, j, release] {
+                        toHost(j, [=, this](Host& h) { takeRelease(h.table_, now_, release); });
+                    });
+            }
+        }
+    }
+
+    void advance(Duration by)
+    {
+        const TimePoint end = now_ + by;
+        while (now_ < end) {
+            now_ = std::min(end, now_ + 50ms);
+            std::erase_if(running_, [&](const Running& r) { return r.deadline_ <= now_; });
+            while (!messages_.empty() && messages_.begin()->first <= now_) {
+                const auto deliver = messages_.begin()->second;
+                messages_.erase(messages_.begin());
+                deliver();
+            }
+            for (size_t i = 0; i < hosts_.size(); ++i) {
+                work(i);
+                if (hosts_[i].paused_ || hosts_[i].partitioned_ || now_ < hosts_[i].nextRead_)
+                    continue;
+                hosts_[i].nextRead_ = now_ + 400ms;
+                read(i);
+            }
+            check();
+        }
+    }
+
+    void askForLoan(size_t i)
+    {
+        const size_t lender = random_() % hosts_.size();
+        Host& host = hosts_[i];
+        if (lender == i)
+            return;
+        const BorrowRequest request
+            = borrow(host.table_, now_, "u", nameOf(lender), chance() < 0.5 ? timeout_ : Duration(500ms));
+        send([this, i, lender, request] {
+            toHost(lender, [=, this](Host& peer) {
+                const auto loan = lend(peer.table_, now_, peer.leaseEnds_, request);
+                if (!loan)
+                    return;
+                send([this, i, lender, loan] {
+                    toHost(i, [=, this](Host& h) {
+                        if (const auto back = acceptLoan(h.table_, now_, nameOf(lender), *loan))
+                            sendReturns({ *back });
+                    });
+                });
+            });
+        });
+    }
+
+    void step(uint32_t command)
+    {
+        const size_t i = (command >> 8) % hosts_.size();
+        Host& host = hosts_[i];
+        const uint32_t kind = command % 32;
+        const uint32_t rare = (command >> 16) % 64; // Faults every few seconds, as waits take longer.
+        if (kind >= 28 && rare >= 4) {
+            advance(delay(400ms));
+        } else if (kind == 31) { // A pause, at times longer than every lease.
+            host.paused_ = !host.paused_;
+        } else if (kind == 30 && rare < 2) {
+            restart(i);
+            if (host.member_)
+                publish(1, 0);
+        } else if (kind == 30) {
+            host.partitioned_ = !host.partitioned_;
+        } else if (kind == 29) {
+            host.member_ = !host.member_;
+            publish(1, 0);
+        } else if (kind == 28) {
+            publish(0, 1);
+        } else if (host.paused_) {
+            advance(100ms);
+        } else if (kind < 14) {
+            startRequest(i);
+        } else if (kind < 19) {
+            endRequest(i, kind == 14);
+        } else if (kind < 25) {
+            askForLoan(i);
+        } else if (kind == 25) {
+            sendReturns(returnIdleLoans(host.table_, now_, "u", 0));
+        } else {
+            advance(delay(kind == 26 ? Duration(2s) : Duration(400ms)));
+        }
+    }
+
+    void check()
+    {
+        mostRunning_ = std::max(mostRunning_, running_.size());
+        uint32_t connections = 0;
+        for (const Host& host : hosts_) {
+            const auto found = host.table_.upstreams_.find("u");
+            // The upstream closes idle connections of a paused host after its keep-alive time.
+            if (!host.paused_ && found != host.table_.upstreams_.end())
+                connections += found->second.openConnections_;
+        }
+        mostConnections_ = std::max(mostConnections_, connections);
+    }
+
+    Random random_;
+    SlotOptions options_;
+    Duration timeout_ = 3s;
+    TimePoint now_ = start;
+    uint64_t incarnations_ = 0;
+    std::vector<Host> hosts_;
+    std::vector<Change> head_;
+    std::multimap<TimePoint, std::function<void()>> messages_;
+    std::vector<Running> running_;
+    size_t mostRunning_ = 0;
+    uint32_t mostConnections_ = 0;
+    size_t started_ = 0;
+    size_t borrowedStarts_ = 0;
+};
+
+/// Runs `count` random commands and returns the fleet.
+Fleet randomRun(uint64_t seed, SlotOptions options, size_t count)
+{
+    Fleet fleet(seed, options);
+    Random commands(seed ^ 0x5eed);
+    for (size_t i = 0; i < count; ++i)
+        fleet.step(static_cast<uint32_t>(commands()));
+    return fleet;
+}
+
+SlotTable tableOf(const std::string& host, const Placement& placement)
+{
+    SlotTable table { .host_ = host, .incarnation_ = 1, .options_ = {} };
+    learnPlacement(table, start, { { 0, 1 }, {}, {} }, false);
+    learnPlacement(table, start, placement, true);
+    return table;
+}
+
+Placement placementOf(uint64_t epoch, const SlotHomes& homes)
+{
+    return { { 1, epoch }, { { "u", "s", "r", 2, 10, 3s } }, homes };
+}
+
+const TimePoint lease = start + 1h;
+
+} // namespace
+
+TEST_CASE("running requests and connections stay within the bounds of an upstream")
+{
+    // Guards against two hosts that use a slot at once after any order of losses, duplicates, changes and
+    // pauses.
+    CHECK(rc::check("slots", [](uint64_t seed) {
+        const auto commands = *rc::gen::resize(
+            1000, rc::gen::container<std::vector<uint32_t>>(rc::gen::arbitrary<uint32_t>()));
+        Fleet fleet(seed, {});
+        for (const uint32_t command : commands) {
+            fleet.step(command);
+            RC_ASSERT(fleet.mostRunning_ <= 3u);
+            RC_ASSERT(fleet.mostConnections_ <= 7u);
+        }
+    }));
+    size_t started = 0;
+    size_t borrowed = 0;
+    size_t full = 0;
+    for (uint64_t seed = 0; seed < 300; ++seed) {
+        CAPTURE(seed);
+        const Fleet fleet = randomRun(seed, {}, 3000);
+        REQUIRE(fleet.mostRunning_ <= 3);
+        REQUIRE(fleet.mostConnections_ <= 7);
+        started += fleet.started_;
+        borrowed += fleet.borrowedStarts_;
+        full += fleet.mostRunning_ == 3 ? 1 : 0;
+    }
+    MESSAGE(
+        "300 runs: ", started, " requests, ", borrowed, " on loans, ", full, " runs reached 3 of 3 slots");
+    CHECK(borrowed > 1000);
+    CHECK(full > 200);
+}
+
+TEST_CASE("without the wait for the previous home or the loan deadline the bound is exceeded")
+{
+    // Guards against a fake in which the property above cannot fail.
+    size_t noWait = 0;
+    size_t noDeadline = 0;
+    for (uint64_t seed = 0; seed < 100; ++seed) {
+        noWait += randomRun(seed, { .waitForPreviousHome_ = false }, 3000).mostRunning_ > 3 ? 1 : 0;
+        noDeadline += randomRun(seed, { .checkLoanDeadline_ = false }, 3000).mostRunning_ > 3 ? 1 : 0;
+    }
+    MESSAGE("runs over the bound, of 100: ", noWait, " without wait, ", noDeadline, " without loan deadline");
+    CHECK(noWait > 0);
+    CHECK(noDeadline > 0);
+}
+
+TEST_CASE("hosts of a region hold equally many slots of each service")
+{
+    // Guards against a host without slots beside hosts with many.
+    for (const size_t count : { 1u, 3u, 4u, 7u, 11u }) {
+        std::vector<SlotHost> hosts;
+        for (size_t i = 0; i < count; ++i)
+            hosts.push_back({ "h" + std::to_string(i), 1, "r" });
+        hosts.push_back({ "other", 1, "q" });
+        std::vector<SlotUpstream> upstreams;
+        for (const char* service : { "a", "b", "c" }) {
+            for (int i = 0; i < 20; ++i)
+                upstreams.push_back({ service + std::to_string(i), service, "r", 3, 400, 3s });
+        }
+        std::map<std::pair<char, std::string>, size_t> load;
+        const SlotHomes homes = slotHomes(hosts, upstreams);
+        CHECK(homes.size() == 180);
+        for (const auto& [slot, home] : homes) {
+            CHECK(home.host_ != "other");
+            ++load[{ slot.upstream_[0], home.host_ }];
+        }
+        for (const auto& [key, slots] : load) {
+            CHECK(slots >= 60 / count);
+            CHECK(slots <= 60 / count + 1);
+        }
+        std::reverse(hosts.begin(), hosts.end());
+        CHECK(slotHomes(hosts, upstreams) == homes);
+    }
+    CHECK(slotHomes({ { "x", 1, "q" } }, { { "u", "s", "r", 3, 2, 3s } }).size() == 2);
+}
+
+TEST_CASE("a joining host takes few slots from the homes of others")
+{
+    // Guards against a member change that makes most slots wait.
+    std::vector<SlotHost> hosts;
+    std::vector<SlotUpstream> upstreams;
+    for (int i = 0; i < 10; ++i)
+        hosts.push_back({ "h" + std::to_string(i), 1, "r" });
+    for (int i = 0; i < 100; ++i)
+        upstreams.push_back({ "u" + std::to_string(i), "s", "r", 3, 400, 3s });
+    const SlotHomes before = slotHomes(hosts, upstreams);
+    hosts.push_back({ "h10", 1, "r" });
+    size_t moved = 0;
+    for (const auto& [slot, home] : slotHomes(hosts, upstreams))
+        moved += home != before.at(slot) ? 1 : 0;
+    MESSAGE("slots moved by a join: ", moved, " of 300; at least 27 must move");
+    CHECK(moved < 100);
+}
+
+TEST_CASE("a new home uses a slot after the release or the longest timeout")
+{
+    // Guards against a slot that is idle for the whole wait although it was released, and against early use.
+    SlotTable a = tableOf("a", placementOf(1, { { { "u", 0 }, { "a", 1 } }, { { "u", 1 }, { "b", 1 } } }));
+    SlotTable b = tableOf("b", placementOf(1, { { { "u", 0 }, { "a", 1 } }, { { "u", 1 }, { "b", 1 } } }));
+    const Placement next = placementOf(2, { { { "u", 0 }, { "b", 1 } }, { { "u", 1 }, { "b", 1 } } });
+    const auto ticket = acquire(a, start, lease, "u", start + 3s);
+    REQUIRE(ticket);
+    learnPlacement(a, start, next, true);
+    learnPlacement(b, start, next, true);
+    CHECK(releases(a, start).empty());
+    CHECK_FALSE(acquire(a, start, lease, "u", start + 1s));
+    CHECK(freeSlots(b, start, lease, "u", start + 1s) == 1);
+    takeRelease(b, start, { { "u", 0 }, 1 });
+    CHECK(freeSlots(b, start, lease, "u", start + 1s) == 1);
+    finish(a, start + 1s, *ticket, RequestEnd::Complete);
+    REQUIRE(releases(a, start + 1s).size() == 1);
+    SlotTable late = b;
+    takeRelease(b, start + 1s, releases(a, start + 1s)[0]);
+    CHECK(freeSlots(b, start + 1s, lease, "u", start + 2s) == 2);
+    tick(late, start + 5s);
+    CHECK(freeSlots(late, start + 5s, lease, "u", start + 6s) == 1);
+    tick(late, start + 8s);
+    CHECK(freeSlots(late, start + 8s, lease, "u", start + 9s) == 2);
+}
+
+TEST_CASE("a loan ends by its deadline, by return and with the read lease")
+{
+    // Guards against requests that outlive a loan, and against lenders that lose a slot.
+    const Placement both = placementOf(1, { { { "u", 0 }, { "a", 1 } }, { { "u", 1 }, { "a", 1 } } });
+    SlotTable a = tableOf("a", both);
+    SlotTable b = tableOf("b", both);
+    const BorrowRequest request = borrow(b, start, "u", "a", 2s);
+    const auto loan = lend(a, start + 100ms, lease, request);
+    REQUIRE(loan);
+    CHECK(lend(a, start + 200ms, lease, request)->slot_ == loan->slot_);
+    CHECK_FALSE(acceptLoan(b, start + 300ms, "a", *loan));
+    CHECK_FALSE(acceptLoan(b, start + 300ms, "a", *loan));
+    CHECK_FALSE(acquire(b, start + 300ms, lease, "u", start + 2001ms));
+    CHECK_FALSE(acquire(b, start + 300ms, start + 300ms, "u", start + 1s));
+    const auto ticket = acquire(b, start + 300ms, lease, "u", start + 2s);
+    REQUIRE(ticket);
+    CHECK(discardGrants(b, start + 400ms).empty());
+    finish(b, start + 500ms, *ticket, RequestEnd::Complete);
+    const auto returns = tick(b, start + 500ms);
+    REQUIRE(returns.size() == 1);
+    CHECK(freeSlots(a, start + 600ms, lease, "u", start + 1s) == 1);
+    takeReturn(a, start + 600ms, { { "b", 1, 99 }, loan->slot_ });
+    CHECK(freeSlots(a, start + 600ms, lease, "u", start + 1s) == 1);
+    takeReturn(a, start + 600ms, returns[0].return_);
+    CHECK(freeSlots(a, start + 600ms, lease, "u", start + 1s) == 2);
+    // A loan that arrives after its request was given up goes back.
+    CHECK(acceptLoan(b, start + 700ms, "a", *loan));
+}
+
+TEST_CASE("an abandoned request keeps its slot until its deadline")
+{
+    // Guards against a slot that is used again while the upstream still runs the request.
+    SlotTable a = tableOf("a", placementOf(1, { { { "u", 0 }, { "a", 1 } } }));
+    const auto ticket = acquire(a, start, lease, "u", start + 2s);
+    REQUIRE(ticket);
+    finish(a, start + 1s, *ticket, RequestEnd::Abandoned);
+    CHECK_FALSE(acquire(a, start + 1s, lease, "u", start + 2s));
+    CHECK(acquire(a, start + 2s, lease, "u", start + 3s));
+}
