--- a/test/model/check-test.cc
+++ b/test/model/check-test.cc
@@ -5,6 +5,9 @@
 
 #include <doctest/doctest.h>
 
+#include <fstream>
+#include <iterator>
+
 using namespace turmericwing::model;
 
 namespace {
@@ -100,3 +103,23 @@
     CHECK(minimumSteps(0.1) == 11);
     CHECK(minimumSteps(0.005) == 200);
 }
+
+TEST_CASE("example sets have no faults and the documented sizes")
+{
+    // Guards against examples that fall behind the rules or the design page.
+    const auto read = [](const std::string& file) {
+        std::ifstream stream(file);
+        return Source { file, std::string(std::istreambuf_iterator<char>(stream), {}) };
+    };
+    for (const std::string name : { "sanad", "darna" }) {
+        const std::string root = "examples/" + name + "/";
+        const auto parsed = parseSet({ read(root + "objects.ini") });
+        for (const auto& fault : parsed.faults_)
+            FAIL_CHECK(toString(fault));
+        CHECK(parsed.set_.upstreams_.size() == (name == "sanad" ? 44 : 42));
+        CHECK(parsed.set_.workspaces_.size() == 8);
+        CHECK(parsed.set_.failureDomains_.size() == 6);
+        CHECK(parseSet({ { "canonical", canonicalText(parsed.set_) } }).set_ == parsed.set_);
+        CHECK(parseSet({ read(root + "objects.ini"), read(root + "move.ini") }).faults_.empty());
+    }
+}
