Add the operators' command line

Cause: operators need one tool for checks, publication and interventions. Conclusion: complete against a stand-in of the operator port; not yet run against a host.

--- /dev/null
+++ b/test/cli/command-test.cc
@@ -0,0 +1,120 @@
+// Tests of the commands with a host that is a function object.
+#include "command.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+using namespace turmericwing;
+using namespace turmericwing::cli;
+
+namespace {
+
+struct Outcome {
+    ExitCode code_ = Ok;
+    std::string out_;
+    std::string err_;
+    std::string requests_; ///< One line for each request.
+};
+
+Outcome run(const Invocation& invocation, const std::vector<Reply>& replies)
+{
+    Outcome outcome;
+    std::ostringstream out;
+    std::ostringstream err;
+    size_t next = 0;
+    outcome.code_ = runCommand(
+        invocation,
+        [&](const std::string& method, const std::string& target, const std::string& body) -> Result<Reply> {
+            outcome.requests_ += method + " " + target + " " + body.substr(0, 60) + "\n";
+            if (next == replies.size())
+                return makeError(ErrorCode::Unknown, "response lost");
+            return replies[next++];
+        },
+        out, err);
+    outcome.out_ = out.str();
+    outcome.err_ = err.str();
+    return outcome;
+}
+
+const std::string sanad = "examples/sanad/objects.ini";
+const Reply emptySet { 200, R"({"revision": 7, "digest": "", "text": ""})" };
+
+} // namespace
+
+TEST_CASE("a publication names the winner of a lost race")
+{
+    // Guards against overwriting another operator's change or hiding who made it.
+    const Invocation publish { .command_ = "publish", .arguments_ = { sanad }, .message_ = "first set" };
+    const auto lost = run(publish,
+        { emptySet, { 409, R"({"by": "salma", "change": "rate of petra-energy", "revision": 8})" } });
+    CHECK(lost.code_ == LostRace);
+    CHECK(lost.err_ == "turmericwing: lost a race: salma published revision 8 first: rate of petra-energy\n");
+    CHECK(lost.requests_.find("POST /v1/operator/publish {\"expectedRevision\":7,") != std::string::npos);
+    const auto done = run(publish, { emptySet, { 200, R"({"revision": 8})" } });
+    CHECK(done.code_ == Ok);
+    CHECK(done.out_.ends_with("published revision 8\n"));
+    CHECK(run({ .command_ = "publish", .arguments_ = { sanad } }, {}).code_ == Usage);
+}
+
+TEST_CASE("a lost response is not reported as a refusal")
+{
+    // Guards against an operator who repeats a change that took effect.
+    const auto lost = run({ .command_ = "withdraw-key", .arguments_ = { "petra-1" } }, {});
+    CHECK(lost.code_ == Unreachable);
+    CHECK(lost.err_.find("may have taken effect") != std::string::npos);
+    CHECK(lost.requests_ == "POST /v1/operator/key-withdraw {\"name\":\"petra-1\"}\n");
+}
+
+TEST_CASE("refusals show the problem and its faults")
+{
+    // Guards against an exit code 0 or a silent failure when a host refuses.
+    const auto refused = run({ .command_ = "drain-host", .arguments_ = { "sanad-01" } },
+        { { 422,
+            R"({"title": "Refused", "detail": "last host\u001b[2J", "faults": [{"file": "f", "line": 3,
+                "object": "o", "field": "x", "reason": "r"}]})" } });
+    CHECK(refused.code_ == Refused);
+    CHECK(refused.err_
+        == "f:3: o: x: r\nturmericwing: the host refused with status 422: Refused: last host?[2J\n");
+    CHECK(run({ .command_ = "status" }, { { 200, "<html>" } }).code_ == Refused);
+    CHECK(run({ .command_ = "check", .arguments_ = { "examples/sanad/move.ini" } }, {}).code_ == Refused);
+}
+
+TEST_CASE("commands send the documented requests")
+{
+    // Guards against a tool that disagrees with the operator port.
+    struct Case {
+        Invocation invocation_;
+        std::string request_;
+    };
+    const Case cases[] = {
+        { { .command_ = "status" }, "GET /v1/operator/status \n" },
+        { { .command_ = "hosts" }, "GET /v1/operator/status \n" },
+        { { .command_ = "audit", .limit_ = 5 }, "GET /v1/operator/audit?limit=5 \n" },
+        { { .command_ = "explain", .query_ = { { "path", "/a b" }, { "service", "orders" } } },
+            "GET /v1/operator/explain?path=%2Fa%20b&service=orders \n" },
+        { { .command_ = "move", .arguments_ = { "rollback", "m" } },
+            "POST /v1/operator/move {\"name\":\"m\",\"state\":\"rolled-back\"}\n" },
+        { { .command_ = "undrain-upstream", .arguments_ = { "u" } },
+            "POST /v1/operator/upstream-drain {\"drain\":false,\"name\":\"u\"}\n" },
+        { { .command_ = "region-lost", .arguments_ = { "aqaba" }, .fenced_ = true },
+            "POST /v1/operator/region-lost {\"region\":\"aqaba\"}\n" },
+    };
+    for (const auto& one : cases) {
+        const auto outcome = run(one.invocation_, { { 200, "{}" } });
+        CHECK(outcome.code_ == Ok);
+        CHECK(outcome.requests_ == one.request_);
+    }
+    CHECK(run({ .command_ = "region-lost", .arguments_ = { "aqaba" } }, {}).code_ == Usage);
+    CHECK(run({ .command_ = "move", .arguments_ = { "stop", "m" } }, {}).code_ == Usage);
+    CHECK(run({ .command_ = "dance" }, {}).code_ == Usage);
+}
+
+TEST_CASE("differences of files need no host")
+{
+    // Guards against a review step that depends on a running deployment.
+    const auto outcome = run({ .command_ = "diff", .arguments_ = { sanad }, .base_ = sanad }, {});
+    CHECK(outcome.code_ == Ok);
+    CHECK(outcome.out_ == "no differences\n");
+    CHECK(outcome.requests_.empty());
+}
