--- a/include/turmericwing/host/dispatch.h
+++ b/include/turmericwing/host/dispatch.h
@@ -5,9 +5,13 @@
 #include "turmericwing/base/time.h"
 #include "turmericwing/host/problem.h"
 #include "turmericwing/host/snapshot.h"
+#include "turmericwing/routing/retry.h"
+#include "turmericwing/routing/slots.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,7 +59,19 @@
 struct AttemptResult {
     AttemptEnd end_ = AttemptEnd::Answered;
     int status_ = 0;
-    bool poisoned_ = false; ///< The request is quarantined, so a crash is not held against the upstream.
+};
+
+/// What operators and metrics see of one upstream.
+struct UpstreamStatus {
+    std::string upstream_;
+    std::string version_;
+    std::string region_;
+    uint32_t held_ = 0; ///< Slots of this host.
+    uint32_t free_ = 0;
+    uint32_t inFlight_ = 0;
+    bool drained_ = false;
+    bool ejected_ = false;
+    double latency_ = 0; ///< Seconds.
 };
 
 struct DispatchState;
@@ -63,19 +79,42 @@
 class Dispatch {
 public:
     /// Sends messages to hosts; called without locks held.
-    struct Outbox;
+    struct Outbox {
+        std::function<void(const std::string& host, const routing::BorrowRequest&)> borrow_;
+        std::function<void(const std::string& host, const routing::LoanReturn&)> giveBack_;
+        std::function<void(const std::string& host, const routing::SlotRelease&)> release_;
+    };
 
-    Dispatch(std::string host, uint64_t incarnation, const SharedState&, Outbox);
+    Dispatch(std::string host, std::string region, uint64_t incarnation, const SharedState&, Outbox);
     ~Dispatch();
 
+    /// Applies a new view or configuration.
+    void apply(const Snapshot&);
+
     /// Waits for an upstream until the request's deadline. A refused request has not run.
     std::variant<Assignment, Refusal> acquire(const DispatchRequest&);
 
     /// Ends an attempt.
     void release(const Assignment&, const AttemptResult&);
 
-    /// Whether another attempt may be made: the retry budget of the service.
-    bool mayRetry(const std::string& service);
+    /// Crashes on these upstreams are explained by a quarantined request.
+    void forgive(const std::vector<std::string>& upstreams);
+
+    /// Whether another attempt may be made, given how the last one ended. Spends from the retry budget.
+    bool mayRetry(const std::string& service, const routing::FailedAttempt&);
+
+    /// Part of its slots that an upstream says it can use, from its load endpoint.
+    void reportLoad(const std::string& service, const std::string& upstream, double usable);
+
+    std::optional<routing::Loan> lend(const routing::BorrowRequest&);
+    void acceptLoan(const std::string& lender, const routing::Loan&);
+    void takeReturn(const routing::LoanReturn&);
+    void takeRelease(const routing::SlotRelease&);
+
+    /// Expires loans and waits, returns idle loans, repeats releases. Called by the control loop.
+    void tick();
+
+    std::vector<UpstreamStatus> status(const std::string& service) const;
 
 private:
     std::unique_ptr<DispatchState> state_;
--- /dev/null
+++ b/src/host/dispatch.cc
@@ -0,0 +1,478 @@
+// Assignment of upstream slots to requests.
+#include "turmericwing/host/dispatch.h"
+
+#include "turmericwing/routing/choice.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+
+namespace turmericwing::host {
+
+namespace detail {
+
+    /// A first attempt leaves a third of the time to a retry, in case its connection is silent.
+    constexpr double firstAttemptShare = 2.0 / 3;
+    constexpr size_t maximumBorrowsInFlight = 4;
+    constexpr auto releaseInterval = std::chrono::seconds(1);
+
+    struct ActiveAttempt {
+        routing::SlotTicket ticket_;
+        std::string upstream_;
+        TimePoint start_;
+    };
+
+    struct ServiceShard {
+        mutable std::mutex mutex_;
+        std::condition_variable changed_;
+        routing::SlotTable slots_;
+        routing::ChoiceTable choice_;
+        routing::RetryBudget retries_;
+        std::map<std::string, routing::LinkBudget> links_; ///< By region of the upstream.
+        std::map<std::string, model::Upstream> upstreams_;
+        std::map<uint64_t, ActiveAttempt> attempts_; ///< By Assignment::ticket_.
+        uint64_t nextTicket_ = 1;
+        Random random_ = makeRandom();
+        std::set<std::string> drained_;
+        std::map<std::string, std::vector<std::string>> lenders_; ///< Other hosts with home slots, by upstream.
+        TimePoint nextRelease_;
+    };
+
+    struct Borrow {
+        std::string lender_;
+        routing::BorrowRequest request_;
+    };
+
+    std::string regionOf(const model::ObjectSet& set, const model::Upstream& upstream)
+    {
+        const auto* domain = model::find(set.failureDomains_, upstream.failureDomain_);
+        return domain ? domain->region_ : std::string();
+    }
+
+    Duration longestTimeout(const model::ObjectSet& set, const std::string& service)
+    {
+        uint32_t longest = 0;
+        for (const model::Route& route : set.routes_) {
+            if (route.service_ == service)
+                longest = std::max(longest, route.timeoutMs_);
+        }
+        return std::chrono::milliseconds(longest);
+    }
+
+    routing::Placement makePlacement(
+        const control::Head& head, const model::ObjectSet& set, const std::string& service)
+    {
+        routing::Placement placement;
+        placement.id_ = { head.revision_, head.epoch_ };
+        std::vector<routing::SlotHost> hosts;
+        for (const control::Member& member : head.members_)
+            hosts.push_back({ member.host_, member.region_ });
+        const Duration longest = longestTimeout(set, service);
+        for (const model::Upstream& upstream : set.upstreams_) {
+            if (upstream.service_ == service)
+                placement.upstreams_.push_back({ upstream.name_, service, regionOf(set, upstream), upstream.slots_,
+                    upstream.connections_, longest });
+        }
+        placement.homes_ = routing::slotHomes(hosts, placement.upstreams_);
+        return placement;
+    }
+
+    std::map<std::string, routing::LinkBudget> makeLinks(const Snapshot& snapshot, const std::string& region)
+    {
+        const auto& members = snapshot.head_.members_;
+        const auto hosts = std::max<int64_t>(1,
+            std::count_if(members.begin(), members.end(), [&](const auto& member) { return member.region_ == region; }));
+        const double parts = static_cast<double>(hosts) * static_cast<double>(snapshot.set_->services_.size());
+        std::map<std::string, routing::LinkBudget> links;
+        for (const model::Link& link : snapshot.set_->links_) {
+            if (link.from_ != region)
+                continue;
+            const double bytesPerSecond = link.capacityMbps_ * 1e6 / 8 / parts;
+            links[link.to_] = { bytesPerSecond, bytesPerSecond / 10, 0, monotonicNow() };
+        }
+        return links;
+    }
+
+    routing::Outcome outcomeOf(const AttemptResult& result)
+    {
+        switch (result.end_) {
+        case AttemptEnd::Answered:
+            return result.status_ >= 500 ? routing::Outcome::Error : routing::Outcome::Success;
+        case AttemptEnd::Overloaded:
+            return routing::Outcome::Overload;
+        case AttemptEnd::Draining:
+            return routing::Outcome::Ignored;
+        case AttemptEnd::NotSent:
+        case AttemptEnd::Crashed:
+        case AttemptEnd::Failed:
+            break;
+        }
+        return routing::Outcome::Error;
+    }
+
+    /// After these ends the upstream may still run the request: a connection can break on the way while the
+    /// upstream goes on.
+    bool mayStillRun(AttemptEnd end) { return end == AttemptEnd::Failed || end == AttemptEnd::Crashed; }
+
+} // namespace detail
+
+struct DispatchState {
+    std::string host_;
+    std::string region_;
+    uint64_t incarnation_ = 0;
+    const SharedState& shared_;
+    Dispatch::Outbox outbox_;
+    mutable std::mutex mutex_; ///< Guards the map; shards have their own locks and are never removed.
+    std::map<std::string, std::unique_ptr<detail::ServiceShard>> shards_;
+
+    detail::ServiceShard* find(const std::string& service) const
+    {
+        std::lock_guard lock(mutex_);
+        const auto found = shards_.find(service);
+        return found == shards_.end() ? nullptr : found->second.get();
+    }
+
+    detail::ServiceShard* findByUpstream(const std::string& upstream) const
+    {
+        std::lock_guard lock(mutex_);
+        for (const auto& [service, shard] : shards_) {
+            std::lock_guard inner(shard->mutex_);
+            if (shard->upstreams_.count(upstream) > 0)
+                return shard.get();
+        }
+        return nullptr;
+    }
+
+    detail::ServiceShard& make(const std::string& service)
+    {
+        std::lock_guard lock(mutex_);
+        auto& shard = shards_[service];
+        if (!shard) {
+            shard = std::make_unique<detail::ServiceShard>();
+            shard->slots_.host_ = host_;
+            shard->slots_.incarnation_ = incarnation_;
+            shard->choice_.host_ = host_;
+        }
+        return *shard;
+    }
+
+    std::vector<detail::ServiceShard*> all() const
+    {
+        std::lock_guard lock(mutex_);
+        std::vector<detail::ServiceShard*> shards;
+        for (const auto& [service, shard] : shards_)
+            shards.push_back(shard.get());
+        return shards;
+    }
+
+    void applyService(const Snapshot& snapshot, const std::string& service);
+    std::optional<Assignment> tryAssign(detail::ServiceShard&, const DispatchRequest&, const std::string& version);
+    std::vector<detail::Borrow> planBorrows(
+        detail::ServiceShard&, const DispatchRequest&, const std::string& version);
+    bool usable(const detail::ServiceShard&, const model::Upstream&, const std::string& version) const;
+};
+
+Dispatch::Dispatch(
+    std::string host, std::string region, uint64_t incarnation, const SharedState& shared, Outbox outbox)
+    : state_(new DispatchState { std::move(host), std::move(region), incarnation, shared, std::move(outbox), {}, {} })
+{
+}
+
+Dispatch::~Dispatch() = default;
+
+void DispatchState::applyService(const Snapshot& snapshot, const std::string& service)
+{
+    detail::ServiceShard& shard = make(service);
+    std::lock_guard lock(shard.mutex_);
+    const TimePoint now = monotonicNow();
+    const bool first = shard.upstreams_.empty();
+    shard.upstreams_.clear();
+    for (const model::Upstream& upstream : snapshot.set_->upstreams_) {
+        if (upstream.service_ != service)
+            continue;
+        shard.upstreams_.emplace(upstream.name_, upstream);
+        if (shard.choice_.upstreams_.count(upstream.name_) == 0)
+            routing::addUpstream(
+                shard.choice_, now, upstream.name_, service, detail::regionOf(*snapshot.set_, upstream), !first);
+        auto drain = shard.choice_.upstreams_.at(upstream.name_).drain_;
+        drain.head_ = snapshot.drained_.count(upstream.name_) > 0;
+        routing::setDrain(shard.choice_, now, upstream.name_, drain);
+    }
+    std::vector<std::string> removed;
+    for (const auto& [name, state] : shard.choice_.upstreams_) {
+        if (shard.upstreams_.count(name) == 0)
+            removed.push_back(name);
+    }
+    for (const std::string& name : removed)
+        routing::removeUpstream(shard.choice_, now, name);
+    shard.drained_ = snapshot.drained_;
+    if (shard.links_.empty() || first)
+        shard.links_ = detail::makeLinks(snapshot, region_);
+
+    // A placement is learned as soon as its head is known: lost slots stop at once and gained slots wait by
+    // themselves, so the newest version counts here and not the one in force.
+    const Version newest = snapshot.newer_.empty() ? Version { snapshot.head_, snapshot.set_ } : snapshot.newer_.back();
+    const auto placement = detail::makePlacement(newest.head_, *newest.set_, service);
+    routing::learnPlacement(shard.slots_, now, placement, snapshot.sharesUsable_);
+    shard.lenders_.clear();
+    for (const auto& [slot, home] : placement.homes_) {
+        auto& lenders = shard.lenders_[slot.upstream_];
+        if (home != host_ && std::find(lenders.begin(), lenders.end(), home) == lenders.end())
+            lenders.push_back(home);
+    }
+    shard.changed_.notify_all();
+}
+
+void Dispatch::apply(const Snapshot& snapshot)
+{
+    for (const model::Service& service : snapshot.set_->services_)
+        state_->applyService(snapshot, service.name_);
+}
+
+bool DispatchState::usable(
+    const detail::ServiceShard& shard, const model::Upstream& upstream, const std::string& version) const
+{
+    return upstream.version_ == version && shard.drained_.count(upstream.name_) == 0;
+}
+
+std::optional<Assignment> DispatchState::tryAssign(
+    detail::ServiceShard& shard, const DispatchRequest& request, const std::string& version)
+{
+    const TimePoint now = monotonicNow();
+    const TimePoint leaseEnd = shared_.leaseEnd();
+    TimePoint deadline = request.deadline_;
+    if (request.idempotent_ && request.exclude_.empty())
+        deadline = now + std::chrono::duration_cast<Duration>((request.deadline_ - now) * detail::firstAttemptShare);
+    std::vector<routing::SlotCount> counts;
+    for (const auto& [name, upstream] : shard.upstreams_) {
+        if (!usable(shard, upstream, version))
+            continue;
+        const uint32_t free = routing::freeSlots(shard.slots_, now, leaseEnd, name, deadline);
+        const auto& state = shard.choice_.upstreams_.at(name);
+        counts.push_back({ name, free + state.inFlight_, free });
+    }
+    routing::ChoiceRequest choice { request.service_, region_, 0,
+        request.exclude_.empty() ? std::string() : request.exclude_.back() };
+    const auto chosen = routing::chooseUpstream(shard.choice_, now, choice, counts, shard.links_, shard.random_);
+    if (!chosen)
+        return std::nullopt;
+    const auto ticket = routing::acquire(shard.slots_, now, leaseEnd, *chosen, deadline);
+    if (!ticket)
+        return std::nullopt;
+    routing::beginRequest(shard.choice_, *chosen);
+    const uint64_t number = shard.nextTicket_++;
+    shard.attempts_.emplace(number, detail::ActiveAttempt { *ticket, *chosen, now });
+    const model::Upstream& upstream = shard.upstreams_.at(*chosen);
+    return Assignment { request.service_, *chosen, upstream.address_, version, request.route_, now, deadline, number };
+}
+
+std::vector<detail::Borrow> DispatchState::planBorrows(
+    detail::ServiceShard& shard, const DispatchRequest& request, const std::string& version)
+{
+    const TimePoint now = monotonicNow();
+    std::vector<std::pair<std::string, std::string>> offers;
+    size_t pending = 0;
+    for (const auto& [name, lenders] : shard.lenders_) {
+        const auto slots = shard.slots_.upstreams_.find(name);
+        if (slots != shard.slots_.upstreams_.end())
+            pending += slots->second.pending_.size();
+        const auto upstream = shard.upstreams_.find(name);
+        const auto known = shard.choice_.upstreams_.find(name);
+        if (upstream == shard.upstreams_.end() || known == shard.choice_.upstreams_.end()
+            || !usable(shard, upstream->second, version))
+            continue;
+        const bool near = known->second.region_ == region_ || shard.links_.count(known->second.region_) > 0;
+        if (!near || known->second.drain_.any() || routing::isEjected(known->second, now))
+            continue;
+        for (const std::string& lender : lenders)
+            offers.emplace_back(name, lender);
+    }
+    std::shuffle(offers.begin(), offers.end(), shard.random_);
+    // Slots of the own region first: a borrowed slot elsewhere costs a round trip between regions.
+    std::stable_partition(offers.begin(), offers.end(),
+        [&](const auto& offer) { return shard.choice_.upstreams_.at(offer.first).region_ == region_; });
+    std::vector<detail::Borrow> borrows;
+    const Duration duration = std::chrono::duration_cast<Duration>(request.deadline_ - now) * 2;
+    for (const auto& [upstream, lender] : offers) {
+        if (pending + borrows.size() >= detail::maximumBorrowsInFlight)
+            break;
+        borrows.push_back({ lender, routing::borrow(shard.slots_, now, upstream, lender, duration) });
+    }
+    return borrows;
+}
+
+std::variant<Assignment, Refusal> Dispatch::acquire(const DispatchRequest& request)
+{
+    detail::ServiceShard* shard = state_->find(request.service_);
+    if (!shard)
+        return Refusal { Reason::NotReady, "the service has no upstreams yet", std::chrono::seconds(1) };
+    const model::Service* service = model::find(request.snapshot_->set_->services_, request.service_);
+    const std::string version = service ? service->version_ : std::string();
+    std::unique_lock lock(shard->mutex_);
+    if (request.exclude_.empty())
+        routing::earnRetry(shard->retries_, {});
+    for (;;) {
+        if (auto assignment = state_->tryAssign(*shard, request, version))
+            return *assignment;
+        if (monotonicNow() >= request.deadline_)
+            break;
+        const auto borrows = state_->planBorrows(*shard, request, version);
+        if (!borrows.empty()) {
+            lock.unlock();
+            for (const detail::Borrow& borrow : borrows)
+                state_->outbox_.borrow_(borrow.lender_, borrow.request_);
+            lock.lock();
+        }
+        shard->changed_.wait_until(
+            lock, std::min<TimePoint>(request.deadline_, monotonicNow() + std::chrono::milliseconds(20)));
+    }
+    return Refusal { Reason::Overloaded, "no upstream has a free slot", std::chrono::seconds(1) };
+}
+
+void Dispatch::release(const Assignment& assignment, const AttemptResult& result)
+{
+    detail::ServiceShard* shard = state_->find(assignment.service_);
+    if (!shard)
+        return;
+    std::lock_guard lock(shard->mutex_);
+    const auto found = shard->attempts_.find(assignment.ticket_);
+    if (found == shard->attempts_.end())
+        return;
+    const TimePoint now = monotonicNow();
+    const detail::ActiveAttempt attempt = found->second;
+    shard->attempts_.erase(found);
+    routing::finish(shard->slots_, now, attempt.ticket_,
+        detail::mayStillRun(result.end_) ? routing::RequestEnd::Abandoned : routing::RequestEnd::Complete);
+    const auto known = shard->choice_.upstreams_.find(attempt.upstream_);
+    if (known != shard->choice_.upstreams_.end()) {
+        routing::endRequest(shard->choice_, now, attempt.upstream_, detail::outcomeOf(result),
+            std::chrono::duration_cast<Duration>(now - attempt.start_));
+        if (result.end_ == AttemptEnd::Draining) {
+            auto drain = known->second.drain_;
+            drain.response_ = true;
+            routing::setDrain(shard->choice_, now, attempt.upstream_, drain);
+        }
+    }
+    shard->changed_.notify_one();
+}
+
+void Dispatch::forgive(const std::vector<std::string>& upstreams)
+{
+    for (const std::string& upstream : upstreams) {
+        if (detail::ServiceShard* shard = state_->findByUpstream(upstream)) {
+            std::lock_guard lock(shard->mutex_);
+            routing::forgiveError(shard->choice_, upstream);
+        }
+    }
+}
+
+bool Dispatch::mayRetry(const std::string& service, const routing::FailedAttempt& failed)
+{
+    detail::ServiceShard* shard = state_->find(service);
+    if (!shard)
+        return false;
+    std::lock_guard lock(shard->mutex_);
+    return routing::takeRetry(shard->retries_, {}, monotonicNow(), failed);
+}
+
+void Dispatch::reportLoad(const std::string& service, const std::string& upstream, double usable)
+{
+    detail::ServiceShard* shard = state_->find(service);
+    if (!shard)
+        return;
+    std::lock_guard lock(shard->mutex_);
+    if (shard->choice_.upstreams_.count(upstream) > 0)
+        routing::reportLoad(shard->choice_, monotonicNow(), upstream, usable);
+}
+
+std::optional<routing::Loan> Dispatch::lend(const routing::BorrowRequest& request)
+{
+    detail::ServiceShard* shard = state_->findByUpstream(request.upstream_);
+    if (!shard)
+        return std::nullopt;
+    std::lock_guard lock(shard->mutex_);
+    return routing::lend(shard->slots_, monotonicNow(), state_->shared_.leaseEnd(), request);
+}
+
+void Dispatch::acceptLoan(const std::string& lender, const routing::Loan& loan)
+{
+    detail::ServiceShard* shard = state_->findByUpstream(loan.slot_.upstream_);
+    if (!shard)
+        return;
+    std::optional<routing::LoanReturnTo> unwanted;
+    {
+        std::lock_guard lock(shard->mutex_);
+        unwanted = routing::acceptLoan(shard->slots_, monotonicNow(), lender, loan);
+        shard->changed_.notify_all();
+    }
+    if (unwanted)
+        state_->outbox_.giveBack_(unwanted->lender_, unwanted->return_);
+}
+
+void Dispatch::takeReturn(const routing::LoanReturn& loan)
+{
+    if (detail::ServiceShard* shard = state_->findByUpstream(loan.slot_.upstream_)) {
+        std::lock_guard lock(shard->mutex_);
+        routing::takeReturn(shard->slots_, monotonicNow(), loan);
+        shard->changed_.notify_one();
+    }
+}
+
+void Dispatch::takeRelease(const routing::SlotRelease& release)
+{
+    if (detail::ServiceShard* shard = state_->findByUpstream(release.slot_.upstream_)) {
+        std::lock_guard lock(shard->mutex_);
+        routing::takeRelease(shard->slots_, monotonicNow(), release);
+        shard->changed_.notify_one();
+    }
+}
+
+void Dispatch::tick()
+{
+    std::vector<routing::LoanReturnTo> returns;
+    std::vector<std::pair<std::string, routing::SlotRelease>> releases;
+    for (detail::ServiceShard* shard : state_->all()) {
+        std::lock_guard lock(shard->mutex_);
+        const TimePoint now = monotonicNow();
+        const auto collect = [&](std::vector<routing::LoanReturnTo> more) {
+            returns.insert(returns.end(), more.begin(), more.end());
+        };
+        collect(routing::tick(shard->slots_, now));
+        if (now >= state_->shared_.leaseEnd())
+            collect(routing::discardGrants(shard->slots_, now));
+        for (const auto& [name, upstream] : shard->upstreams_)
+            collect(routing::returnIdleLoans(shard->slots_, now, name, 0));
+        if (now >= shard->nextRelease_) {
+            shard->nextRelease_ = now + detail::releaseInterval;
+            for (const routing::SlotRelease& release : routing::releases(shard->slots_, now)) {
+                for (const std::string& host : shard->lenders_[release.slot_.upstream_])
+                    releases.emplace_back(host, release);
+            }
+        }
+        shard->changed_.notify_all();
+    }
+    for (const auto& loan : returns)
+        state_->outbox_.giveBack_(loan.lender_, loan.return_);
+    for (const auto& [host, release] : releases)
+        state_->outbox_.release_(host, release);
+}
+
+std::vector<UpstreamStatus> Dispatch::status(const std::string& service) const
+{
+    std::vector<UpstreamStatus> rows;
+    const detail::ServiceShard* shard = state_->find(service);
+    if (!shard)
+        return rows;
+    std::lock_guard lock(shard->mutex_);
+    const TimePoint now = monotonicNow();
+    for (const auto& [name, upstream] : shard->upstreams_) {
+        const auto& known = shard->choice_.upstreams_.at(name);
+        const uint32_t free = routing::freeSlots(shard->slots_, now, state_->shared_.leaseEnd(), name, now);
+        rows.push_back({ name, upstream.version_, known.region_, free + known.inFlight_, free, known.inFlight_,
+            known.drain_.any() || shard->drained_.count(name) > 0, routing::isEjected(known, now), known.latency_ });
+    }
+    return rows;
+}
+
+} // namespace turmericwing::host
--- a/src/host/path.cc
+++ b/src/host/path.cc
@@ -17,7 +17,6 @@
 
     /// Bodies up to this size are read before the first attempt, so that they can be sent again.
     constexpr uint64_t bufferedBodyBytes = 64 * 1024;
-    constexpr size_t maximumAttempts = 3;
     constexpr size_t maximumIdempotencyKeyBytes = 255;
 
     constexpr const char* timeoutHeader = "Turmericwing-Timeout-Ms";
@@ -119,7 +118,7 @@
         std::string body_; ///< Complete, unless streaming_.
         bool streaming_ = false;
         bool bodyConsumed_ = false; ///< Part of a streaming body has been handed to an upstream.
-        std::string fingerprint_;
+        routing::Fingerprint fingerprint_;
         std::optional<ClaimKey> claim_;
         std::string claimToken_;
         std::vector<std::string> upstreams_;
@@ -262,13 +261,21 @@
 
     std::optional<Ended> checkQuarantine(Context& context)
     {
-        std::string identity = workspaceName(context) + "\n" + context.route_->name_ + "\n" + context.request_.method_
-            + "\n" + context.request_.target_ + "\n" + std::to_string(context.request_.bodyLength_.value_or(0)) + "\n";
-        context.fingerprint_ = sha256Hex(identity + context.body_);
-        if (!context.parts_.quarantines_.contains(context.fingerprint_))
+        context.fingerprint_ = routing::fingerprint(workspaceName(context), context.route_->name_,
+            context.request_.method_, context.request_.target_, context.body_,
+            context.request_.bodyLength_.value_or(0));
+        const Duration remaining = context.parts_.quarantines_.remaining(context.fingerprint_);
+        if (remaining == Duration::zero())
             return std::nullopt;
-        return Ended { Reason::Quarantined, "this request crashed upstreams and is held back",
-            context.parts_.quarantines_.remaining(context.fingerprint_) };
+        return Ended { Reason::Quarantined, "this request crashed upstreams and is held back", remaining };
+    }
+
+    /// Identifies the request for claims: the same Idempotency-Key with another request is an error.
+    std::string claimFingerprint(const Context& context)
+    {
+        const std::string head = context.request_.method_ + "\n" + context.request_.target_ + "\n"
+            + std::to_string(context.request_.bodyLength_.value_or(0)) + "\n";
+        return sha256Hex(head + context.body_);
     }
 
     CallerResponse replay(Context& context, const StoredResponse& stored)
@@ -293,7 +300,7 @@
             return std::nullopt;
         if (key.size() > maximumIdempotencyKeyBytes)
             return refuse(context, { Reason::BadRequest, "Idempotency-Key is longer than 255 bytes" });
-        const ClaimKey claim { workspaceName(context), key, context.fingerprint_ };
+        const ClaimKey claim { workspaceName(context), key, claimFingerprint(context) };
         const ClaimDecision decision = context.parts_.claims_.begin(claim, context.deadline_);
         if (decision.begin_ == ClaimBegin::Replay)
             return replay(context, decision.response_);
@@ -403,7 +410,7 @@
             if (!whole)
                 call_->cancel();
             dispatch_.release(assignment_,
-                { whole ? AttemptEnd::Answered : AttemptEnd::Failed, call_->head().status_, false });
+                { whole ? AttemptEnd::Answered : AttemptEnd::Failed, call_->head().status_ });
         }
     };
 
@@ -426,7 +433,7 @@
         }
         for (std::string chunk = call->readBody(); !chunk.empty(); chunk = call->readBody())
             response.body_ += chunk;
-        context.parts_.dispatch_.release(assignment, { AttemptEnd::Answered, head.status_, false });
+        context.parts_.dispatch_.release(assignment, { AttemptEnd::Answered, head.status_ });
         if (context.claim_)
             context.parts_.claims_.complete(*context.claim_, context.claimToken_,
                 { head.status_, headerValue(head.headers_, "Content-Type"), response.body_, false },
@@ -436,15 +443,16 @@
 
     bool mayTryAgain(Context& context, AttemptEnd end)
     {
-        if (context.upstreams_.size() >= maximumAttempts || monotonicNow() >= context.deadline_)
-            return false;
-        if (end == AttemptEnd::Overloaded || context.bodyConsumed_)
+        if (context.bodyConsumed_)
             return false;
-        if (!provablyNotRun(end) && !context.route_->idempotent_)
+        if (context.parts_.quarantines_.remaining(context.fingerprint_) > Duration::zero())
             return false;
-        if (context.parts_.quarantines_.contains(context.fingerprint_))
-            return false;
-        return context.parts_.dispatch_.mayRetry(context.target_.service_);
+        const routing::FailedAttempt failed { .idempotent_ = context.route_->idempotent_,
+            .byteMayBeSent_ = !provablyNotRun(end),
+            .overload_ = end == AttemptEnd::Overloaded,
+            .attempts_ = static_cast<uint32_t>(context.upstreams_.size()),
+            .deadline_ = context.deadline_ };
+        return context.parts_.dispatch_.mayRetry(context.target_.service_, failed);
     }
 
     Ended lastFailure(AttemptEnd end, bool anyMayHaveRun)
@@ -482,16 +490,16 @@
             const CallState state = call->waitBuffered();
             end = attemptEnd(state, call->head());
             if (end == AttemptEnd::Answered) {
+                context.parts_.quarantines_.completed(context.fingerprint_);
                 CallerResponse response = respond(context, assignment, std::move(call));
                 record(context, "answered", response.status_, {});
                 return response;
             }
             const bool late = end == AttemptEnd::Crashed && monotonicNow() >= assignment.deadline_;
-            if (end == AttemptEnd::Crashed && !late)
-                context.parts_.quarantines_.reportCrash(assignment.upstream_);
-            const bool poisoned = context.parts_.quarantines_.contains(context.fingerprint_);
             anyMayHaveRun = anyMayHaveRun || !provablyNotRun(end);
-            context.parts_.dispatch_.release(assignment, { late ? AttemptEnd::Failed : end, 0, poisoned });
+            context.parts_.dispatch_.release(assignment, { late ? AttemptEnd::Failed : end, 0 });
+            if (end == AttemptEnd::Crashed && !late)
+                context.parts_.dispatch_.forgive(context.parts_.quarantines_.reportCrash(assignment.upstream_));
         } while (mayTryAgain(context, end));
         if (anyMayHaveRun)
             endClaimUnknown(context);
--- /dev/null
+++ b/src/host/quarantines.cc
@@ -0,0 +1,87 @@
+// Attempts in flight, crash reports and quarantine records of one host.
+#include "turmericwing/host/quarantines.h"
+
+namespace turmericwing::host {
+
+Quarantines::Quarantines(std::string host, uint64_t incarnation, Outbox outbox)
+    : host_(std::move(host))
+    , incarnation_(incarnation)
+    , outbox_(std::move(outbox))
+{
+}
+
+Duration Quarantines::remaining(const routing::Fingerprint& fingerprint) const
+{
+    std::lock_guard lock(mutex_);
+    const WallTime now = wallNow();
+    if (!routing::isQuarantined(table_, now, fingerprint))
+        return Duration::zero();
+    return std::chrono::milliseconds(std::max<int64_t>(1, table_.quarantined_.at(fingerprint).ms_ - now.ms_));
+}
+
+std::shared_ptr<void> Quarantines::enter(const std::string& upstream, const routing::Fingerprint& fingerprint)
+{
+    std::lock_guard lock(mutex_);
+    const auto entry = running_.emplace(upstream, routing::CrashSuspect { fingerprint, wallNow() });
+    return std::shared_ptr<void>(nullptr, [this, entry](void*) {
+        std::lock_guard inner(mutex_);
+        running_.erase(entry);
+    });
+}
+
+std::vector<std::string> Quarantines::add(const routing::CrashReport& report)
+{
+    routing::QuarantineChange change;
+    {
+        std::lock_guard lock(mutex_);
+        change = routing::addCrash(table_, wallNow(), report);
+    }
+    for (const routing::QuarantineRecord& record : change.records_)
+        outbox_.record_(record);
+    return change.explained_;
+}
+
+std::vector<std::string> Quarantines::reportCrash(const std::string& upstream)
+{
+    routing::CrashReport report;
+    {
+        std::lock_guard lock(mutex_);
+        report = { { host_, incarnation_, nextSerial_++ }, upstream, wallNow(), {} };
+        const auto [first, last] = running_.equal_range(upstream);
+        for (auto entry = first; entry != last; ++entry) {
+            if (!routing::isQuarantined(table_, wallNow(), entry->second.fingerprint_))
+                report.suspects_.push_back(entry->second);
+        }
+    }
+    outbox_.report_(report);
+    return add(report);
+}
+
+void Quarantines::completed(const routing::Fingerprint& fingerprint)
+{
+    std::lock_guard lock(mutex_);
+    if (!table_.reports_.empty())
+        routing::completed(table_, wallNow(), fingerprint);
+}
+
+std::vector<std::string> Quarantines::acceptReport(const routing::CrashReport& report) { return add(report); }
+
+void Quarantines::acceptRecord(const routing::QuarantineRecord& record)
+{
+    std::lock_guard lock(mutex_);
+    routing::addQuarantine(table_, wallNow(), record);
+}
+
+void Quarantines::tick()
+{
+    std::lock_guard lock(mutex_);
+    routing::expireQuarantine(table_, wallNow());
+}
+
+size_t Quarantines::size() const
+{
+    std::lock_guard lock(mutex_);
+    return table_.quarantined_.size();
+}
+
+} // namespace turmericwing::host
