Add in-memory platform and HTTP client of the platform

Hosts, tests and stand-ins need the table, object store and host list behind one interface. HttpPlatform maps failures to Unavailable (nothing changed) or Unknown (may have taken effect), repeats a failed read once on a new connection and counts its requests. writeOnce reads a row back after a lost response and writes again while the row is unchanged.

--- /dev/null
+++ b/test/platform/http-test.cc
@@ -0,0 +1,90 @@
+// Tests of the HTTP client against the platform stand-in.
+#include "turmericwing/platform/http.h"
+
+#include "platform-server.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::platform;
+
+namespace {
+
+struct Fixture {
+    MemoryPlatform memory_;
+    standin::PlatformServer server_ { memory_, "c" };
+    int port_ = server_.start("127.0.0.1", 0);
+    HttpPlatform http_ { { .address_ = "127.0.0.1:" + std::to_string(port_),
+        .requestTimeout_ = std::chrono::milliseconds(200) } };
+    Platform platform_ = http_.platform();
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "table calls behave as in memory")
+{
+    // Guards against a client whose results differ from the interface's contract.
+    const Table& table = platform_.table_;
+    const std::string key = "claims/a b%2F?&#\xc3\xa4";
+    CHECK_FALSE(table.get_(key).value());
+    CHECK(table.writeBatch_({ { key, "1", 0 } }).value().front().applied_);
+    CHECK(table.get_(key).value() == Row { key, "1", 1 });
+    auto lost = table.writeBatch_({ { key, "2", 0 } }).value().front();
+    CHECK_FALSE(lost.applied_);
+    CHECK(lost.current_ == Row { key, "1", 1 });
+    CHECK_FALSE(table.writeBatch_({ { "absent", "2", 3 } }).value().front().current_);
+    auto batch = table.writeBatch_({ { key, "3", 1 }, { "b", "1", 9 } }).value();
+    CHECK(batch[0].applied_);
+    CHECK_FALSE(batch[1].applied_);
+    auto transaction = table.transact_({ { "b", "1", 0 }, { key, "4", 1 } }).value();
+    CHECK_FALSE(transaction[0].applied_);
+    CHECK(transaction[1].current_ == Row { key, "3", 2 });
+    CHECK(table.transact_({ { "b", "1", 0 }, { "c", "1", 0 } }).value()[1].applied_);
+    CHECK(table.scan_("", 10).value() == memory_.platform().table_.scan_("", 10).value());
+    CHECK(table.scan_("claims/", 10).value().size() == 1);
+    CHECK(table.scan_("", 2).value().size() == 2);
+    CHECK(table.writeBatch_({ { "x", "\xff", 0 }, { "y", "", 0 } }).error().code_ == ErrorCode::Invalid);
+}
+
+TEST_CASE_FIXTURE(Fixture, "objects and hosts")
+{
+    // Guards against binary objects that change on the way.
+    const std::string bytes("\0\xff\r\n\r\n", 6);
+    const std::string digest = platform_.objects_.put_(bytes).value();
+    CHECK(platform_.objects_.get_(digest).value() == bytes);
+    CHECK(platform_.objects_.get_(std::string(64, '0')).error().code_ == ErrorCode::NotFound);
+    const HostEntry entry { "h1", "127.0.0.1:9", HostState::Leaving };
+    CHECK(http_.putHost(entry));
+    CHECK(platform_.hosts_.list_().value() == std::vector { entry });
+}
+
+TEST_CASE_FIXTURE(Fixture, "failures say whether the write may have taken effect")
+{
+    // Guards against "not run" answers for writes that were applied.
+    memory_.setFaults({ .lostResponse_ = 1 });
+    CHECK(platform_.table_.writeBatch_({ { "a", "1", 0 } }).error().code_ == ErrorCode::Unknown);
+    CHECK(writeOnce(platform_.table_, { "b", "1", 0 }).value().version_ == 1);
+    memory_.setFaults({ .outage_ = true });
+    CHECK(platform_.table_.writeBatch_({ { "c", "1", 0 } }).error().code_ == ErrorCode::Unavailable);
+    CHECK(platform_.table_.get_("a").error().code_ == ErrorCode::Unavailable);
+    memory_.setFaults({ .delay_ = std::chrono::milliseconds(400) });
+    CHECK(platform_.table_.writeBatch_({ { "c", "1", 0 } }).error().code_ == ErrorCode::Unknown);
+    CHECK(platform_.table_.get_("a").error().code_ == ErrorCode::Unavailable);
+    memory_.setFaults({});
+    server_.stop();
+    CHECK(platform_.table_.writeBatch_({ { "d", "1", 0 } }).error().code_ == ErrorCode::Unavailable);
+}
+
+TEST_CASE_FIXTURE(Fixture, "silent connections are replaced")
+{
+    // Guards against a client that waits on a dead connection until it is restarted.
+    CHECK(platform_.table_.get_("a"));
+    const auto before = http_.counters();
+    server_.silenceConnections();
+    CHECK(platform_.table_.get_("a"));
+    CHECK(platform_.table_.get_("a"));
+    const auto after = http_.counters();
+    CHECK(after.connections_ - before.connections_ == 1);
+    CHECK(after.failures_ - before.failures_ == 1);
+    CHECK(after.reads_ - before.reads_ == 3);
+}
