--- a/support/standin/upstream.cc
+++ b/support/standin/upstream.cc
@@ -160,6 +160,15 @@
         return faults_;
     }
 
+    UpstreamFaults receive(const Request& request)
+    {
+        std::lock_guard lock(mutex_);
+        ++stats_.requests_;
+        if (request.has_header("Authorization"))
+            ++stats_.authorizationSeen_;
+        return faults_;
+    }
+
     double draw()
     {
         std::lock_guard lock(mutex_);
@@ -170,9 +179,6 @@
     Admission admit(const Request& request, Duration& serviceTime)
     {
         std::lock_guard lock(mutex_);
-        ++stats_.requests_;
-        if (request.has_header("Authorization"))
-            ++stats_.authorizationSeen_;
         if (draining_) {
             ++stats_.refusedDraining_;
             return Admission::Draining;
@@ -212,7 +218,7 @@
     {
         const TimePoint arrival = monotonicNow();
         Connection& connection = Server::currentConnection();
-        UpstreamFaults faults = this->faults();
+        const UpstreamFaults faults = receive(request);
         if (faults.silentAll_ || connection.openedAt_ < silentSince_.load()) {
             Server::waitUntil(arrival + std::chrono::minutes(5));
             connection.dropped_ = true;
