--- a/include/turmericwing/control/evidence.h
+++ b/include/turmericwing/control/evidence.h
@@ -164,6 +164,17 @@
 Result<bool> mayWrite(const Proposal&, const Knowledge&, const EvidenceOptions&, const Head& base,
     const LostHosts&, TimePoint now);
 
+enum class WriteOutcome {
+    InDoubt, ///< The base is still the head; the write may yet take effect. Send it again.
+    Written,
+    Lost, ///< Another writer's change took the version.
+    Superseded, ///< Later versions hide whether it was written; the audit trail in the store tells.
+};
+
+/// Outcome of a write, as a head read after it shows. Tells a success whose response was lost from a
+/// conflict.
+WriteOutcome outcomeOf(const Candidate&, const Head& seen);
+
 /// True when enough members know the outcome, so that the writer may report the change as accepted: from then
 /// on no host can act on the previous version beyond its lease.
 bool isAccepted(const Proposal&, const Knowledge&, const EvidenceOptions&, const Head& base, const LostHosts&,
--- a/src/control/evidence.cc
+++ b/src/control/evidence.cc
@@ -337,6 +337,15 @@
     return true;
 }
 
+WriteOutcome outcomeOf(const Candidate& candidate, const Head& seen)
+{
+    if (seen.version_ <= candidate.baseVersion_)
+        return WriteOutcome::InDoubt;
+    if (seen.version_ > candidate.baseVersion_ + 1)
+        return WriteOutcome::Superseded;
+    return seen.nonce_ == candidate.nonce_ ? WriteOutcome::Written : WriteOutcome::Lost;
+}
+
 bool isAccepted(const Proposal& proposal, const Knowledge& knowledge, const EvidenceOptions& options,
     const Head& base, const LostHosts& lost, TimePoint now)
 {
--- a/src/control/lease.cc
+++ b/src/control/lease.cc
@@ -113,6 +113,8 @@
     detail::activateDue(lease, now);
     Effective out;
     out.admitKeyed_ = isLeaseValid(lease, options, now) && lease.active_.has_value();
+    out.needsEvidence_
+        = out.admitKeyed_ && !(lease.usableReadStart_ && now < *lease.usableReadStart_ + options.validity_);
     out.sharesUsable_
         = out.admitKeyed_ && now >= lease.sharesFrom_ && lease.active_->version_ >= lease.sharesVersion_;
     out.extensions_ = lease.active_;
--- a/test/control/evidence-test.cc
+++ b/test/control/evidence-test.cc
@@ -235,3 +235,17 @@
     CHECK(extension.start_ == at(200));
     CHECK(extension.restrictBy_ == std::vector { candidate });
 }
+
+TEST_CASE("the nonce tells a lost response from a lost race")
+{
+    // Guards against a writer that reports another writer's change as its own.
+    Head head;
+    head.version_ = 5;
+    CHECK(outcomeOf(candidate, head) == WriteOutcome::InDoubt);
+    head.version_ = 6;
+    CHECK(outcomeOf(candidate, head) == WriteOutcome::Lost);
+    head.nonce_ = "n";
+    CHECK(outcomeOf(candidate, head) == WriteOutcome::Written);
+    head.version_ = 7;
+    CHECK(outcomeOf(candidate, head) == WriteOutcome::Superseded);
+}
--- a/test/control/lease-test.cc
+++ b/test/control/lease-test.cc
@@ -80,16 +80,27 @@
 
 TEST_CASE("a skipped view withholds shares until the newest version is active")
 {
-    // Guards against a share that moved away and back between two reads and is still used elsewhere.
+    // Guards against a share that moves away and back between two reads of its holder and is used twice.
     for (const bool detect : { true, false }) {
         const LeaseOptions options { .detectSkips_ = detect };
-        ReadLease lease = leaseAt(0);
-        REQUIRE(recordRead(lease, options, headOf(1), at(1800), at(1800)));
-        REQUIRE(recordRead(lease, options, headOf(3, 1, 3), at(3000), at(3000)));
-        CHECK(evaluate(lease, options, at(3000)).admitKeyed_);
-        CHECK(evaluate(lease, options, at(3000)).sharesUsable_ == !detect);
-        REQUIRE(recordRead(lease, options, headOf(3, 1, 3), at(4900), at(4900)));
-        CHECK(evaluate(lease, options, at(5000)).sharesUsable_);
+        ReadLease holder = leaseAt(0);
+        ReadLease other = leaseAt(0);
+        const auto both = [&](int ms, const Head& seenByHolder, const Head& seenByOther) {
+            REQUIRE(recordRead(holder, options, seenByHolder, at(ms), at(ms)));
+            REQUIRE(recordRead(other, options, seenByOther, at(ms), at(ms)));
+        };
+        // Version 2 gives the share to `other` from 3000 to 3200; version 3 gives it back.
+        both(1800, headOf(1), headOf(1));
+        both(2990, headOf(1), headOf(1));
+        REQUIRE(recordRead(other, options, headOf(2, 1, 2), at(3000), at(3000)));
+        REQUIRE(recordRead(other, options, headOf(2, 1, 2), at(3190), at(3190)));
+        REQUIRE(recordRead(holder, options, headOf(3, 1, 3), at(3300), at(3300)));
+        REQUIRE(recordRead(holder, options, headOf(3, 1, 3), at(4900), at(4900)));
+        const bool used = evaluate(other, options, at(5050)).sharesUsable_;
+        CHECK(used);
+        CHECK(evaluate(holder, options, at(5050)).admitKeyed_);
+        CHECK(evaluate(holder, options, at(5050)).sharesUsable_ == !detect);
+        CHECK(evaluate(holder, options, at(5300)).sharesUsable_);
     }
 }
 
