--- a/include/turmericwing/host/controller.h
+++ b/include/turmericwing/host/controller.h
@@ -1,5 +1,5 @@
-// The control loop of a host: reads the head, keeps the read lease, prepares and activates configurations, and
-// changes the head on behalf of operators and of the host itself.
+// The control loop of a host: reads the head, keeps the read lease, prepares and activates configurations,
+// and changes the head on behalf of operators and of the host itself.
 #pragma once
 
 #include "turmericwing/control/config.h"
@@ -56,8 +56,8 @@
     void stop();
 
     /// Checks and publishes a set. Errors: Conflict with who won and what changed, Unavailable, Unknown.
-    Result<PublishOutcome> publish(
-        const std::string& who, uint64_t expectedRevision, const std::string& text, const std::string& message);
+    Result<PublishOutcome> publish(const std::string& who, uint64_t expectedRevision, const std::string& text,
+        const std::string& message);
 
     /// Edits the configuration in force and publishes the result.
     Result<PublishOutcome> editConfiguration(const std::string& who, const std::string& what,
--- a/include/turmericwing/host/dispatch.h
+++ b/include/turmericwing/host/dispatch.h
@@ -1,5 +1,6 @@
-// Upstream capacity on a live host: fair admission, slots and choice of an upstream for each attempt. Each service
-// is a shard with its own lock; request threads wait here until an upstream is assigned or the wait is hopeless.
+// Upstream capacity on a live host: fair admission, slots and choice of an upstream for each attempt. Each
+// service is a shard with its own lock; request threads wait here until an upstream is assigned or the wait
+// is hopeless.
 #pragma once
 
 #include "turmericwing/base/time.h"
--- a/include/turmericwing/host/headstore.h
+++ b/include/turmericwing/host/headstore.h
@@ -1,4 +1,5 @@
-// Reads and conditional changes of the control head in the platform's table, with an audit row for each change.
+// Reads and conditional changes of the control head in the platform's table, with an audit row for each
+// change.
 #pragma once
 
 #include "turmericwing/base/random.h"
@@ -29,12 +30,12 @@
 Result<control::Head> readHead(const platform::Table&);
 
 /// Completes an edited head: version, nonce, time, who and what.
-control::Head nextHead(
-    const control::Head& base, control::Head edited, const std::string& who, const std::string& what, Random&);
+control::Head nextHead(const control::Head& base, control::Head edited, const std::string& who,
+    const std::string& what, Random&);
 
-/// Writes `next`, which nextHead made from the version before it, together with its audit row. A lost response is
-/// told apart from a lost race by the audit row of that version, which holds the nonce of its writer.
-/// Errors: Conflict (who won and what it changed), Unavailable, Unknown (in doubt).
+/// Writes `next`, which nextHead made from the version before it, together with its audit row. A lost
+/// response is told apart from a lost race by the audit row of that version, which holds the nonce of its
+/// writer. Errors: Conflict (who won and what it changed), Unavailable, Unknown (in doubt).
 Result<void> writeHead(const platform::Table&, const control::Head& base, const control::Head& next);
 
 /// The newest entries, newest first. Errors: Unavailable.
--- a/include/turmericwing/host/quarantines.h
+++ b/include/turmericwing/host/quarantines.h
@@ -1,4 +1,5 @@
-// Quarantine of crashing requests on a live host: tracks what runs where and shares reports with the other hosts.
+// Quarantine of crashing requests on a live host: tracks what runs where and shares reports with the other
+// hosts.
 #pragma once
 
 #include "turmericwing/routing/quarantine.h"
--- a/include/turmericwing/host/snapshot.h
+++ b/include/turmericwing/host/snapshot.h
@@ -1,5 +1,5 @@
-// What a request sees: an immutable index over the configuration and the view in force. The control loop replaces
-// it as a whole; a request uses the one that it started with.
+// What a request sees: an immutable index over the configuration and the view in force. The control loop
+// replaces it as a whole; a request uses the one that it started with.
 #pragma once
 
 #include "turmericwing/base/time.h"
@@ -32,14 +32,16 @@
     std::unordered_map<std::string, const model::Key*> keys_; ///< By digest; points into set_.
     std::map<std::string, std::vector<const model::Route*>> routes_; ///< By service, longest path first.
     std::set<std::string> revokedKeys_; ///< Digests that a newer configuration, not yet in force, takes away.
-    std::set<std::string> drained_; ///< Upstreams without new work, from the head and all known configurations.
+    std::set<std::string>
+        drained_; ///< Upstreams without new work, from the head and all known configurations.
     std::set<std::string> stoppedMoves_; ///< Moves that are held or rolled back.
 };
 
 /// Builds the index.
 std::shared_ptr<const Snapshot> makeSnapshot(Version inForce, std::vector<Version> newer, bool sharesUsable);
 
-/// The workspace of a key, or nullptr when the key is unknown or revoked. Takes the key itself, not its digest.
+/// The workspace of a key, or nullptr when the key is unknown or revoked. Takes the key itself, not its
+/// digest.
 const model::Workspace* authenticate(const Snapshot&, std::string_view key);
 
 enum class RouteMatch { Found, NoService, NoRoute, NoMethod };
@@ -50,10 +52,11 @@
 };
 
 /// The route for a method and a path below the service; the longest prefix that lists the method wins.
-RouteLookup findRoute(const Snapshot&, const std::string& service, std::string_view path, std::string_view method);
+RouteLookup findRoute(
+    const Snapshot&, const std::string& service, std::string_view path, std::string_view method);
 
-/// State shared by all threads of a host. The lease end is absolute, so a thread that was paused sees that it has
-/// expired whatever the control loop does.
+/// State shared by all threads of a host. The lease end is absolute, so a thread that was paused sees that it
+/// has expired whatever the control loop does.
 class SharedState {
 public:
     std::shared_ptr<const Snapshot> snapshot() const;
--- a/include/turmericwing/host/tokens.h
+++ b/include/turmericwing/host/tokens.h
@@ -1,5 +1,5 @@
-// Rate limiting on a live host: runs the token decisions of limits/grants.h for all workspaces, in shards with a
-// lock each, and lets request threads wait for tokens that are on their way.
+// Rate limiting on a live host: runs the token decisions of limits/grants.h for all workspaces, in shards
+// with a lock each, and lets request threads wait for tokens that are on their way.
 #pragma once
 
 #include "turmericwing/host/snapshot.h"
--- a/include/turmericwing/host/trace.h
+++ b/include/turmericwing/host/trace.h
@@ -1,5 +1,5 @@
-// The last requests of a host, kept in memory so that operators can ask why a request went where it did. Holds no
-// keys and no bodies.
+// The last requests of a host, kept in memory so that operators can ask why a request went where it did.
+// Holds no keys and no bodies.
 #pragma once
 
 #include "turmericwing/base/time.h"
@@ -31,8 +31,8 @@
     void add(RequestTrace);
 
     /// Newest first, at most `limit`, those that match the non-empty arguments.
-    std::vector<RequestTrace> search(
-        const std::string& requestId, const std::string& service, const std::string& workspace, size_t limit) const;
+    std::vector<RequestTrace> search(const std::string& requestId, const std::string& service,
+        const std::string& workspace, size_t limit) const;
 
 private:
     static constexpr size_t capacity = 4096;
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,80 @@
+// turmericwingd: the host program.
+#include "turmericwing/host/host.h"
+#include "turmericwing/host/log.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+#include <pthread.h>
+#include <thread>
+
+DEFINE_string(settings, "", "path of the host's settings file (INI)");
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitSettings = 1;
+constexpr int exitUsage = 2;
+constexpr int exitCannotListen = 3;
+
+turmericwing::host::LogLevel logLevel(const std::string& name)
+{
+    using turmericwing::host::LogLevel;
+    if (name == "debug")
+        return LogLevel::Debug;
+    if (name == "warning")
+        return LogLevel::Warning;
+    return name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+/// SIGTERM and SIGINT start a graceful stop. They are blocked in all threads and taken by one that waits.
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetVersionString(TURMERICWING_VERSION);
+    gflags::SetUsageMessage("runs one turmericwing host\n\n"
+                            "  turmericwingd --settings host.ini\n\n"
+                            "Exit codes: 0 stopped gracefully, 1 faulty settings, 2 wrong usage, "
+                            "3 an address cannot be bound.\n"
+                            "SIGTERM and SIGINT start a graceful stop.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_settings.empty() || argc > 1) {
+        std::cerr << "usage: turmericwingd --settings FILE (see --help)\n";
+        return exitUsage;
+    }
+    auto settings = turmericwing::host::loadSettings(FLAGS_settings);
+    if (!settings) {
+        std::cerr << settings.error().message_ << "\n";
+        return exitSettings;
+    }
+    turmericwing::host::startLog(settings.value().name_, logLevel(settings.value().logLevel_));
+    signal(SIGPIPE, SIG_IGN);
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+    turmericwing::host::Host host(std::move(settings).value());
+    if (const auto started = host.start(); !started) {
+        std::cerr << started.error().message_ << "\n";
+        return exitCannotListen;
+    }
+    std::thread([&host, signals] {
+        int received = 0;
+        sigwait(&signals, &received);
+        host.drain();
+    }).detach();
+    host.waitStopped();
+    // The detached signal thread may still wait; leaving without destructors keeps it from using a dead host.
+    std::cout.flush();
+    std::_Exit(exitOk);
+}
--- a/src/host/controller.cc
+++ b/src/host/controller.cc
@@ -27,7 +27,8 @@
 
     void putMember(control::Head& head, const control::Member& member)
     {
-        std::erase_if(head.members_, [&](const control::Member& other) { return other.host_ == member.host_; });
+        std::erase_if(
+            head.members_, [&](const control::Member& other) { return other.host_ == member.host_; });
         const auto place = std::lower_bound(head.members_.begin(), head.members_.end(), member,
             [](const control::Member& a, const control::Member& b) { return a.host_ < b.host_; });
         head.members_.insert(place, member);
@@ -172,7 +173,8 @@
         control::recordPrepared(lease_, head.revision_);
     logEvent(LogLevel::Info, "head-learned",
         { { "version", std::to_string(head.version_) }, { "revision", std::to_string(head.revision_) },
-            { "epoch", std::to_string(head.epoch_) }, { "by", head.publisher_ }, { "change", head.change_ } });
+            { "epoch", std::to_string(head.epoch_) }, { "by", head.publisher_ },
+            { "change", head.change_ } });
 }
 
 void Controller::State::startFetches(TimePoint now)
@@ -213,7 +215,8 @@
     texts_[digest] = text;
     const auto accepted = control::acceptBlob(config_, lease_, digest, std::move(text));
     if (accepted)
-        logEvent(LogLevel::Info, "configuration-prepared", { { "revision", std::to_string(accepted.value()) } });
+        logEvent(
+            LogLevel::Info, "configuration-prepared", { { "revision", std::to_string(accepted.value()) } });
 }
 
 std::optional<Version> Controller::State::versionOf(const control::HeadMark& mark) const
@@ -263,7 +266,8 @@
         if (snapshot)
             shared_.setSnapshot(snapshot);
         const bool valid = effective.admitKeyed_ && !control::isOverdue(config_, now);
-        shared_.setLeaseEnd(valid && lease_.usableStart_ ? *lease_.usableStart_ + leaseOptions_.validity_ : now);
+        shared_.setLeaseEnd(
+            valid && lease_.usableStart_ ? *lease_.usableStart_ + leaseOptions_.validity_ : now);
         maybeJoin();
     }
     if (!snapshot)
@@ -292,8 +296,8 @@
     }
     joining_ = true;
     executor_.post([this] {
-        const auto joined = attemptChange(
-            options_.self_.host_, "host " + options_.self_.host_ + " joins", [this](control::Head& head) -> Result<void> {
+        const auto joined = attemptChange(options_.self_.host_, "host " + options_.self_.host_ + " joins",
+            [this](control::Head& head) -> Result<void> {
                 const control::Member* current = detail::findMember(head, options_.self_.host_);
                 if (current && current->incarnation_ >= options_.self_.incarnation_)
                     return makeError(ErrorCode::Conflict, "the view already lists this host");
@@ -313,7 +317,7 @@
     std::lock_guard changing(changeMutex_);
     Error last = makeError(ErrorCode::Unavailable, "the head was not read");
     for (int attempt = 0; attempt < detail::changeAttempts; ++attempt) {
-        BOOST_OUTCOME_TRY(const control::Head base, readHead(options_.platform_.table_));
+        BOOST_OUTCOME_TRY(base, readHead(options_.platform_.table_));
         control::Head edited = base;
         BOOST_OUTCOME_TRY(edit(edited));
         const control::Head next = nextHead(base, std::move(edited), who, what, random_);
@@ -333,7 +337,8 @@
     return last;
 }
 
-Result<control::Head> Controller::changeHead(const std::string& who, const std::string& what, const HeadEdit& edit)
+Result<control::Head> Controller::changeHead(
+    const std::string& who, const std::string& what, const HeadEdit& edit)
 {
     auto changed = state_->attemptChange(who, what, edit);
     if (!changed)
@@ -349,8 +354,8 @@
     if (!parsed.faults_.empty())
         return PublishOutcome { 0, std::move(parsed.faults_) };
     const std::string canonical = model::canonicalText(parsed.set_);
-    BOOST_OUTCOME_TRY(const std::string digest, state_->options_.platform_.objects_.put_(canonical));
-    BOOST_OUTCOME_TRY(const control::Head head,
+    BOOST_OUTCOME_TRY(digest, state_->options_.platform_.objects_.put_(canonical));
+    BOOST_OUTCOME_TRY(head,
         changeHead(who, "publish: " + message, [&](control::Head& next) -> Result<void> {
             if (next.revision_ != expectedRevision)
                 return makeError(ErrorCode::Conflict,
@@ -365,8 +370,8 @@
     return PublishOutcome { head.revision_, {} };
 }
 
-Result<PublishOutcome> Controller::editConfiguration(
-    const std::string& who, const std::string& what, const std::function<Result<void>(model::ObjectSet&)>& edit)
+Result<PublishOutcome> Controller::editConfiguration(const std::string& who, const std::string& what,
+    const std::function<Result<void>(model::ObjectSet&)>& edit)
 {
     const auto [revision, text] = configuration();
     model::Parsed parsed = model::parseSet({ { "objects.ini", text } });
--- a/src/host/dispatch.cc
+++ b/src/host/dispatch.cc
@@ -35,7 +35,8 @@
         uint64_t nextTicket_ = 1;
         Random random_ = makeRandom();
         std::set<std::string> drained_;
-        std::map<std::string, std::vector<std::string>> lenders_; ///< Other hosts with home slots, by upstream.
+        std::map<std::string, std::vector<std::string>>
+            lenders_; ///< Other hosts with home slots, by upstream.
         TimePoint nextRelease_;
     };
 
@@ -71,8 +72,8 @@
         const Duration longest = longestTimeout(set, service);
         for (const model::Upstream& upstream : set.upstreams_) {
             if (upstream.service_ == service)
-                placement.upstreams_.push_back({ upstream.name_, service, regionOf(set, upstream), upstream.slots_,
-                    upstream.connections_, longest });
+                placement.upstreams_.push_back({ upstream.name_, service, regionOf(set, upstream),
+                    upstream.slots_, upstream.connections_, longest });
         }
         placement.homes_ = routing::slotHomes(hosts, placement.upstreams_);
         return placement;
@@ -82,8 +83,10 @@
     {
         const auto& members = snapshot.head_.members_;
         const auto hosts = std::max<int64_t>(1,
-            std::count_if(members.begin(), members.end(), [&](const auto& member) { return member.region_ == region; }));
-        const double parts = static_cast<double>(hosts) * static_cast<double>(snapshot.set_->services_.size());
+            std::count_if(members.begin(), members.end(),
+                [&](const auto& member) { return member.region_ == region; }));
+        const double parts
+            = static_cast<double>(hosts) * static_cast<double>(snapshot.set_->services_.size());
         std::map<std::string, routing::LinkBudget> links;
         for (const model::Link& link : snapshot.set_->links_) {
             if (link.from_ != region)
@@ -167,7 +170,8 @@
     }
 
     void applyService(const Snapshot& snapshot, const std::string& service);
-    std::optional<Assignment> tryAssign(detail::ServiceShard&, const DispatchRequest&, const std::string& version);
+    std::optional<Assignment> tryAssign(
+        detail::ServiceShard&, const DispatchRequest&, const std::string& version);
     std::vector<detail::Borrow> planBorrows(
         detail::ServiceShard&, const DispatchRequest&, const std::string& version);
     bool usable(const detail::ServiceShard&, const model::Upstream&, const std::string& version) const;
@@ -175,7 +179,8 @@
 
 Dispatch::Dispatch(
     std::string host, std::string region, uint64_t incarnation, const SharedState& shared, Outbox outbox)
-    : state_(new DispatchState { std::move(host), std::move(region), incarnation, shared, std::move(outbox), {}, {} })
+    : state_(new DispatchState {
+        std::move(host), std::move(region), incarnation, shared, std::move(outbox), {}, {} })
 {
 }
 
@@ -193,8 +198,8 @@
             continue;
         shard.upstreams_.emplace(upstream.name_, upstream);
         if (shard.choice_.upstreams_.count(upstream.name_) == 0)
-            routing::addUpstream(
-                shard.choice_, now, upstream.name_, service, detail::regionOf(*snapshot.set_, upstream), !first);
+            routing::addUpstream(shard.choice_, now, upstream.name_, service,
+                detail::regionOf(*snapshot.set_, upstream), !first);
         auto drain = shard.choice_.upstreams_.at(upstream.name_).drain_;
         drain.head_ = snapshot.drained_.count(upstream.name_) > 0;
         routing::setDrain(shard.choice_, now, upstream.name_, drain);
@@ -212,7 +217,8 @@
 
     // A placement is learned as soon as its head is known: lost slots stop at once and gained slots wait by
     // themselves, so the newest version counts here and not the one in force.
-    const Version newest = snapshot.newer_.empty() ? Version { snapshot.head_, snapshot.set_ } : snapshot.newer_.back();
+    const Version newest
+        = snapshot.newer_.empty() ? Version { snapshot.head_, snapshot.set_ } : snapshot.newer_.back();
     const auto placement = detail::makePlacement(newest.head_, *newest.set_, service);
     routing::learnPlacement(shard.slots_, now, placement, snapshot.sharesUsable_);
     shard.lenders_.clear();
@@ -243,7 +249,8 @@
     const TimePoint leaseEnd = shared_.leaseEnd();
     TimePoint deadline = request.deadline_;
     if (request.idempotent_ && request.exclude_.empty())
-        deadline = now + std::chrono::duration_cast<Duration>((request.deadline_ - now) * detail::firstAttemptShare);
+        deadline = now
+            + std::chrono::duration_cast<Duration>((request.deadline_ - now) * detail::firstAttemptShare);
     std::vector<routing::SlotCount> counts;
     for (const auto& [name, upstream] : shard.upstreams_) {
         if (!usable(shard, upstream, version))
@@ -254,7 +261,8 @@
     }
     routing::ChoiceRequest choice { request.service_, region_, 0,
         request.exclude_.empty() ? std::string() : request.exclude_.back() };
-    const auto chosen = routing::chooseUpstream(shard.choice_, now, choice, counts, shard.links_, shard.random_);
+    const auto chosen
+        = routing::chooseUpstream(shard.choice_, now, choice, counts, shard.links_, shard.random_);
     if (!chosen)
         return std::nullopt;
     const auto ticket = routing::acquire(shard.slots_, now, leaseEnd, *chosen, deadline);
@@ -264,7 +272,8 @@
     const uint64_t number = shard.nextTicket_++;
     shard.attempts_.emplace(number, detail::ActiveAttempt { *ticket, *chosen, now });
     const model::Upstream& upstream = shard.upstreams_.at(*chosen);
-    return Assignment { request.service_, *chosen, upstream.address_, version, request.route_, now, deadline, number };
+    return Assignment { request.service_, *chosen, upstream.address_, version, request.route_, now, deadline,
+        number };
 }
 
 std::vector<detail::Borrow> DispatchState::planBorrows(
@@ -469,8 +478,9 @@
     for (const auto& [name, upstream] : shard->upstreams_) {
         const auto& known = shard->choice_.upstreams_.at(name);
         const uint32_t free = routing::freeSlots(shard->slots_, now, state_->shared_.leaseEnd(), name, now);
-        rows.push_back({ name, upstream.version_, known.region_, free + known.inFlight_, free, known.inFlight_,
-            known.drain_.any() || shard->drained_.count(name) > 0, routing::isEjected(known, now), known.latency_ });
+        rows.push_back({ name, upstream.version_, known.region_, free + known.inFlight_, free,
+            known.inFlight_, known.drain_.any() || shard->drained_.count(name) > 0,
+            routing::isEjected(known, now), known.latency_ });
     }
     return rows;
 }
--- a/src/host/headstore.cc
+++ b/src/host/headstore.cc
@@ -21,10 +21,11 @@
 
     std::string encodeAudit(const AuditEntry& entry)
     {
-        return nlohmann::json { { "version", entry.version_ }, { "fromRevision", entry.fromRevision_ },
-            { "revision", entry.revision_ }, { "at", entry.at_.ms_ }, { "who", entry.who_ }, { "what", entry.what_ },
-            { "nonce", entry.nonce_ }, { "outcome", entry.outcome_ } }
-            .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        return nlohmann::json {
+            { "version", entry.version_ }, { "fromRevision", entry.fromRevision_ },
+            { "revision", entry.revision_ }, { "at", entry.at_.ms_ }, { "who", entry.who_ },
+            { "what", entry.what_ }, { "nonce", entry.nonce_ }, { "outcome", entry.outcome_ }
+        }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
 
     std::optional<AuditEntry> decodeAudit(const std::string& text)
@@ -46,14 +47,15 @@
 
     Error lostRace(const AuditEntry& winner)
     {
-        return makeError(
-            ErrorCode::Conflict, "version " + std::to_string(winner.version_) + " was written by " + winner.who_ + ": " + winner.what_);
+        return makeError(ErrorCode::Conflict,
+            "version " + std::to_string(winner.version_) + " was written by " + winner.who_ + ": "
+                + winner.what_);
     }
 
     /// Whether the version of `next` carries its nonce. Empty when the version has not been written.
     Result<std::optional<bool>> wasWritten(const platform::Table& table, const control::Head& next)
     {
-        BOOST_OUTCOME_TRY(const auto row, table.get_(auditKey(next.version_)));
+        BOOST_OUTCOME_TRY(row, table.get_(auditKey(next.version_)));
         if (!row)
             return std::optional<bool>();
         const auto entry = decodeAudit(row->value_);
@@ -64,17 +66,17 @@
 
 Result<control::Head> readHead(const platform::Table& table)
 {
-    BOOST_OUTCOME_TRY(const auto row, table.get_(control::headKey));
+    BOOST_OUTCOME_TRY(row, table.get_(control::headKey));
     if (!row)
         return control::Head {};
-    BOOST_OUTCOME_TRY(auto head, control::decodeHead(row->value_));
+    BOOST_OUTCOME_TRY(head, control::decodeHead(row->value_));
     if (head.version_ != row->version_)
         return makeError(ErrorCode::Invalid, "head: version differs from its row's");
     return head;
 }
 
-control::Head nextHead(
-    const control::Head& base, control::Head edited, const std::string& who, const std::string& what, Random& random)
+control::Head nextHead(const control::Head& base, control::Head edited, const std::string& who,
+    const std::string& what, Random& random)
 {
     edited.version_ = base.version_ + 1;
     edited.nonce_ = randomId(random);
@@ -110,14 +112,15 @@
         return winner ? detail::lostRace(*winner)
                       : makeError(ErrorCode::Conflict, "another change was written at the same time");
     }
-    return makeError(ErrorCode::Unknown, "the response to the write was lost; the change may have taken effect");
+    return makeError(
+        ErrorCode::Unknown, "the response to the write was lost; the change may have taken effect");
 }
 
 Result<std::vector<AuditEntry>> readAudit(const platform::Table& table, uint64_t newestVersion, size_t limit)
 {
     std::vector<AuditEntry> entries;
     for (uint64_t version = newestVersion; version > 0 && entries.size() < limit; --version) {
-        BOOST_OUTCOME_TRY(const auto row, table.get_(detail::auditKey(version)));
+        BOOST_OUTCOME_TRY(row, table.get_(detail::auditKey(version)));
         const auto entry = row ? detail::decodeAudit(row->value_) : std::nullopt;
         if (entry)
             entries.push_back(*entry);
--- /dev/null
+++ b/src/host/host.cc
@@ -0,0 +1,233 @@
+// Wiring of a host.
+#include "turmericwing/host/host.h"
+
+#include "turmericwing/host/claimstore.h"
+#include "turmericwing/host/controller.h"
+#include "turmericwing/host/log.h"
+#include "turmericwing/host/lookup.h"
+#include "turmericwing/host/operatorapi.h"
+#include "turmericwing/host/path.h"
+#include "turmericwing/platform/http.h"
+
+#include <algorithm>
+
+namespace turmericwing::host {
+
+namespace detail {
+
+    constexpr size_t maximumThreads = 1024;
+
+    /// Lookup answers live this long; a leaving host serves until they have expired everywhere.
+    constexpr auto drainNotice = lookupTimeToLive + std::chrono::seconds(1);
+    constexpr auto housekeepingInterval = std::chrono::milliseconds(50);
+
+    std::string text(const Address& address) { return address.ip_ + ":" + std::to_string(address.port_); }
+
+    control::Member memberOf(const Settings& settings, uint64_t incarnation)
+    {
+        return { settings.name_, incarnation, settings.region_, settings.failureDomain_,
+            text(settings.callerAddress_), text(settings.peerAddress_), control::MemberState::Live };
+    }
+
+    bool isLocalPath(const std::string& path) { return path.rfind("/v1/", 0) == 0 || path == "/v1"; }
+
+} // namespace detail
+
+struct Host::State {
+    explicit State(Settings settings)
+        : settings_(std::move(settings))
+        , incarnation_(static_cast<uint64_t>(wallNow().ms_))
+        , executor_(detail::maximumThreads)
+        , platform_({ .address_ = detail::text(settings_.platformAddress_) })
+        , tokens_(settings_.name_, incarnation_, shared_,
+              { [](const auto&, const auto&) {}, [](const auto&, const auto&) {} })
+        , dispatch_(settings_.name_, settings_.region_, incarnation_, shared_,
+              { [](const auto&, const auto&) {}, [](const auto&, const auto&) {},
+                  [](const auto&, const auto&) {} })
+        , quarantines_(settings_.name_, incarnation_, { [](const auto&) {}, [](const auto&) {} })
+        , claims_(settings_.name_, incarnation_, platform_.platform().table_, shared_)
+        , upstreams_(executor_)
+        , controller_({ .self_ = detail::memberOf(settings_, incarnation_),
+                          .platform_ = platform_.platform(),
+                          .onSnapshot_ =
+                              [this](const Snapshot& snapshot) {
+                                  tokens_.apply(snapshot);
+                                  dispatch_.apply(snapshot);
+                              },
+                          .onReplaced_ = [this] { drain(); } },
+              shared_, executor_)
+        , path_ { shared_, tokens_, dispatch_, claims_, quarantines_, upstreams_, metrics_, trace_,
+            inFlight_ }
+        , operators_ { settings_, shared_, controller_, dispatch_, metrics_, trace_,
+            platform_.platform().table_, [this] { refreshGauges(); }, [this] { drain(); },
+            [this](const LocalRequest& request) { return handleLookup(shared_, metrics_, request); } }
+    {
+    }
+
+    void drain()
+    {
+        {
+            std::lock_guard lock(mutex_);
+            if (shared_.draining())
+                return;
+            shared_.setDraining();
+        }
+        wake_.notify_all();
+    }
+
+    void refreshGauges();
+    void leaveView();
+    Server& makeServer(ServerOptions);
+
+    const Settings settings_;
+    const uint64_t incarnation_;
+    SharedState shared_;
+    Metrics metrics_;
+    TraceLog trace_;
+    std::atomic<int> inFlight_ { 0 };
+    Executor executor_;
+    platform::HttpPlatform platform_;
+    Tokens tokens_;
+    Dispatch dispatch_;
+    Quarantines quarantines_;
+    ClaimStore claims_;
+    UpstreamPool upstreams_;
+    Controller controller_;
+    PathParts path_;
+    OperatorParts operators_;
+    std::unique_ptr<Server> callerServer_;
+    std::unique_ptr<Server> operatorServer_;
+    std::thread housekeeping_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    bool stopping_ = false;
+};
+
+Host::Host(Settings settings)
+    : state_(std::make_unique<State>(std::move(settings)))
+{
+}
+
+Host::~Host() = default;
+
+void Host::State::refreshGauges()
+{
+    const ControlStatus control = controller_.status();
+    metrics_.setGauge("turmericwing_config_revision", "", "", static_cast<double>(control.activeRevision_));
+    metrics_.setGauge("turmericwing_lease_remaining_seconds", "", "",
+        static_cast<double>(control.leaseRemainingMs_) / 1000);
+    metrics_.setGauge("turmericwing_store_contact", "", "", control.storeContact_ ? 1 : 0);
+    metrics_.setGauge("turmericwing_members", "", "", static_cast<double>(control.known_.members_.size()));
+    metrics_.setGauge("turmericwing_requests_in_flight", "", "", inFlight_.load());
+    metrics_.setGauge("turmericwing_quarantined_requests", "", "", static_cast<double>(quarantines_.size()));
+    const auto counters = platform_.counters();
+    metrics_.setGauge("turmericwing_store_requests", "kind", "read", static_cast<double>(counters.reads_));
+    metrics_.setGauge("turmericwing_store_requests", "kind", "write", static_cast<double>(counters.writes_));
+    const auto snapshot = shared_.snapshot();
+    for (const model::Service& service :
+        snapshot ? snapshot->set_->services_ : std::vector<model::Service>()) {
+        std::map<std::string, uint32_t> freeByRegion;
+        for (const UpstreamStatus& row : dispatch_.status(service.name_)) {
+            metrics_.setGauge("turmericwing_upstream_free_slots", "upstream", row.upstream_, row.free_);
+            freeByRegion[row.region_] += row.free_;
+        }
+        for (const auto& [region, free] : freeByRegion)
+            metrics_.setGauge(
+                "turmericwing_headroom_slots", "service_region", service.name_ + "/" + region, free);
+    }
+}
+
+void Host::State::leaveView()
+{
+    const auto edited = [this](bool remove) {
+        return [this, remove](control::Head& head) -> Result<void> {
+            for (control::Member& member : head.members_) {
+                if (member.host_ != settings_.name_ || member.incarnation_ != incarnation_)
+                    continue;
+                member.state_ = control::MemberState::Leaving;
+                ++head.epoch_;
+                if (remove)
+                    std::erase_if(
+                        head.members_, [&](const auto& other) { return other.host_ == settings_.name_; });
+                return boost::outcome_v2::success();
+            }
+            return makeError(ErrorCode::NotFound, "this host is not in the view");
+        };
+    };
+    const std::string who = settings_.name_;
+    if (!controller_.changeHead(who, "host " + who + " is leaving", edited(false)))
+        logEvent(LogLevel::Warning, "leave-not-written",
+            { { "detail", "other hosts learn of it by heartbeats" } });
+    std::this_thread::sleep_for(detail::drainNotice);
+    while (inFlight_.load() > 0)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    callerServer_->stop();
+    claims_.stop();
+    tokens_.returnAll();
+    controller_.changeHead(who, "host " + who + " has left", edited(true));
+}
+
+Result<void> Host::start()
+{
+    State& state = *state_;
+    const Settings& settings = state.settings_;
+    ServerOptions options { .address_ = settings.callerAddress_,
+        .tlsCertificate_ = settings.tlsCertificate_,
+        .tlsPrivateKey_ = settings.tlsPrivateKey_ };
+    options.callers_ = [&state](const CallerRequest& request) { return handleRequest(state.path_, request); };
+    options.local_ = [&state](const LocalRequest& request) {
+        return handleLookup(state.shared_, state.metrics_, request);
+    };
+    options.isLocal_ = detail::isLocalPath;
+    options.closing_ = [&state] { return state.shared_.draining(); };
+    state.callerServer_ = std::make_unique<Server>(options);
+    options.address_ = settings.operatorAddress_;
+    options.callers_ = nullptr;
+    options.local_
+        = [&state](const LocalRequest& request) { return handleOperator(state.operators_, request); };
+    state.operatorServer_ = std::make_unique<Server>(options);
+    BOOST_OUTCOME_TRY(state.operatorServer_->start());
+    BOOST_OUTCOME_TRY(state.callerServer_->start());
+    state.controller_.start();
+    state.housekeeping_ = std::thread([&state] {
+        std::unique_lock lock(state.mutex_);
+        while (!state.stopping_) {
+            lock.unlock();
+            state.tokens_.tick();
+            state.dispatch_.tick();
+            state.quarantines_.tick();
+            lock.lock();
+            state.wake_.wait_for(lock, detail::housekeepingInterval, [&state] { return state.stopping_; });
+        }
+    });
+    logEvent(LogLevel::Info, "started",
+        { { "incarnation", std::to_string(state.incarnation_) },
+            { "callers", detail::text(settings.callerAddress_) },
+            { "operators", detail::text(settings.operatorAddress_) } });
+    return boost::outcome_v2::success();
+}
+
+void Host::drain() { state_->drain(); }
+
+void Host::waitStopped()
+{
+    State& state = *state_;
+    {
+        std::unique_lock lock(state.mutex_);
+        state.wake_.wait(lock, [&state] { return state.shared_.draining(); });
+    }
+    logEvent(LogLevel::Info, "draining");
+    state.leaveView();
+    state.operatorServer_->stop();
+    {
+        std::lock_guard lock(state.mutex_);
+        state.stopping_ = true;
+    }
+    state.wake_.notify_all();
+    state.housekeeping_.join();
+    state.controller_.stop();
+    state.executor_.shutdown();
+    logEvent(LogLevel::Info, "stopped");
+}
+
+} // namespace turmericwing::host
--- a/src/host/path.cc
+++ b/src/host/path.cc
@@ -1,5 +1,5 @@
-// Request path. Each step either passes or ends the request with a reason; what the request holds by then (token,
-// claim, slot) is given back in reverse order.
+// Request path. Each step either passes or ends the request with a reason; what the request holds by then
+// (token, claim, slot) is given back in reverse order.
 #include "turmericwing/host/path.h"
 
 #include "turmericwing/base/hash.h"
@@ -36,11 +36,12 @@
     /// Headers that belong to one connection, to the caller's credentials, or to this system.
     bool isPrivateHeader(const std::string& name)
     {
-        static constexpr std::array hopByHop { "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authorization",
-            "Proxy-Authenticate", "TE", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Host",
-            "Authorization", "Cookie", "REMOTE_ADDR", "REMOTE_PORT", "LOCAL_ADDR", "LOCAL_PORT" };
-        const bool listed
-            = std::any_of(hopByHop.begin(), hopByHop.end(), [&](const char* hop) { return equalNames(name, hop); });
+        static constexpr std::array hopByHop { "Connection", "Keep-Alive", "Proxy-Connection",
+            "Proxy-Authorization", "Proxy-Authenticate", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+            "Expect", "Content-Length", "Host", "Authorization", "Cookie", "REMOTE_ADDR", "REMOTE_PORT",
+            "LOCAL_ADDR", "LOCAL_PORT" };
+        const bool listed = std::any_of(
+            hopByHop.begin(), hopByHop.end(), [&](const char* hop) { return equalNames(name, hop); });
         return listed || strncasecmp(name.c_str(), "Turmericwing-", 13) == 0;
     }
 
@@ -94,7 +95,8 @@
             } else
                 decoded += path[i];
         }
-        return (decoded + "/").find("/../") != std::string::npos || (decoded + "/").find("/./") != std::string::npos;
+        return (decoded + "/").find("/../") != std::string::npos
+            || (decoded + "/").find("/./") != std::string::npos;
     }
 
     struct Ended {
@@ -124,7 +126,10 @@
         std::vector<std::string> upstreams_;
     };
 
-    std::string workspaceName(const Context& context) { return context.workspace_ ? context.workspace_->name_ : ""; }
+    std::string workspaceName(const Context& context)
+    {
+        return context.workspace_ ? context.workspace_->name_ : "";
+    }
 
     void record(const Context& context, const std::string& result, int status, const std::string& text)
     {
@@ -178,9 +183,11 @@
         case RouteMatch::NoService:
             return Ended { Reason::NoSuchService, "no service '" + context.target_.service_ + "'" };
         case RouteMatch::NoRoute:
-            return Ended { Reason::NoSuchRoute, "no route of '" + context.target_.service_ + "' covers this path" };
+            return Ended { Reason::NoSuchRoute,
+                "no route of '" + context.target_.service_ + "' covers this path" };
         case RouteMatch::NoMethod:
-            return Ended { Reason::MethodNotAllowed, "the route does not accept " + context.request_.method_ };
+            return Ended { Reason::MethodNotAllowed,
+                "the route does not accept " + context.request_.method_ };
         case RouteMatch::Found:
             break;
         }
@@ -197,7 +204,8 @@
             const char* end = wanted.data() + wanted.size();
             const auto [rest, status] = std::from_chars(wanted.data(), end, parsed);
             if (status != std::errc() || rest != end || parsed == 0)
-                return Ended { Reason::BadRequest, std::string(timeoutHeader) + " must be a positive number" };
+                return Ended { Reason::BadRequest,
+                    std::string(timeoutHeader) + " must be a positive number" };
             timeoutMs = std::min(timeoutMs, parsed);
         }
         context.deadline_ = context.start_ + std::chrono::milliseconds(timeoutMs);
@@ -224,7 +232,8 @@
     {
         const uint64_t limit = context.route_->maxBodyBytes_;
         if (context.request_.bodyLength_.value_or(0) > limit)
-            return Ended { Reason::TooLarge, "the body exceeds the route's " + std::to_string(limit) + " bytes" };
+            return Ended { Reason::TooLarge,
+                "the body exceeds the route's " + std::to_string(limit) + " bytes" };
         return std::nullopt;
     }
 
@@ -261,9 +270,9 @@
 
     std::optional<Ended> checkQuarantine(Context& context)
     {
-        context.fingerprint_ = routing::fingerprint(workspaceName(context), context.route_->name_,
-            context.request_.method_, context.request_.target_, context.body_,
-            context.request_.bodyLength_.value_or(0));
+        context.fingerprint_
+            = routing::fingerprint(workspaceName(context), context.route_->name_, context.request_.method_,
+                context.request_.target_, context.body_, context.request_.bodyLength_.value_or(0));
         const Duration remaining = context.parts_.quarantines_.remaining(context.fingerprint_);
         if (remaining == Duration::zero())
             return std::nullopt;
@@ -284,8 +293,8 @@
         CallerResponse response;
         response.status_ = stored.status_;
         response.body_ = stored.body_;
-        response.headers_ = { { outcomeHeader, toString(Outcome::Answered) }, { "Turmericwing-Replayed", "1" },
-            { requestIdHeader, context.requestId_ } };
+        response.headers_ = { { outcomeHeader, toString(Outcome::Answered) },
+            { "Turmericwing-Replayed", "1" }, { requestIdHeader, context.requestId_ } };
         if (!stored.contentType_.empty())
             response.headers_.emplace_back("Content-Type", stored.contentType_);
         if (stored.tooLarge_)
@@ -321,7 +330,8 @@
         if (context.workspace_)
             request.headers_.emplace_back("Turmericwing-Workspace", context.workspace_->name_);
         const auto left
-            = std::chrono::duration_cast<std::chrono::milliseconds>(assignment.deadline_ - monotonicNow()).count();
+            = std::chrono::duration_cast<std::chrono::milliseconds>(assignment.deadline_ - monotonicNow())
+                  .count();
         request.headers_.emplace_back("Turmericwing-Deadline-Ms", std::to_string(std::max<int64_t>(left, 1)));
         request.requestId_ = context.requestId_ + "-" + std::to_string(context.upstreams_.size());
         request.streaming_ = context.streaming_;
@@ -342,7 +352,8 @@
         const bool whole = context.request_.readBody_([&](const char* data, size_t size) {
             total += size;
             context.bodyConsumed_ = true;
-            forwarding = forwarding && total <= limit && call.body().write(data, size, call.request().deadline_);
+            forwarding
+                = forwarding && total <= limit && call.body().write(data, size, call.request().deadline_);
             return total <= limit;
         });
         call.body().close(whole && forwarding ? PipeState::Finished : PipeState::Failed);
@@ -409,8 +420,8 @@
             const bool whole = call_->state() == CallState::Complete;
             if (!whole)
                 call_->cancel();
-            dispatch_.release(assignment_,
-                { whole ? AttemptEnd::Answered : AttemptEnd::Failed, call_->head().status_ });
+            dispatch_.release(
+                assignment_, { whole ? AttemptEnd::Answered : AttemptEnd::Failed, call_->head().status_ });
         }
     };
 
@@ -426,7 +437,8 @@
         if (call->state() != CallState::Complete) {
             if (context.claim_)
                 context.parts_.claims_.complete(*context.claim_, context.claimToken_,
-                    { head.status_, headerValue(head.headers_, "Content-Type"), {}, true }, context.deadline_);
+                    { head.status_, headerValue(head.headers_, "Content-Type"), {}, true },
+                    context.deadline_);
             response.finish_ = std::make_shared<StreamingAttempt>(context.parts_.dispatch_, assignment, call);
             response.stream_ = std::move(call);
             return response;
@@ -471,9 +483,10 @@
         do {
             if (!context.upstreams_.empty())
                 context.parts_.metrics_.countRetry(context.target_.service_);
-            const auto assigned = context.parts_.dispatch_.acquire({ context.snapshot_, context.target_.service_,
-                context.route_->name_, workspaceName(context), context.workspace_ ? context.workspace_->share_ : 1,
-                context.route_->idempotent_, context.deadline_, context.upstreams_ });
+            const auto assigned = context.parts_.dispatch_.acquire(
+                { context.snapshot_, context.target_.service_, context.route_->name_, workspaceName(context),
+                    context.workspace_ ? context.workspace_->share_ : 1, context.route_->idempotent_,
+                    context.deadline_, context.upstreams_ });
             if (const auto* refusal = std::get_if<Refusal>(&assigned)) {
                 if (anyMayHaveRun)
                     break;
@@ -483,7 +496,8 @@
             const Assignment& assignment = std::get<Assignment>(assigned);
             auto request = upstreamRequest(context, assignment);
             context.upstreams_.push_back(assignment.upstream_);
-            const auto running = context.parts_.quarantines_.enter(assignment.upstream_, context.fingerprint_);
+            const auto running
+                = context.parts_.quarantines_.enter(assignment.upstream_, context.fingerprint_);
             auto call = context.parts_.upstreams_.start(std::move(request));
             if (context.streaming_)
                 pumpBody(context, *call);
@@ -499,22 +513,24 @@
             anyMayHaveRun = anyMayHaveRun || !provablyNotRun(end);
             context.parts_.dispatch_.release(assignment, { late ? AttemptEnd::Failed : end, 0 });
             if (end == AttemptEnd::Crashed && !late)
-                context.parts_.dispatch_.forgive(context.parts_.quarantines_.reportCrash(assignment.upstream_));
+                context.parts_.dispatch_.forgive(
+                    context.parts_.quarantines_.reportCrash(assignment.upstream_));
         } while (mayTryAgain(context, end));
         if (anyMayHaveRun)
             endClaimUnknown(context);
         else
             endClaimNotRun(context);
         if (anyMayHaveRun && monotonicNow() >= context.deadline_)
-            return refuse(context, { Reason::UpstreamTimeout, "no response before the deadline; may have run" });
+            return refuse(
+                context, { Reason::UpstreamTimeout, "no response before the deadline; may have run" });
         return refuse(context, lastFailure(end, anyMayHaveRun));
     }
 
     CallerResponse handle(Context& context)
     {
         using Step = std::optional<Ended> (*)(Context&);
-        static constexpr std::array<Step, 7> steps { findTarget, setDeadline, checkKey, checkSize, readSmallBody,
-            checkQuarantine, takeToken };
+        static constexpr std::array<Step, 7> steps { findTarget, setDeadline, checkKey, checkSize,
+            readSmallBody, checkQuarantine, takeToken };
         for (const Step step : steps) {
             if (const auto ended = step(context))
                 return refuse(context, *ended);
--- a/src/host/server.cc
+++ b/src/host/server.cc
@@ -1,5 +1,5 @@
-// cpp-httplib servers. The library would decompress, compress, split multipart bodies and cut ranges on its own, so
-// the headers that trigger this are taken from its request and forwarded from a copy.
+// cpp-httplib servers. The library would decompress, compress, split multipart bodies and cut ranges on its
+// own, so the headers that trigger this are taken from its request and forwarded from a copy.
 #include "turmericwing/host/server.h"
 
 #include <httplib.h>
@@ -60,7 +60,8 @@
         caller.remoteAddress_ = request.remote_addr;
         const std::string length = request.get_header_value("Content-Length");
         uint64_t parsed = 0;
-        if (!length.empty() && std::from_chars(length.data(), length.data() + length.size(), parsed).ec == std::errc())
+        if (!length.empty()
+            && std::from_chars(length.data(), length.data() + length.size(), parsed).ec == std::errc())
             caller.bodyLength_ = parsed;
         const bool chunked = request.get_header_value("Transfer-Encoding") == "chunked";
         caller.hasBody_ = reader && (chunked || caller.bodyLength_.value_or(0) > 0);
@@ -79,10 +80,11 @@
     {
         auto held = std::make_shared<CallerResponse>(std::move(response));
         if (held->length_) {
-            out.set_content_provider(*held->length_, contentType, [held](size_t, size_t, httplib::DataSink& sink) {
-                const std::string chunk = held->stream_->readBody();
-                return !chunk.empty() && sink.write(chunk.data(), chunk.size());
-            });
+            out.set_content_provider(
+                *held->length_, contentType, [held](size_t, size_t, httplib::DataSink& sink) {
+                    const std::string chunk = held->stream_->readBody();
+                    return !chunk.empty() && sink.write(chunk.data(), chunk.size());
+                });
             return;
         }
         out.set_chunked_content_provider(contentType, [held](size_t, httplib::DataSink& sink) {
@@ -117,9 +119,10 @@
 
     LocalRequest makeLocalRequest(const httplib::Request& request)
     {
-        return { request.method, request.path, [&request](const std::string& name) {
-                    return request.has_param(name) ? request.get_param_value(name) : std::string();
-                },
+        return { request.method, request.path,
+            [&request](const std::string& name) {
+                return request.has_param(name) ? request.get_param_value(name) : std::string();
+            },
             request.get_header_value("Authorization"), request.body, request.remote_addr };
     }
 
@@ -139,7 +142,8 @@
     {
     }
 
-    void handleCaller(const httplib::Request& request, httplib::Response& out, const httplib::ContentReader* reader)
+    void handleCaller(
+        const httplib::Request& request, httplib::Response& out, const httplib::ContentReader* reader)
     {
         const CallerRequest caller = detail::makeCallerRequest(request, reader);
         // The handler receives the library's own request by const reference; nobody else uses it afterwards.
@@ -209,12 +213,14 @@
     if (options.tlsCertificate_.empty())
         state.server_ = std::make_unique<httplib::Server>();
     else
-        state.server_
-            = std::make_unique<httplib::SSLServer>(options.tlsCertificate_.c_str(), options.tlsPrivateKey_.c_str());
+        state.server_ = std::make_unique<httplib::SSLServer>(
+            options.tlsCertificate_.c_str(), options.tlsPrivateKey_.c_str());
     httplib::Server& server = *state.server_;
     if (!server.is_valid())
-        return makeError(ErrorCode::Unavailable, "the certificate '" + options.tlsCertificate_ + "' cannot be loaded");
-    server.new_task_queue = [maximum = options.maxConnections_] { return new detail::ServerThreads(maximum); };
+        return makeError(
+            ErrorCode::Unavailable, "the certificate '" + options.tlsCertificate_ + "' cannot be loaded");
+    server.new_task_queue
+        = [maximum = options.maxConnections_] { return new detail::ServerThreads(maximum); };
     server.set_keep_alive_timeout(detail::keepAliveTimeoutSeconds);
     server.set_keep_alive_max_count(detail::maximumRequestsPerConnection);
     server.set_read_timeout(detail::readTimeoutSeconds);
--- a/src/host/snapshot.cc
+++ b/src/host/snapshot.cc
@@ -20,8 +20,8 @@
     }
 
     /// Keys of `keys` that the newer set withdraws, drops or gives to another workspace.
-    void addRevoked(std::set<std::string>& revoked, const std::unordered_map<std::string, const model::Key*>& keys,
-        const model::ObjectSet& newer)
+    void addRevoked(std::set<std::string>& revoked,
+        const std::unordered_map<std::string, const model::Key*>& keys, const model::ObjectSet& newer)
     {
         const auto remaining = usableKeys(newer);
         for (const auto& [digest, key] : keys) {
@@ -85,7 +85,8 @@
 
 const model::Workspace* authenticate(const Snapshot& snapshot, std::string_view key)
 {
-    // The lookup is by digest, so its timing says nothing about the key; the final comparison is constant-time.
+    // The lookup is by digest, so its timing says nothing about the key; the final comparison is
+    // constant-time.
     const std::string digest = sha256Hex(key);
     const auto found = snapshot.keys_.find(digest);
     if (found == snapshot.keys_.end() || !constantTimeEqual(found->second->sha256_, digest))
--- a/src/host/tokens.cc
+++ b/src/host/tokens.cc
@@ -14,7 +14,8 @@
     constexpr auto maximumTokenWait = std::chrono::milliseconds(250);
 
     /// Shares of a workspace in the order in which a host asks for tokens.
-    std::vector<limits::Share> sharesOf(const model::Workspace& workspace, const std::vector<limits::PlacementHost>& members)
+    std::vector<limits::Share> sharesOf(
+        const model::Workspace& workspace, const std::vector<limits::PlacementHost>& members)
     {
         const auto placement = limits::placeWorkspace(workspace.name_, workspace.region_, members);
         return limits::splitLimits(placement, { workspace.rate_, workspace.burst_ });
@@ -34,7 +35,8 @@
     {
         std::map<limits::ShareKind, limits::BucketLimits> kept;
         const model::Workspace* definition = model::find(newer.set_->workspaces_, workspace);
-        const auto shares = definition ? sharesOf(*definition, placementHosts(newer.head_)) : std::vector<limits::Share>();
+        const auto shares
+            = definition ? sharesOf(*definition, placementHosts(newer.head_)) : std::vector<limits::Share>();
         for (const limits::Share& share : shares) {
             const auto found = own.find(share.kind_);
             if (share.host_ != host || found == own.end())
@@ -56,7 +58,10 @@
 {
 }
 
-Tokens::Shard& Tokens::shardOf(const std::string& workspace) { return shards_[hash64(workspace) % shards_.size()]; }
+Tokens::Shard& Tokens::shardOf(const std::string& workspace)
+{
+    return shards_[hash64(workspace) % shards_.size()];
+}
 
 void Tokens::apply(const Snapshot& snapshot)
 {
--- a/src/host/trace.cc
+++ b/src/host/trace.cc
@@ -5,7 +5,10 @@
 
 namespace detail {
 
-    bool matches(const std::string& wanted, const std::string& value) { return wanted.empty() || wanted == value; }
+    bool matches(const std::string& wanted, const std::string& value)
+    {
+        return wanted.empty() || wanted == value;
+    }
 
 } // namespace detail
 
@@ -17,8 +20,8 @@
     entries_.push_back(std::move(trace));
 }
 
-std::vector<RequestTrace> TraceLog::search(
-    const std::string& requestId, const std::string& service, const std::string& workspace, size_t limit) const
+std::vector<RequestTrace> TraceLog::search(const std::string& requestId, const std::string& service,
+    const std::string& workspace, size_t limit) const
 {
     std::lock_guard lock(mutex_);
     std::vector<RequestTrace> found;
