Add upstream choice, retries, connection reuse and quarantine

The request path needs rules for which upstream runs a request, when an attempt may repeat and which request is to blame for crashes. Each is a table of plain structs with functions over it.

--- /dev/null
+++ b/src/routing/quarantine.cc
@@ -0,0 +1,161 @@
+// Implementation of fingerprints, crash evidence and quarantine records.
+#include "turmericwing/routing/quarantine.h"
+
+#include "turmericwing/base/hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace turmericwing::routing {
+
+namespace detail {
+
+    bool counts(
+        const QuarantineTable& table, WallTime now, const CrashReport& report, const Fingerprint& print)
+    {
+        const auto cleared = table.cleared_.find(print);
+        return now.ms_ < report.at_.ms_ + table.options_.lifeMs_
+            && (cleared == table.cleared_.end() || cleared->second < report.at_);
+    }
+
+    bool contains(const CrashReport& report, const Fingerprint& print)
+    {
+        return std::any_of(report.suspects_.begin(), report.suspects_.end(),
+            [&](const CrashSuspect& suspect) { return suspect.fingerprint_ == print; });
+    }
+
+    /// Number of upstreams on which the suspect's fingerprint crashed: the report's, and those of crashes
+    /// that came before this attempt.
+    size_t upstreamsCrashed(
+        const QuarantineTable& table, WallTime now, const CrashSuspect& suspect, const CrashReport& report)
+    {
+        std::set<std::string> upstreams { report.upstream_ };
+        for (const auto& [id, earlier] : table.reports_) {
+            const WallTime latest = table.options_.requireOrder_ ? suspect.started_ : report.at_;
+            if (earlier.at_ <= latest && contains(earlier, suspect.fingerprint_)
+                && counts(table, now, earlier, suspect.fingerprint_))
+                upstreams.insert(earlier.upstream_);
+        }
+        return upstreams.size();
+    }
+
+    /// Fingerprints that the report shows to crash upstreams: the one with the most crashes, if it is one.
+    std::vector<Fingerprint> guilty(const QuarantineTable& table, WallTime now, const CrashReport& report)
+    {
+        std::vector<Fingerprint> found;
+        size_t most = 2;
+        for (const CrashSuspect& suspect : report.suspects_) {
+            if (!counts(table, now, report, suspect.fingerprint_))
+                continue;
+            const size_t upstreams = upstreamsCrashed(table, now, suspect, report);
+            if (upstreams < most)
+                continue;
+            if (upstreams > most && table.options_.requireSole_)
+                found.clear();
+            most = table.options_.requireSole_ ? upstreams : 2;
+            if (std::find(found.begin(), found.end(), suspect.fingerprint_) == found.end())
+                found.push_back(suspect.fingerprint_);
+        }
+        if (table.options_.requireSole_ && found.size() > 1)
+            found.clear();
+        return found;
+    }
+
+} // namespace detail
+
+Fingerprint fingerprint(std::string_view workspace, std::string_view route, std::string_view method,
+    std::string_view path, std::string_view body, uint64_t bodyLength)
+{
+    Fingerprint print;
+    const std::string length = std::to_string(bodyLength);
+    // Each hash seeds the next, so that parts cannot move between fields.
+    for (const std::string_view part :
+        { workspace, route, method, path, body.substr(0, fingerprintBody), std::string_view(length) }) {
+        print.high_ = hash64(part, print.high_ + 1);
+        print.low_ = hash64(part, ~print.low_);
+    }
+    return print;
+}
+
+QuarantineChange addCrash(QuarantineTable& table, WallTime now, const CrashReport& report)
+{
+    QuarantineChange change;
+    expireQuarantine(table, now);
+    if (now.ms_ >= report.at_.ms_ + table.options_.lifeMs_ || table.reports_.contains(report.id_))
+        return change;
+    if (table.reports_.size() >= table.options_.maxReports_) {
+        table.reports_.erase(std::min_element(table.reports_.begin(), table.reports_.end(),
+            [](const auto& a, const auto& b) { return a.second.at_ < b.second.at_; }));
+    }
+    table.reports_.emplace(report.id_, report);
+    // A report that arrives late may complete the evidence of a later crash with the same fingerprints.
+    for (const auto& [id, known] : table.reports_) {
+        const bool shared = std::any_of(known.suspects_.begin(), known.suspects_.end(),
+            [&](const CrashSuspect& suspect) { return detail::contains(report, suspect.fingerprint_); });
+        if (!shared)
+            continue;
+        const bool explained = explainsCrash(table, now, known.suspects_);
+        for (const Fingerprint& print : detail::guilty(table, now, known)) {
+            const QuarantineRecord record { print, { known.at_.ms_ + table.options_.lifeMs_ } };
+            // A crash that a quarantined fingerprint explains says nothing about the others in flight.
+            if (!explained || isQuarantined(table, now, print))
+                change.records_.push_back(record);
+        }
+    }
+    for (const QuarantineRecord& record : change.records_) {
+        addQuarantine(table, now, record);
+        for (const auto& [id, known] : table.reports_) {
+            if (detail::contains(known, record.fingerprint_))
+                change.explained_.push_back(known.upstream_);
+        }
+    }
+    return change;
+}
+
+void addQuarantine(QuarantineTable& table, WallTime now, const QuarantineRecord& record)
+{
+    if (record.expires_ <= now)
+        return;
+    WallTime& expires = table.quarantined_[record.fingerprint_];
+    expires = std::max(expires, record.expires_);
+}
+
+void completed(QuarantineTable& table, WallTime now, const Fingerprint& print)
+{
+    for (const auto& [id, report] : table.reports_) {
+        if (detail::contains(report, print)) {
+            WallTime& cleared = table.cleared_[print];
+            cleared = std::max(cleared, now);
+            return;
+        }
+    }
+}
+
+bool isQuarantined(const QuarantineTable& table, WallTime now, const Fingerprint& print)
+{
+    const auto found = table.quarantined_.find(print);
+    return found != table.quarantined_.end() && now < found->second;
+}
+
+bool isSuspect(const QuarantineTable& table, WallTime now, const Fingerprint& print)
+{
+    return std::any_of(table.reports_.begin(), table.reports_.end(), [&](const auto& entry) {
+        return detail::contains(entry.second, print) && detail::counts(table, now, entry.second, print);
+    });
+}
+
+bool explainsCrash(const QuarantineTable& table, WallTime now, const std::vector<CrashSuspect>& suspects)
+{
+    return std::any_of(suspects.begin(), suspects.end(),
+        [&](const CrashSuspect& suspect) { return isQuarantined(table, now, suspect.fingerprint_); });
+}
+
+void expireQuarantine(QuarantineTable& table, WallTime now)
+{
+    const int64_t life = table.options_.lifeMs_;
+    std::erase_if(table.reports_, [&](const auto& entry) { return entry.second.at_.ms_ + life <= now.ms_; });
+    std::erase_if(table.quarantined_, [&](const auto& entry) { return entry.second <= now; });
+    std::erase_if(table.cleared_, [&](const auto& entry) { return entry.second.ms_ + life <= now.ms_; });
+}
+
+} // namespace turmericwing::routing
--- /dev/null
+++ b/test/routing/quarantine-test.cc
@@ -0,0 +1,159 @@
+// Tests of crash evidence and quarantine records.
+#include "turmericwing/base/random.h"
+#include "turmericwing/routing/quarantine.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace turmericwing;
+using namespace turmericwing::routing;
+
+namespace {
+
+const Fingerprint bad { 1, 1 };
+const Fingerprint good { 2, 2 };
+
+CrashReport crash(
+    uint64_t serial, const std::string& upstream, int64_t at, std::vector<CrashSuspect> suspects)
+{
+    return { { "h", 1, serial }, upstream, { at }, std::move(suspects) };
+}
+
+/// Crashes of one bad request that is sent again and again, among popular requests that complete in time.
+/// Returns whether the bad one, and how many others, were quarantined.
+std::pair<bool, size_t> simulate(uint64_t seed, QuarantineOptions options)
+{
+    Random random(seed);
+    QuarantineTable table { .options_ = options };
+    int64_t now = 0;
+    for (uint64_t round = 0; round < 6 && !isQuarantined(table, { now }, bad); ++round) {
+        // Popular requests run on many upstreams at once; a part of them completes between two crashes.
+        std::vector<CrashSuspect> suspects { { bad, { now } } };
+        for (uint64_t i = 0; i < 5; ++i)
+            suspects.push_back(
+                { { 10 + random() % 8, 0 }, { now + 50 - static_cast<int64_t>(random() % 100) } });
+        now += 100;
+        addCrash(table, { now }, crash(round, "u" + std::to_string(round), now, suspects));
+        for (uint64_t i = 0; i < 8; ++i) {
+            if (random() % 2 == 0)
+                completed(table, { now + 1 }, { 10 + i, 0 });
+        }
+        now += 10;
+    }
+    return { isQuarantined(table, { now }, bad),
+        table.quarantined_.size() - (isQuarantined(table, { now }, bad) ? 1 : 0) };
+}
+
+} // namespace
+
+TEST_CASE("fingerprints separate requests by all their parts")
+{
+    // Guards against quarantining a request for another one's crash.
+    const std::string large(fingerprintBody + 10, 'x');
+    std::string other = large;
+    other.back() = 'y';
+    const Fingerprint print = fingerprint("w", "r", "GET", "/p", "b", 1);
+    CHECK(print == fingerprint("w", "r", "GET", "/p", "b", 1));
+    std::set<Fingerprint> all { print, fingerprint("wr", "", "GET", "/p", "b", 1),
+        fingerprint("v", "r", "GET", "/p", "b", 1), fingerprint("w", "r", "PUT", "/p", "b", 1),
+        fingerprint("w", "r", "GET", "/q", "b", 1), fingerprint("w", "r", "GET", "/p", "c", 1),
+        fingerprint("w", "r", "GET", "/p", "b", 2) };
+    CHECK(all.size() == 7);
+    CHECK(fingerprint("w", "r", "GET", "/p", large, large.size())
+        == fingerprint("w", "r", "GET", "/p", other, other.size()));
+}
+
+TEST_CASE("a second crash on another upstream quarantines for ten minutes")
+{
+    // Guards against a request that is sent to one upstream after the other.
+    QuarantineTable table;
+    CHECK(
+        addCrash(table, { 100 }, crash(1, "u1", 100, { { bad, { 0 } }, { good, { 0 } } })).records_.empty());
+    CHECK(isSuspect(table, { 100 }, bad));
+    // The same upstream again, and the same report again, prove nothing.
+    CHECK(addCrash(table, { 150 }, crash(2, "u1", 150, { { bad, { 110 } } })).records_.empty());
+    CHECK(addCrash(table, { 160 }, crash(2, "u1", 150, { { bad, { 110 } } })).records_.empty());
+    const QuarantineChange change = addCrash(table, { 200 }, crash(3, "u2", 200, { { bad, { 160 } } }));
+    REQUIRE(change.records_.size() == 1);
+    CHECK(change.records_[0] == QuarantineRecord { bad, { 200 + 600000 } });
+    CHECK(std::set<std::string>(change.explained_.begin(), change.explained_.end())
+        == std::set<std::string> { "u1", "u2" });
+    CHECK(explainsCrash(table, { 300 }, { { good, { 250 } }, { bad, { 250 } } }));
+    CHECK_FALSE(explainsCrash(table, { 300 }, { { good, { 250 } } }));
+    // A request that crashes further upstreams stays quarantined; one beside it does not become a suspect.
+    addCrash(table, { 300 }, crash(4, "u3", 300, { { bad, { 250 } }, { good, { 250 } } }));
+    CHECK(isQuarantined(table, { 300 + 599999 }, bad));
+    CHECK_FALSE(isQuarantined(table, { 300 + 600000 }, bad));
+    CHECK_FALSE(isQuarantined(table, { 300 }, good));
+    expireQuarantine(table, { 300 + 600000 });
+    CHECK(table.quarantined_.empty());
+    // Learned from another host, the quarantine explains crashes as well.
+    addQuarantine(table, { 700000 }, { bad, { 900000 } });
+    addCrash(table, { 700000 }, crash(5, "u1", 700000, { { good, { 699000 } } }));
+    addCrash(table, { 701000 }, crash(6, "u2", 701000, { { good, { 700500 } }, { bad, { 700500 } } }));
+    CHECK_FALSE(isQuarantined(table, { 701000 }, good));
+}
+
+TEST_CASE("requests in flight by coincidence are not quarantined")
+{
+    // Guards against a quarantine of popular requests when many connections break.
+    for (const bool order : { true, false }) {
+        // One network failure breaks the connections to two upstreams, with a popular request on both.
+        QuarantineTable table { .options_ = { .requireOrder_ = order } };
+        addCrash(table, { 100 }, crash(1, "u1", 100, { { good, { 50 } } }));
+        addCrash(table, { 101 }, crash(2, "u2", 101, { { good, { 60 } } }));
+        CHECK(isQuarantined(table, { 101 }, good) == !order);
+    }
+    QuarantineTable table;
+    addCrash(table, { 100 }, crash(1, "u1", 100, { { good, { 50 } } }));
+    completed(table, { 150 }, good);
+    CHECK_FALSE(isSuspect(table, { 150 }, good));
+    addCrash(table, { 200 }, crash(2, "u2", 200, { { good, { 160 } } }));
+    CHECK_FALSE(isQuarantined(table, { 200 }, good));
+    for (const bool sole : { true, false }) {
+        size_t caught = 0;
+        size_t wrong = 0;
+        for (uint64_t seed = 0; seed < 1000; ++seed) {
+            const auto [found, others] = simulate(seed, { .requireSole_ = sole });
+            caught += found ? 1 : 0;
+            wrong += others;
+        }
+        MESSAGE("sole ", sole, ": caught ", caught, " of 1000, others quarantined ", wrong);
+        CHECK(caught == 1000);
+        CHECK((wrong < 10) == sole);
+    }
+}
+
+TEST_CASE("reports and records merge in any order")
+{
+    // Guards against hosts that disagree because messages came in another order or twice.
+    CHECK(rc::check("quarantine merge", [](uint64_t seed) {
+        Random random(seed);
+        std::vector<CrashReport> reports;
+        for (uint64_t i = 0; i < 6; ++i) {
+            const int64_t at = static_cast<int64_t>(100 + 100 * i);
+            reports.push_back(crash(i, "u" + std::to_string(random() % 3), at,
+                { { { random() % 4, 0 }, { at - static_cast<int64_t>(random() % 150) } } }));
+        }
+        std::vector<QuarantineRecord> records;
+        for (uint64_t i = 0; i < 4; ++i)
+            records.push_back({ { random() % 4, 9 }, { static_cast<int64_t>(2000 + random() % 1000) } });
+        std::vector<std::map<Fingerprint, WallTime>> results;
+        for (int run = 0; run < 3; ++run) {
+            QuarantineTable table;
+            reports.push_back(reports[random() % reports.size()]);
+            std::shuffle(reports.begin(), reports.end(), random);
+            std::shuffle(records.begin(), records.end(), random);
+            for (const CrashReport& report : reports)
+                addCrash(table, { 1000 }, report);
+            for (const QuarantineRecord& record : records)
+                addQuarantine(table, { 1000 }, record);
+            results.push_back(table.quarantined_);
+        }
+        RC_ASSERT(results[0] == results[1]);
+        RC_ASSERT(results[0] == results[2]);
+    }));
+}
--- /dev/null
+++ b/test/routing/retry-test.cc
@@ -0,0 +1,97 @@
+// Tests of retries and hedges.
+#include "turmericwing/routing/retry.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint now { 1000s };
+
+} // namespace
+
+TEST_CASE("retries and hedges are at most a tenth of the requests")
+{
+    // Guards against retries that double the load when everything fails.
+    for (const bool limited : { true, false }) {
+        const RetryOptions options { .limited_ = limited };
+        RetryBudget budget;
+        size_t extra = 0;
+        for (size_t i = 1; i <= 10000; ++i) {
+            earnRetry(budget, options);
+            extra += takeRetry(budget, options, now, { .idempotent_ = true, .deadline_ = now + 1s }) ? 1 : 0;
+            extra += takeHedge(budget, options, now,
+                         { .idempotent_ = true,
+                             .started_ = now - 1s,
+                             .usual_ = 10ms,
+                             .freeSlots_ = 9,
+                             .heldSlots_ = 9 })
+                ? 1
+                : 0;
+            if (limited)
+                REQUIRE(extra * 10 <= i);
+        }
+        CHECK((extra == 1000) == limited);
+    }
+    // A quiet hour does not save up for a storm.
+    RetryBudget budget;
+    for (int i = 0; i < 10000; ++i)
+        earnRetry(budget, {});
+    int retries = 0;
+    while (takeRetry(budget, {}, now, { .deadline_ = now + 1s }))
+        ++retries;
+    CHECK(retries == 10);
+}
+
+TEST_CASE("only attempts that may repeat are retried")
+{
+    // Guards against a second run of a non-idempotent request, and against retries that cannot help.
+    RetryBudget budget { 10 };
+    const FailedAttempt good {
+        .idempotent_ = true, .byteMayBeSent_ = true, .deadline_ = now + 1s, .expected_ = 10ms
+    };
+    CHECK(takeRetry(budget, {}, now, good));
+    FailedAttempt attempt = good;
+    attempt.idempotent_ = false;
+    CHECK_FALSE(takeRetry(budget, {}, now, attempt));
+    attempt.byteMayBeSent_ = false;
+    CHECK(takeRetry(budget, {}, now, attempt));
+    attempt = good;
+    attempt.overload_ = true;
+    CHECK_FALSE(takeRetry(budget, {}, now, attempt));
+    attempt = good;
+    attempt.responseStarted_ = true;
+    CHECK_FALSE(takeRetry(budget, {}, now, attempt));
+    attempt = good;
+    attempt.attempts_ = 3;
+    CHECK_FALSE(takeRetry(budget, {}, now, attempt));
+    CHECK_FALSE(takeRetry(budget, {}, now + 990ms, good));
+    CHECK(budget.tokens_ == 8);
+}
+
+TEST_CASE("lookups are hedged only with headroom")
+{
+    // Guards against hedges that add load to a busy service.
+    RetryBudget budget { 10 };
+    const HedgeCandidate good {
+        .idempotent_ = true, .started_ = now, .usual_ = 50ms, .freeSlots_ = 6, .heldSlots_ = 10
+    };
+    CHECK(takeHedge(budget, {}, now + 50ms, good));
+    CHECK_FALSE(takeHedge(budget, {}, now + 49ms, good));
+    HedgeCandidate candidate = good;
+    candidate.freeSlots_ = 5;
+    CHECK_FALSE(takeHedge(budget, {}, now + 50ms, candidate));
+    CHECK(takeHedge(budget, { .hedgeHeadroom_ = 0 }, now + 50ms, candidate));
+    candidate = good;
+    candidate.idempotent_ = false;
+    CHECK_FALSE(takeHedge(budget, {}, now + 50ms, candidate));
+    candidate = good;
+    candidate.hedged_ = true;
+    CHECK_FALSE(takeHedge(budget, {}, now + 50ms, candidate));
+    candidate = good;
+    candidate.usual_ = 0ms;
+    CHECK_FALSE(takeHedge(budget, {}, now + 50ms, candidate));
+}
