--- a/src/host/controller.cc
+++ b/src/host/controller.cc
@@ -355,17 +355,16 @@
         return PublishOutcome { 0, std::move(parsed.faults_) };
     const std::string canonical = model::canonicalText(parsed.set_);
     BOOST_OUTCOME_TRY(digest, state_->options_.platform_.objects_.put_(canonical));
-    BOOST_OUTCOME_TRY(head,
-        changeHead(who, "publish: " + message, [&](control::Head& next) -> Result<void> {
-            if (next.revision_ != expectedRevision)
-                return makeError(ErrorCode::Conflict,
-                    "revision " + std::to_string(next.revision_) + " is in force, not "
-                        + std::to_string(expectedRevision) + "; last change by " + next.publisher_ + ": "
-                        + next.change_);
-            ++next.revision_;
-            next.digest_ = digest;
-            return boost::outcome_v2::success();
-        }));
+    BOOST_OUTCOME_TRY(head, changeHead(who, "publish: " + message, [&](control::Head& next) -> Result<void> {
+        if (next.revision_ != expectedRevision)
+            return makeError(ErrorCode::Conflict,
+                "revision " + std::to_string(next.revision_) + " is in force, not "
+                    + std::to_string(expectedRevision) + "; last change by " + next.publisher_ + ": "
+                    + next.change_);
+        ++next.revision_;
+        next.digest_ = digest;
+        return boost::outcome_v2::success();
+    }));
     state_->acceptText(digest, canonical);
     return PublishOutcome { head.revision_, {} };
 }
--- a/src/host/dispatch.cc
+++ b/src/host/dispatch.cc
@@ -68,7 +68,7 @@
         placement.id_ = { head.revision_, head.epoch_ };
         std::vector<routing::SlotHost> hosts;
         for (const control::Member& member : head.members_)
-            hosts.push_back({ member.host_, member.region_ });
+            hosts.push_back({ member.host_, member.incarnation_, member.region_ });
         const Duration longest = longestTimeout(set, service);
         for (const model::Upstream& upstream : set.upstreams_) {
             if (upstream.service_ == service)
@@ -224,8 +224,8 @@
     shard.lenders_.clear();
     for (const auto& [slot, home] : placement.homes_) {
         auto& lenders = shard.lenders_[slot.upstream_];
-        if (home != host_ && std::find(lenders.begin(), lenders.end(), home) == lenders.end())
-            lenders.push_back(home);
+        if (home.host_ != host_ && std::find(lenders.begin(), lenders.end(), home.host_) == lenders.end())
+            lenders.push_back(home.host_);
     }
     shard.changed_.notify_all();
 }
--- a/src/host/host.cc
+++ b/src/host/host.cc
@@ -164,7 +164,9 @@
     callerServer_->stop();
     claims_.stop();
     tokens_.returnAll();
-    controller_.changeHead(who, "host " + who + " has left", edited(true));
+    if (!controller_.changeHead(who, "host " + who + " has left", edited(true)))
+        logEvent(LogLevel::Warning, "leave-not-written",
+            { { "detail", "other hosts remove this host when silent" } });
 }
 
 Result<void> Host::start()
--- a/src/host/path.cc
+++ b/src/host/path.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <cstring>
 #include <strings.h>
 
 namespace turmericwing::host {
@@ -45,15 +46,28 @@
         return listed || strncasecmp(name.c_str(), "Turmericwing-", 13) == 0;
     }
 
-    /// Headers that the Connection header names end at this host too.
-    std::string connectionOptions(const HeaderList& headers) { return headerValue(headers, "Connection"); }
+    /// Whether the Connection header lists this header, which then ends at this host too.
+    bool isConnectionOption(const std::string& options, const std::string& name)
+    {
+        size_t start = 0;
+        while (start < options.size()) {
+            const size_t end = std::min(options.find(',', start), options.size());
+            std::string token = options.substr(start, end - start);
+            token.erase(0, token.find_first_not_of(" \t"));
+            token.erase(token.find_last_not_of(" \t") + 1);
+            if (equalNames(token, name.c_str()))
+                return true;
+            start = end + 1;
+        }
+        return false;
+    }
 
     HeaderList forwardedHeaders(const HeaderList& headers)
     {
-        const std::string named = connectionOptions(headers);
+        const std::string options = headerValue(headers, "Connection");
         HeaderList kept;
         for (const auto& [name, value] : headers) {
-            if (!isPrivateHeader(name) && strcasestr(named.c_str(), name.c_str()) == nullptr)
+            if (!isPrivateHeader(name) && !isConnectionOption(options, name))
                 kept.emplace_back(name, value);
         }
         return kept;
--- a/src/host/settings.cc
+++ b/src/host/settings.cc
@@ -104,21 +104,12 @@
         return {};
     }
 
-    /// Paths in a settings file are relative to the file.
-    std::string resolvePath(const Document& document, const std::string& path)
-    {
-        const std::filesystem::path given(path);
-        if (given.is_absolute())
-            return path;
-        return (std::filesystem::path(document.file_).parent_path() / given).string();
-    }
-
     std::string takePath(Document& document, const std::string& key, bool required)
     {
         auto value = take(document, key, required);
         if (!value)
             return {};
-        const std::string path = resolvePath(document, value->text_);
+        const std::string& path = value->text_; // Relative to the working directory.
         if (!std::filesystem::exists(path))
             addFault(document, value->line_, key, "file '" + path + "' does not exist");
         return path;
