--- a/src/model/check.cc
+++ b/src/model/check.cc
@@ -347,6 +347,9 @@
         checker.keys();
         checker.services();
         checker.moves();
+        // An empty file must not remove all objects of a deployment.
+        if (set.regions_.empty())
+            faults.push_back({ positions.file_, 1, "", "", "a set has at least one region" });
         // Client blocks store regions as 16-bit indices.
         constexpr size_t maxRegions = 1000;
         if (set.regions_.size() > maxRegions)
--- a/src/model/schema.h
+++ b/src/model/schema.h
@@ -29,7 +29,7 @@
 template <typename T> const std::vector<Field<T>>& fieldsOf();
 
 /// Calls `f(list)` for each kind that has names, in the order of the canonical text.
-template <typename Set, typename F> void forEachKind(Set& set, F&& f)
+template <typename Set, typename F> void forEachKind(Set&& set, F&& f)
 {
     f(set.regions_);
     f(set.failureDomains_);
--- a/test/model/check-test.cc
+++ b/test/model/check-test.cc
@@ -1,6 +1,8 @@
 // Tests of the checks across objects.
 #include "small-set.h"
 
+#include "schema.h"
+
 #include "turmericwing/model/move.h"
 
 #include <doctest/doctest.h>
@@ -104,6 +106,22 @@
     CHECK(minimumSteps(0.005) == 200);
 }
 
+TEST_CASE("the interface page lists every field of every kind")
+{
+    // Guards against fields that operators cannot find, and against an empty file that removes a deployment.
+    std::ifstream stream("docs/interface.md");
+    const std::string page(std::istreambuf_iterator<char>(stream), {});
+    detail::forEachKind(ObjectSet {}, [&]<typename T>(const std::vector<T>&) {
+        const size_t start = page.find(std::string("#### `") + detail::kindName<T>() + "`");
+        REQUIRE(start != std::string::npos);
+        const auto section = page.substr(start, page.find("\n#", start) - start);
+        for (const auto& field : detail::fieldsOf<T>())
+            CHECK_MESSAGE(
+                section.find(std::string("`") + field.name_ + "`") != std::string::npos, field.name_);
+    });
+    CHECK(faultsOf("", "; nothing\n") == "base.ini:1: a set has at least one region\n");
+}
+
 TEST_CASE("example sets have no faults and the documented sizes")
 {
     // Guards against examples that fall behind the rules or the design page.
