Add moves: share on hosts, sequential test and owner

A shift of traffic must stay within its cap over all hosts, stop a bad version within the first percent and finish a good one by its deadline. Hosts count deficits, the owner compares new with old in the same period by a test that is valid at every look, and proposes conditional changes of the written record.

--- /dev/null
+++ b/src/rollout/controller.cc
@@ -0,0 +1,259 @@
+// Implementation of the owner of a move.
+#include "turmericwing/rollout/controller.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericwing::rollout {
+
+namespace detail {
+
+    uint64_t increase(uint64_t now, uint64_t before) { return now > before ? now - before : 0; }
+
+    Comparison increase(const Comparison& now, const Comparison& before)
+    {
+        return { increase(now.new_, before.new_), increase(now.newFailed_, before.newFailed_),
+            increase(now.old_, before.old_), increase(now.oldFailed_, before.oldFailed_) };
+    }
+
+    /// Half of the false alarm rate is the owner's, half is for the trips of single hosts. Each half is
+    /// shared by the routes, with two tests each.
+    TestOptions shared(TestOptions options, size_t routes, size_t testers)
+    {
+        options.tests_ = static_cast<uint32_t>(2 * 2 * std::max<size_t>(1, routes) * testers);
+        return options;
+    }
+
+    /// Name of the failed test; empty if none failed.
+    std::string runTests(RouteState& route, const ControllerOptions& options, size_t routes, size_t testers)
+    {
+        const TestOptions errors = shared(options.errors_, routes, testers);
+        const TestOptions latency = shared(options.latency_, routes, testers);
+        addPeriod(route.errors_, errors, route.period_.errors_);
+        addPeriod(route.latency_, latency, route.period_.slow_);
+        if (options.testErrors_ && isBad(route.errors_, errors))
+            return "errors";
+        if (options.testLatency_ && isBad(route.latency_, latency))
+            return "latency";
+        return {};
+    }
+
+    void endPeriod(RouteState& route)
+    {
+        const Comparison& errors = route.period_.errors_;
+        const uint64_t succeeded = errors.old_ - std::min(errors.old_, errors.oldFailed_);
+        if (succeeded > 0) {
+            const double mean = route.period_.oldLatency_ / static_cast<double>(succeeded);
+            // Moves slowly, so that a short disturbance does not hide a slow version afterwards.
+            const double weight
+                = route.meanLatency_ == 0 ? 1 : std::min(0.05, static_cast<double>(succeeded) / 1000);
+            route.meanLatency_ += weight * (mean - route.meanLatency_);
+        }
+        route.step_ += errors;
+        route.period_ = {};
+    }
+
+    /// Share of the step after `share`.
+    double nextShare(const MovePlan& plan, const ControllerOptions& options, double share)
+    {
+        if (share <= 0)
+            return std::min(plan.cap_, options.firstShare_);
+        const double last = 1 - std::min(plan.cap_, options.controlShare_);
+        return std::min(share + plan.cap_, last);
+    }
+
+    /// Steps from `share` to the end, including the last one.
+    int64_t stepsLeft(const MovePlan& plan, const ControllerOptions& options, double share)
+    {
+        int64_t steps = 1;
+        const double last = 1 - std::min(plan.cap_, options.controlShare_);
+        if (share <= 0) {
+            ++steps;
+            share = std::min(plan.cap_, options.firstShare_);
+        }
+        return steps + static_cast<int64_t>(std::ceil(std::max(0.0, last - share) / plan.cap_ - 1e-9));
+    }
+
+    /// Evidence that a test holds against the new side; a version in doubt gets no larger share.
+    bool isDoubtful(const RouteState& route, const ControllerOptions& options)
+    {
+        const double limit = std::log(10.0);
+        return (options.testErrors_ && logEvidence(route.errors_) > limit)
+            || (options.testLatency_ && logEvidence(route.latency_) > limit);
+    }
+
+    /// Whether the step has shown the new side to be good. In a hurry less is asked for, as the evidence that
+    /// rare routes give may take longer than the move.
+    bool hasEvidence(const Controller& controller, bool hurry)
+    {
+        const ControllerOptions& options = controller.options_;
+        if (!options.waitForEvidence_)
+            return true;
+        Comparison sum;
+        for (const auto& [name, route] : controller.routes_) {
+            const Comparison& step = route.step_;
+            sum += step;
+            if (isDoubtful(route, options))
+                return false;
+            const double expected = controller.record_.share_ * static_cast<double>(step.old_ + step.new_);
+            const bool rare = hurry ? expected < 2 : step.old_ + step.new_ == 0;
+            const double excess = hurry ? options.hurriedRouteExcess_ : options.routeExcess_;
+            if (!rare && !excludesExcess(step, options.errors_, excess))
+                return false;
+        }
+        if (sum.new_ < options.leastRequests_)
+            return false;
+        return hurry || excludesExcess(sum, options.errors_, options.excess_);
+    }
+
+    void tripOwner(Controller& controller, const std::string& reason)
+    {
+        if (controller.tripped_)
+            return;
+        controller.tripped_ = true;
+        controller.reason_ = reason;
+    }
+
+    /// The record that the owner wants next; the current one if nothing is to change.
+    MoveRecord wanted(const Controller& controller, int64_t nowMs, const MovePlan& plan)
+    {
+        const MoveRecord& record = controller.record_;
+        const ControllerOptions& options = controller.options_;
+        MoveRecord next = record;
+        const auto rolledBack = [&](const std::string& reason) {
+            return MoveRecord { record.step_ + 1, 0, Phase::RolledBack, reason };
+        };
+        if (controller.tripped_)
+            return rolledBack(controller.reason_);
+        if (plan.wish_ == Wish::RollBack)
+            return rolledBack("operator");
+        if (nowMs >= plan.deadlineMs_)
+            return rolledBack("deadline passed");
+        if (plan.wish_ == Wish::Hold || nowMs < plan.startMs_)
+            return next;
+        if (record.share_ > 0) {
+            if (nowMs < controller.stepSinceMs_ + plan.stepMs_)
+                return next;
+            // Evidence is waited for as long as the deadline allows, with one step in reserve.
+            const int64_t needed
+                = (stepsLeft(plan, options, record.share_) + 1) * (plan.stepMs_ + options.stepOverheadMs_);
+            if (!hasEvidence(controller, nowMs + needed >= plan.deadlineMs_))
+                return next;
+        }
+        ++next.step_;
+        if (record.share_ >= 1 - std::min(plan.cap_, options.controlShare_) - 1e-9) {
+            next.share_ = 1;
+            next.phase_ = Phase::Done;
+        } else {
+            next.share_ = nextShare(plan, options, record.share_);
+        }
+        return next;
+    }
+
+} // namespace detail
+
+std::optional<SlowLimits> slowLimits(const Controller& controller, const std::string& route)
+{
+    const auto found = controller.routes_.find(route);
+    if (found == controller.routes_.end() || found->second.meanLatency_ <= 0)
+        return std::nullopt;
+    const double limit = controller.options_.slowFactor_ * found->second.meanLatency_ * 1e6;
+    return SlowLimits { Duration(static_cast<int64_t>(limit)),
+        Duration(static_cast<int64_t>(limit * controller.options_.slowTolerance_)) };
+}
+
+void addReport(Controller& controller, const HostStats& stats)
+{
+    if (stats.tripped_)
+        detail::tripOwner(controller, "tripped by " + stats.host_);
+    const auto found = controller.hosts_.find(stats.host_);
+    const bool known = found != controller.hosts_.end();
+    if (known && stats.incarnation_ < found->second.incarnation_)
+        return;
+    const bool same = known && found->second.incarnation_ == stats.incarnation_;
+    // The first report of a process holds counts from before this owner; only later increases are compared.
+    if (same) {
+        for (const auto& [name, route] : stats.routes_) {
+            const auto old = found->second.routes_.find(name);
+            const RouteStats before = old == found->second.routes_.end() ? RouteStats {} : old->second;
+            RouteStats& period = controller.routes_[name].period_;
+            period.errors_ += detail::increase(route.errors_, before.errors_);
+            period.slow_ += detail::increase(route.slow_, before.slow_);
+            period.oldLatency_ += std::max(0.0, route.oldLatency_ - before.oldLatency_);
+        }
+        // A report that was overtaken by a later one must not be counted again.
+        for (const auto& [name, route] : stats.routes_) {
+            RouteStats& kept = controller.hosts_[stats.host_].routes_[name];
+            if (route.errors_.old_ + route.errors_.new_ >= kept.errors_.old_ + kept.errors_.new_)
+                kept = route;
+        }
+        return;
+    }
+    controller.hosts_[stats.host_] = stats;
+}
+
+void addTrip(Controller& controller, const std::string& reason) { detail::tripOwner(controller, reason); }
+
+MoveActions tickMove(
+    Controller& controller, int64_t nowMs, const MovePlan& plan, const MoveRecord& record, bool storeUp)
+{
+    if (controller.record_.phase_ == Phase::Running && record != controller.record_) {
+        controller.record_ = record;
+        controller.stepSinceMs_ = nowMs;
+        for (auto& [name, route] : controller.routes_)
+            route.step_ = {};
+    }
+    if (controller.stepSinceMs_ == 0)
+        controller.stepSinceMs_ = nowMs;
+    for (auto& [name, route] : controller.routes_) {
+        const std::string failed = detail::runTests(route, controller.options_, controller.routes_.size(), 1);
+        if (!failed.empty() && controller.record_.phase_ == Phase::Running)
+            detail::tripOwner(controller, failed + " on route " + name);
+        detail::endPeriod(route);
+    }
+    MoveActions actions;
+    if (controller.record_.phase_ != Phase::Running) {
+        actions.share_ = controller.record_.phase_ == Phase::Done ? 1 : 0;
+        return actions;
+    }
+    actions.tripped_ = controller.tripped_;
+    if (!controller.tripped_ && plan.wish_ != Wish::RollBack)
+        actions.share_ = controller.record_.share_;
+    // Nothing can be written, so nothing may be declared and no share raised.
+    if (!storeUp)
+        return actions;
+    const MoveRecord next = detail::wanted(controller, nowMs, plan);
+    if (next != controller.record_)
+        actions.proposal_ = Proposal { controller.record_, next };
+    return actions;
+}
+
+std::optional<MoveRecord> applyProposal(const MoveRecord& current, const Proposal& proposal)
+{
+    if (current.phase_ != Phase::Running)
+        return std::nullopt;
+    // A rollback holds against a step that another owner wrote meanwhile; a step does not.
+    if (proposal.next_.phase_ == Phase::RolledBack) {
+        MoveRecord next = proposal.next_;
+        next.step_ = current.step_ + 1;
+        return next;
+    }
+    if (current != proposal.expected_)
+        return std::nullopt;
+    return proposal.next_;
+}
+
+bool addLocalPeriod(LocalTrip& local, const ControllerOptions& options, uint32_t hosts,
+    const std::map<std::string, RouteStats>& period)
+{
+    bool bad = false;
+    for (const auto& [name, stats] : period) {
+        RouteState& route = local.routes_[name];
+        route.period_ = stats;
+        const size_t routes = std::max(local.routes_.size(), period.size());
+        bad = !detail::runTests(route, options, routes, std::max(1u, hosts)).empty() || bad;
+    }
+    return bad;
+}
+
+} // namespace turmericwing::rollout
