Add membership and the graceful stop of hosts

Cause: hosts fail, restart and are replaced while the fleet serves. Change: observers in two failure domains, bounded summaries, connections flat in the fleet size, joining and removal as head changes, duplicate names and addresses, drain phases with stored deadlines. Figures: at 810 hosts a host that is no relay has 4 peers.

--- /dev/null
+++ b/test/control/membership-test.cc
@@ -0,0 +1,151 @@
+// Tests of membership.
+#include "turmericwing/control/membership.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::control;
+
+namespace {
+
+TimePoint at(int ms) { return TimePoint {} + std::chrono::milliseconds(ms); }
+
+/// `count` members; host number i is in domain i % domains; two domains form a region.
+Head viewOf(size_t count, size_t domains)
+{
+    Head head;
+    for (size_t i = 0; i < count; ++i) {
+        const size_t domain = i % domains;
+        const std::string id = std::to_string(1000 + i);
+        head.members_.push_back({ "h" + id, 1, "r" + std::to_string(domain / 2), "d" + std::to_string(domain),
+            "c" + id, "p" + id, MemberState::Live });
+    }
+    return head;
+}
+
+/// Heartbeats from all members but `silent`, at `observer`, every 500 ms up to `end`.
+void hear(HeartbeatTable& table, const MembershipOptions& options, const Head& head,
+    const std::string& silent, int begin, int end)
+{
+    for (int ms = begin; ms <= end; ms += 100) {
+        recordTick(table, options, at(ms));
+        for (const Member& m : head.members_) {
+            if (m.host_ != silent && ms % 500 == 0)
+                recordHeartbeat(table, options, m.host_, m.incarnation_, m.peerAddress_, at(ms));
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("connections and messages stay flat as the fleet grows")
+{
+    // Guards against a control cost that grows with hosts × hosts.
+    const MembershipOptions options;
+    for (const size_t count : { 230, 810 }) {
+        const Head head = viewOf(count, 23);
+        size_t relays = 0;
+        for (const Member& m : head.members_) {
+            const size_t peers = peersOf(head, options, m.host_).size();
+            relays += peers > 4 ? 1 : 0;
+            CHECK(peers <= 46 + 3 * (count / 23 + 1));
+        }
+        CHECK(relays == 46);
+        const HeartbeatTable silent { .records_ = {}, .observingSince_ = at(1), .lastTick_ = at(1) };
+        CHECK(summariseDomain(silent, options, head, "h1000", at(9000)).suspicions_.size() <= maxSuspicions);
+    }
+    // A small fleet also meshes each region: domains d0 and d1 have ten hosts.
+    CHECK(peersOf(viewOf(30, 6), options, "h1024").size() == 9);
+    CHECK(peersOf(viewOf(30, 6), { .fullMeshLimit_ = 0 }, "h1024")
+        == std::vector<std::string> { "h1000", "h1001", "h1006", "h1007" });
+}
+
+TEST_CASE("two observers in different domains remove a silent host, one bad link does not")
+{
+    // Guards against a live host that is removed because of one link.
+    const Head head = viewOf(12, 4);
+    for (const bool twoDomains : { true, false }) {
+        const MembershipOptions options { .requireTwoDomains_ = twoDomains };
+        SuspicionLog log;
+        const auto observe = [&](const std::string& observer, const std::string& silent) {
+            HeartbeatTable table;
+            hear(table, options, head, silent, 100, 4000);
+            log[observer] = { at(4000), summariseDomain(table, options, head, observer, at(4000)) };
+        };
+        observe("h1000", "h1008");
+        observe("h1004", "h1008");
+        CHECK(log.at("h1000").second.suspicions_ == std::vector<Suspicion> { { "h1008", 1 } });
+        observe("h1001", "");
+        CHECK(removals(log, options, head, at(4000)).empty() == twoDomains);
+        observe("h1001", "h1008");
+        CHECK(removals(log, options, head, at(4500)) == std::vector<std::string> { "h1008" });
+        CHECK(removals(log, options, head, at(5000)).empty());
+        Head renewed = head;
+        renewed.members_[8].incarnation_ = 2;
+        CHECK(removals(log, options, renewed, at(4500)).empty());
+    }
+}
+
+TEST_CASE("a paused observer suspects nobody, nor does anyone suspect a short pause")
+{
+    // Guards against a process that resumes with unread heartbeats and removes its peers.
+    const Head head = viewOf(12, 4);
+    for (const bool detect : { true, false }) {
+        const MembershipOptions options { .detectPauses_ = detect };
+        HeartbeatTable table;
+        hear(table, options, head, "", 100, 4000);
+        CHECK(summariseDomain(table, options, head, "h1000", at(5400)).suspicions_.empty());
+        recordTick(table, options, at(20000));
+        CHECK(summariseDomain(table, options, head, "h1000", at(20000)).suspicions_.empty() == detect);
+    }
+}
+
+TEST_CASE("half of the fleet is never removed at once")
+{
+    // Guards against observers that are cut off themselves.
+    const Head head = viewOf(4, 2);
+    const SuspicionLog log {
+        { "h1000", { at(0), { "h1000", "d0", 2, 1, { { "h1002", 1 }, { "h1003", 1 } } } } },
+        { "h1001", { at(0), { "h1001", "d1", 2, 1, { { "h1002", 1 }, { "h1003", 1 } } } } },
+    };
+    CHECK(removals(log, {}, head, at(0)).empty());
+    CHECK(removals(log, {}, viewOf(5, 2), at(0)).size() == 2);
+}
+
+TEST_CASE("two live hosts with one name or address are detected")
+{
+    // Guards against two processes that both believe to hold a member's shares.
+    HeartbeatTable table;
+    const auto beat = [&](const char* host, uint64_t incarnation, const char* address, int ms) {
+        return recordHeartbeat(table, {}, host, incarnation, address, at(ms));
+    };
+    CHECK(beat("a", 1, "p1", 0) == HeartbeatOutcome::Recorded);
+    CHECK(beat("b", 1, "p1", 500) == HeartbeatOutcome::DuplicateAddress);
+    CHECK(beat("a", 2, "p1", 600) == HeartbeatOutcome::NewIncarnation);
+    CHECK(beat("a", 1, "p1", 700) == HeartbeatOutcome::Delayed);
+    CHECK(beat("a", 2, "p1", 2000) == HeartbeatOutcome::Recorded);
+    CHECK(beat("a", 1, "p1", 2200) == HeartbeatOutcome::DuplicateName);
+    CHECK(beat("b", 1, "p1", 3600) == HeartbeatOutcome::Recorded);
+}
+
+TEST_CASE("joining replaces the earlier incarnation and refuses live duplicates")
+{
+    // Guards against a view that lists one process twice, and against an old process that returns.
+    Head head = viewOf(3, 3);
+    Member member = head.members_[1];
+    member.incarnation_ = 2;
+    const Head joined = withMember(head, member, { "h1001" }).value();
+    CHECK(joined.members_.size() == 3);
+    CHECK(joined.members_[1].incarnation_ == 2);
+    CHECK(joined.epoch_ == head.epoch_ + 1);
+    CHECK(joined.version_ == head.version_ + 1);
+    CHECK(withMember(joined, head.members_[1], {}).has_error());
+    member.host_ = "h0999";
+    CHECK(withMember(head, member, { "h1001" }).has_error());
+    const Head replaced = withMember(head, member, {}).value();
+    CHECK(replaced.members_.size() == 3);
+    CHECK(replaced.members_[0].host_ == "h0999");
+    CHECK(withLeaving(head, "h1001", 1).value().members_[1].state_ == MemberState::Leaving);
+    CHECK(withLeaving(head, "h1001", 2).has_error());
+    CHECK(withoutMembers(head, { "h1000", "h1002" }).members_.size() == 1);
+}
