--- a/test/control/evidence-test.cc
+++ b/test/control/evidence-test.cc
@@ -144,6 +144,8 @@
         noteContact(fleet.hosts_[0], at(1000));
         CHECK(allowed(1099));
         CHECK_FALSE(allowed(1100));
+        // Accepted means that every later quorum meets a host that knows the version.
+        CHECK_FALSE(isAccepted(proposal, fleet.hosts_[0], {}, fleet.head_, {}, at(2000)));
         recordAck(proposal.outcomeAcks_, "h2", { 1, at(2000) });
         CHECK(isAccepted(proposal, fleet.hosts_[0], {}, fleet.head_, {}, at(2000)));
         // A host that is no member of the view needs one acknowledgement more.
