Carry the decision libraries' values in peer messages

The message structs had drifted from the structs that the decision code exchanges (token pulls have sequence numbers, loans are named by their borrower, evidence lists candidates). The codec now visits the libraries' own structs, so no conversion can lose a field.

--- a/include/turmericwing/peer/message.h
+++ b/include/turmericwing/peer/message.h
@@ -4,6 +4,12 @@
 #pragma once
 
 #include "turmericwing/base/result.h"
+#include "turmericwing/control/evidence.h"
+#include "turmericwing/control/membership.h"
+#include "turmericwing/limits/grants.h"
+#include "turmericwing/rollout/controller.h"
+#include "turmericwing/routing/quarantine.h"
+#include "turmericwing/routing/slots.h"
 
 #include <cstdint>
 #include <string>
@@ -18,54 +24,42 @@
 /// Nesting of arrays and maps, counting the outermost map.
 inline constexpr int maxMessageDepth = 8;
 
-/// Contact status of a failure domain, reported by its relays.
-struct DomainSummary {
-    std::string domain_;
-    uint32_t members_ = 0;
-    uint32_t withoutContact_ = 0; ///< Members that reported no contact with the store.
-    uint32_t notHeard_ = 0; ///< Members without a current heartbeat.
-    uint64_t headVersion_ = 0; ///< Newest head version that a member reported.
-    uint32_t ageMs_ = 0; ///< Age of the oldest report that the summary counts.
-    uint32_t inFlight_ = 0; ///< Requests in flight over all members.
-    std::vector<std::string> suspects_; ///< Members that a relay has not heard from for the suspicion time.
-    friend bool operator==(const DomainSummary&, const DomainSummary&) = default;
-};
-
-/// Member to relay, relay to member and relay to relay. Only relays fill in summaries_.
+/// Between all hosts that are connected. Only observers fill in the summary.
 struct Heartbeat {
     uint64_t incarnation_ = 0;
-    bool contact_ = false; ///< The last read of the head succeeded.
+    std::string address_; ///< Peer address of the sender.
+    bool lease_ = false; ///< The sender's read lease is valid.
+    bool leaving_ = false;
     uint64_t headVersion_ = 0;
-    uint32_t inFlight_ = 0;
-    std::vector<DomainSummary> summaries_;
+    control::DomainSummary summary_;
     friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
 
-/// Asks for evidence and reports the sender's own contact, which the response acknowledges.
+/// Asks for control::Evidence.
 struct Probe {
-    uint64_t incarnation_ = 0;
-    bool contact_ = false;
-    uint64_t headVersion_ = 0;
     friend bool operator==(const Probe&, const Probe&) = default;
 };
 
-/// Response to a Probe.
-struct Evidence {
+/// Announces a change of the head before it is written. Answered by Ack or Refusal.
+struct CandidateReport {
+    control::Candidate candidate_;
+    std::string head_; ///< Encoded.
+    friend bool operator==(const CandidateReport&, const CandidateReport&) = default;
+};
+
+/// The sender knows what it was told.
+struct Ack {
     uint64_t incarnation_ = 0;
-    bool valid_ = false; ///< False while a new incarnation may not give evidence.
-    bool contact_ = false;
-    uint64_t headVersion_ = 0;
-    std::string candidate_; ///< Configuration digest of an own write that is in doubt, else empty.
-    friend bool operator==(const Evidence&, const Evidence&) = default;
+    friend bool operator==(const Ack&, const Ack&) = default;
 };
 
-/// Asks a relay for the head. The response omits the row when its version is the known one.
+/// Asks for the head. The response omits the row when its version is the known one.
 struct HeadGet {
     uint64_t knownVersion_ = 0;
     friend bool operator==(const HeadGet&, const HeadGet&) = default;
 };
 
-/// The head row, as a response to HeadGet or unasked on a change.
+/// The head row, as a response to HeadGet, or on a change, which is answered by Ack.
 struct HeadRow {
     uint64_t version_ = 0;
     uint64_t ageUs_ = 0; ///< Time since the sender sent the read that returned this version.
@@ -90,102 +84,40 @@
     friend bool operator==(const Blob&, const Blob&) = default;
 };
 
-struct TokenPull {
-    std::string workspace_;
-    uint64_t epoch_ = 0;
-    uint32_t tokens_ = 0;
-    friend bool operator==(const TokenPull&, const TokenPull&) = default;
-};
-
-struct TokenGrant {
-    std::string workspace_;
-    uint64_t epoch_ = 0;
-    uint32_t tokens_ = 0;
-    uint32_t deadlineMs_ = 0; ///< Unused tokens expire this long after the pull was sent.
-    friend bool operator==(const TokenGrant&, const TokenGrant&) = default;
-};
-
-struct SlotBorrow {
-    std::string upstream_;
-    uint64_t epoch_ = 0;
-    uint32_t slots_ = 0;
-    friend bool operator==(const SlotBorrow&, const SlotBorrow&) = default;
-};
-
-/// Slots lent, by number; empty when none is free.
-struct SlotLoan {
-    std::string upstream_;
-    uint64_t epoch_ = 0;
-    uint64_t loan_ = 0; ///< Number that the lender gave to the loan.
-    std::vector<uint32_t> slots_;
-    uint32_t deadlineMs_
-        = 0; ///< No request may start on the slots later than this after the borrow was sent.
-    friend bool operator==(const SlotLoan&, const SlotLoan&) = default;
-};
+using TokenPull = limits::PullRequest;
+using TokenGrant = limits::Grant;
+using TokenReturn = limits::TokenReturn;
+using SlotBorrow = routing::BorrowRequest;
+using SlotLoan = routing::Loan;
+using SlotReturn = routing::LoanReturn;
+using SlotRelease = routing::SlotRelease;
+using Crash = routing::CrashReport;
+using Quarantine = routing::QuarantineRecord;
 
-struct SlotReturn {
-    std::string upstream_;
-    uint64_t epoch_ = 0;
-    uint64_t loan_ = 0;
-    std::vector<uint32_t> slots_;
-    friend bool operator==(const SlotReturn&, const SlotReturn&) = default;
-};
-
-/// Requests of one route on one side of a move.
-struct SideStats {
-    uint64_t count_ = 0;
-    uint64_t errors_ = 0;
-    uint64_t latencySumUs_ = 0;
-    double latencySquaredSumMs_ = 0; ///< In ms², for the variance.
-    friend bool operator==(const SideStats&, const SideStats&) = default;
-};
-
-struct RouteStats {
-    std::string route_;
-    SideStats old_;
-    SideStats new_;
-    friend bool operator==(const RouteStats&, const RouteStats&) = default;
-};
-
-/// Counts since the sender's incarnation began the step. Cumulative, so that a lost message loses nothing.
+/// Report of a host to the owner of a move, answered by MoveShare.
 struct MoveStats {
     std::string move_;
-    uint64_t incarnation_ = 0;
-    uint32_t step_ = 0;
-    std::vector<RouteStats> routes_;
+    rollout::HostStats stats_;
     friend bool operator==(const MoveStats&, const MoveStats&) = default;
 };
 
 struct MoveShare {
     std::string move_;
-    uint64_t epoch_ = 0;
     uint32_t step_ = 0;
-    double share_ = 0; ///< In [0, 1].
-    uint32_t deadlineMs_ = 0; ///< Valid this long after the MoveStats it answers was sent.
+    double share_ = 0; ///< In [0, 1]. Valid for rollout::shareLife from the sending of the report.
+    bool tripped_ = false;
+    std::vector<std::string> slowRoutes_; ///< Routes with limits, in the order of slowLimits_.
+    std::vector<uint64_t> slowLimitsUs_; ///< Two for each route: old side, new side.
     friend bool operator==(const MoveShare&, const MoveShare&) = default;
 };
 
+/// Sent to all hosts.
 struct MoveTrip {
     std::string move_;
-    uint32_t step_ = 0;
     std::string reason_;
     friend bool operator==(const MoveTrip&, const MoveTrip&) = default;
 };
 
-/// An upstream connection broke while these requests were in flight.
-struct Crash {
-    std::string upstream_;
-    std::vector<std::string> fingerprints_;
-    friend bool operator==(const Crash&, const Crash&) = default;
-};
-
-struct Quarantine {
-    std::string fingerprint_;
-    std::string upstream_; ///< Where the last crash occurred.
-    uint32_t remainingMs_ = 0;
-    friend bool operator==(const Quarantine&, const Quarantine&) = default;
-};
-
 /// Response to a request that the receiver does not execute.
 struct Refusal {
     uint32_t code_ = 0; ///< An ErrorCode.
@@ -194,8 +126,9 @@
 };
 
 /// The position of a type is its number on the wire: append only.
-using Message = std::variant<Heartbeat, Probe, Evidence, HeadGet, HeadRow, BlobGet, Blob, TokenPull,
-    TokenGrant, SlotBorrow, SlotLoan, SlotReturn, MoveStats, MoveShare, MoveTrip, Crash, Quarantine, Refusal>;
+using Message = std::variant<Heartbeat, Probe, control::Evidence, control::Summary, CandidateReport, Ack,
+    HeadGet, HeadRow, BlobGet, Blob, TokenPull, TokenGrant, TokenReturn, SlotBorrow, SlotLoan, SlotReturn,
+    SlotRelease, MoveStats, MoveShare, MoveTrip, Crash, Quarantine, Refusal>;
 
 /// Name of the message's type, as in metrics.
 const char* typeName(const Message&);
--- a/include/turmericwing/rollout/controller.h
+++ b/include/turmericwing/rollout/controller.h
@@ -53,6 +53,7 @@
     Comparison errors_ {};
     Comparison slow_ {}; ///< Requests slower than the limits that the owner sent.
     double oldLatency_ = 0; ///< Sum over successful requests of the old side, in seconds.
+    friend bool operator==(const RouteStats&, const RouteStats&) = default;
 };
 
 /// Report of a host. Counts are sums, so lost and repeated reports do no harm.
@@ -61,6 +62,7 @@
     uint64_t incarnation_ = 0;
     std::map<std::string, RouteStats> routes_ {};
     bool tripped_ = false;
+    friend bool operator==(const HostStats&, const HostStats&) = default;
 };
 
 struct RouteState {
--- a/include/turmericwing/rollout/test.h
+++ b/include/turmericwing/rollout/test.h
@@ -34,6 +34,7 @@
     uint64_t old_ = 0;
     uint64_t oldFailed_ = 0;
     Comparison& operator+=(const Comparison&);
+    friend bool operator==(const Comparison&, const Comparison&) = default;
 };
 
 struct SequentialTest {
--- a/include/turmericwing/routing/slots.h
+++ b/include/turmericwing/routing/slots.h
@@ -103,18 +103,21 @@
     LoanId id_;
     std::string upstream_;
     Duration duration_ {}; ///< Wanted, from the sending of the request.
+    friend bool operator==(const BorrowRequest&, const BorrowRequest&) = default;
 };
 
 struct Loan {
     LoanId id_;
     SlotId slot_;
     Duration duration_ {}; ///< Granted, from the sending of the request.
+    friend bool operator==(const Loan&, const Loan&) = default;
 };
 
 /// Ends a loan early.
 struct LoanReturn {
     LoanId id_;
     SlotId slot_;
+    friend bool operator==(const LoanReturn&, const LoanReturn&) = default;
 };
 
 /// Says that the home of a slot in placement `last_` neither uses nor lends it any more. Sent to the hosts of
--- a/src/peer/message.cc
+++ b/src/peer/message.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <cmath>
 #include <limits>
+#include <map>
 #include <optional>
 #include <type_traits>
 
@@ -19,43 +20,75 @@
     concept Is = std::is_same_v<std::remove_const_t<T>, V>;
 
     // The envelope takes the names v, t, i and r.
-    template <typename V, Is<DomainSummary> T> void visit(V& v, T& m)
+    template <typename V, Is<control::Suspicion> T> void visit(V& v, T& m)
     {
-        v("d", m.domain_);
+        v("h", m.host_);
+        v("n", m.incarnation_);
+    }
+
+    template <typename V, Is<control::DomainSummary> T> void visit(V& v, T& m)
+    {
+        v("o", m.relay_);
+        v("d", m.failureDomain_);
         v("m", m.members_);
-        v("w", m.withoutContact_);
-        v("n", m.notHeard_);
-        v("h", m.headVersion_);
-        v("a", m.ageMs_);
-        v("l", m.inFlight_);
-        v("s", m.suspects_);
+        v("h", m.heard_);
+        v("s", m.suspicions_);
     }
 
     template <typename V, Is<Heartbeat> T> void visit(V& v, T& m)
     {
         v("n", m.incarnation_);
-        v("c", m.contact_);
+        v("a", m.address_);
+        v("e", m.lease_);
+        v("l", m.leaving_);
         v("h", m.headVersion_);
-        v("l", m.inFlight_);
-        v("s", m.summaries_);
+        v("s", m.summary_);
     }
 
-    template <typename V, Is<Probe> T> void visit(V& v, T& m)
+    template <typename V, Is<Probe> T> void visit(V&, T&) { }
+
+    template <typename V, Is<control::Candidate> T> void visit(V& v, T& m)
     {
-        v("n", m.incarnation_);
-        v("c", m.contact_);
-        v("h", m.headVersion_);
+        v("b", m.baseVersion_);
+        v("n", m.nonce_);
+        v("d", m.digest_);
     }
 
-    template <typename V, Is<Evidence> T> void visit(V& v, T& m)
+    template <typename V, Is<control::Evidence> T> void visit(V& v, T& m)
     {
+        v("o", m.host_);
         v("n", m.incarnation_);
-        v("e", m.valid_);
+        v("h", m.newestVersion_);
         v("c", m.contact_);
-        v("h", m.headVersion_);
-        v("d", m.candidate_);
+        v("x", m.candidates_);
     }
 
+    template <typename V, Is<control::ViewCount> T> void visit(V& v, T& m)
+    {
+        v("n", m.nonce_);
+        v("h", m.heard_);
+    }
+
+    template <typename V, Is<control::Summary> T> void visit(V& v, T& m)
+    {
+        v("o", m.relay_);
+        v("d", m.failureDomain_);
+        v("h", m.newestVersion_);
+        v("k", m.counts_);
+        v("w", m.withoutContact_);
+        v("m", m.notHeard_);
+        v("a", m.age_);
+        v("x", m.candidates_);
+    }
+
+    template <typename V, Is<CandidateReport> T> void visit(V& v, T& m)
+    {
+        v("x", m.candidate_);
+        v("b", m.head_);
+    }
+
+    template <typename V, Is<Ack> T> void visit(V& v, T& m) { v("n", m.incarnation_); }
+
     template <typename V, Is<HeadGet> T> void visit(V& v, T& m) { v("h", m.knownVersion_); }
 
     template <typename V, Is<HeadRow> T> void visit(V& v, T& m)
@@ -83,92 +116,153 @@
     template <typename V, Is<TokenPull> T> void visit(V& v, T& m)
     {
         v("w", m.workspace_);
+        v("o", m.host_);
+        v("n", m.incarnation_);
         v("e", m.epoch_);
-        v("n", m.tokens_);
+        v("k", m.kind_);
+        v("s", m.sequence_);
+        v("l", m.settled_);
+        v("a", m.waiting_);
+        v("p", m.prefetch_);
     }
 
     template <typename V, Is<TokenGrant> T> void visit(V& v, T& m)
     {
         v("w", m.workspace_);
+        v("n", m.incarnation_);
         v("e", m.epoch_);
-        v("n", m.tokens_);
-        v("d", m.deadlineMs_);
+        v("k", m.kind_);
+        v("s", m.sequence_);
+        v("u", m.status_);
+        v("a", m.tokens_);
+        v("d", m.retryAfter_);
+    }
+
+    template <typename V, Is<TokenReturn> T> void visit(V& v, T& m)
+    {
+        v("w", m.workspace_);
+        v("o", m.host_);
+        v("n", m.incarnation_);
+        v("k", m.kind_);
+        v("s", m.sequence_);
+        v("a", m.tokens_);
+    }
+
+    template <typename V, Is<routing::LoanId> T> void visit(V& v, T& m)
+    {
+        v("o", m.borrower_);
+        v("n", m.incarnation_);
+        v("s", m.serial_);
+    }
+
+    template <typename V, Is<routing::SlotId> T> void visit(V& v, T& m)
+    {
+        v("u", m.upstream_);
+        v("x", m.index_);
     }
 
     template <typename V, Is<SlotBorrow> T> void visit(V& v, T& m)
     {
+        v("l", m.id_);
         v("u", m.upstream_);
-        v("e", m.epoch_);
-        v("n", m.slots_);
+        v("d", m.duration_);
     }
 
     template <typename V, Is<SlotLoan> T> void visit(V& v, T& m)
     {
-        v("u", m.upstream_);
-        v("e", m.epoch_);
-        v("l", m.loan_);
-        v("s", m.slots_);
-        v("d", m.deadlineMs_);
+        v("l", m.id_);
+        v("s", m.slot_);
+        v("d", m.duration_);
     }
 
     template <typename V, Is<SlotReturn> T> void visit(V& v, T& m)
     {
-        v("u", m.upstream_);
-        v("e", m.epoch_);
-        v("l", m.loan_);
-        v("s", m.slots_);
+        v("l", m.id_);
+        v("s", m.slot_);
     }
 
-    template <typename V, Is<SideStats> T> void visit(V& v, T& m)
+    template <typename V, Is<SlotRelease> T> void visit(V& v, T& m)
     {
-        v("n", m.count_);
-        v("e", m.errors_);
-        v("l", m.latencySumUs_);
-        v("q", m.latencySquaredSumMs_);
+        v("s", m.slot_);
+        v("p", m.last_);
     }
 
-    template <typename V, Is<RouteStats> T> void visit(V& v, T& m)
+    template <typename V, Is<rollout::Comparison> T> void visit(V& v, T& m)
     {
-        v("r", m.route_);
-        v("o", m.old_);
         v("n", m.new_);
+        v("f", m.newFailed_);
+        v("o", m.old_);
+        v("g", m.oldFailed_);
     }
 
-    template <typename V, Is<MoveStats> T> void visit(V& v, T& m)
+    template <typename V, Is<rollout::RouteStats> T> void visit(V& v, T& m)
     {
-        v("m", m.move_);
+        v("e", m.errors_);
+        v("s", m.slow_);
+        v("l", m.oldLatency_);
+    }
+
+    template <typename V, Is<rollout::HostStats> T> void visit(V& v, T& m)
+    {
+        v("o", m.host_);
         v("n", m.incarnation_);
-        v("s", m.step_);
         v("R", m.routes_);
+        v("x", m.tripped_);
+    }
+
+    template <typename V, Is<MoveStats> T> void visit(V& v, T& m)
+    {
+        v("m", m.move_);
+        v("s", m.stats_);
     }
 
     template <typename V, Is<MoveShare> T> void visit(V& v, T& m)
     {
         v("m", m.move_);
-        v("e", m.epoch_);
         v("s", m.step_);
         v("p", m.share_);
-        v("d", m.deadlineMs_);
+        v("x", m.tripped_);
+        v("R", m.slowRoutes_);
+        v("l", m.slowLimitsUs_);
     }
 
     template <typename V, Is<MoveTrip> T> void visit(V& v, T& m)
     {
         v("m", m.move_);
-        v("s", m.step_);
         v("w", m.reason_);
     }
 
+    template <typename V, Is<routing::Fingerprint> T> void visit(V& v, T& m)
+    {
+        v("h", m.high_);
+        v("l", m.low_);
+    }
+
+    template <typename V, Is<routing::CrashSuspect> T> void visit(V& v, T& m)
+    {
+        v("f", m.fingerprint_);
+        v("a", m.started_);
+    }
+
+    template <typename V, Is<routing::CrashId> T> void visit(V& v, T& m)
+    {
+        v("o", m.host_);
+        v("n", m.incarnation_);
+        v("s", m.serial_);
+    }
+
     template <typename V, Is<Crash> T> void visit(V& v, T& m)
     {
+        v("c", m.id_);
         v("u", m.upstream_);
-        v("f", m.fingerprints_);
+        v("a", m.at_);
+        v("s", m.suspects_);
     }
 
     template <typename V, Is<Quarantine> T> void visit(V& v, T& m)
     {
         v("f", m.fingerprint_);
-        v("u", m.upstream_);
-        v("d", m.remainingMs_);
+        v("x", m.expires_);
     }
 
     template <typename V, Is<Refusal> T> void visit(V& v, T& m)
@@ -178,8 +272,9 @@
     }
 
     constexpr std::array<const char*, std::variant_size_v<Message>> typeNames { "heartbeat", "probe",
-        "evidence", "headGet", "head", "blobGet", "blob", "tokenPull", "tokenGrant", "slotBorrow", "slotLoan",
-        "slotReturn", "moveStats", "moveShare", "moveTrip", "crash", "quarantine", "refusal" };
+        "evidence", "summary", "candidate", "ack", "headGet", "head", "blobGet", "blob", "tokenPull",
+        "tokenGrant", "tokenReturn", "slotBorrow", "slotLoan", "slotReturn", "slotRelease", "moveStats",
+        "moveShare", "moveTrip", "crash", "quarantine", "refusal" };
 
     struct Writer {
         template <typename T> void operator()(const char* name, const T& value)
@@ -198,6 +293,18 @@
             }
         }
 
+        static Json convert(Duration value) { return static_cast<uint64_t>(value.count()); }
+
+        static Json convert(WallTime value) { return static_cast<uint64_t>(value.ms_); }
+
+        template <typename T> static Json convert(const std::map<std::string, T>& values)
+        {
+            Json map = Json::object();
+            for (const auto& [key, value] : values)
+                map[key] = convert(value);
+            return map;
+        }
+
         template <typename T> static Json convert(const std::vector<T>& values)
         {
             Json list = Json::array();
@@ -247,6 +354,54 @@
             return true;
         }
 
+        template <typename T>
+        requires std::is_enum_v<T>
+        static bool read(const Json& json, T& value)
+        {
+            uint8_t number = 0;
+            if (!read(json, number) || number > maximumEnumerator(value))
+                return false;
+            value = static_cast<T>(number);
+            return true;
+        }
+
+        static uint8_t maximumEnumerator(limits::ShareKind) { return 1; }
+
+        static uint8_t maximumEnumerator(limits::GrantStatus) { return 3; }
+
+        /// Durations and times are bounded so that arithmetic on them cannot overflow.
+        static bool readBounded(const Json& json, int64_t& value)
+        {
+            constexpr uint64_t bound = uint64_t { 1 } << 52;
+            uint64_t number = 0;
+            if (!read(json, number) || number > bound)
+                return false;
+            value = static_cast<int64_t>(number);
+            return true;
+        }
+
+        static bool read(const Json& json, Duration& value)
+        {
+            int64_t us = 0;
+            if (!readBounded(json, us))
+                return false;
+            value = Duration(us);
+            return true;
+        }
+
+        static bool read(const Json& json, WallTime& value) { return readBounded(json, value.ms_); }
+
+        template <typename T> bool read(const Json& json, std::map<std::string, T>& values)
+        {
+            if (!json.is_object())
+                return false;
+            for (const auto& [key, value] : json.items()) {
+                if (!read(value, values[key]))
+                    return false;
+            }
+            return true;
+        }
+
         static bool read(const Json& json, double& value)
         {
             if (!json.is_number_float())
--- a/test/peer/message-test.cc
+++ b/test/peer/message-test.cc
@@ -14,23 +14,36 @@
 namespace {
 
 const std::vector<Envelope> samples {
-    { 0, 0, Heartbeat { 9, true, 1ull << 40, 12, { { "a-1", 30, 1, 2, 77, 900, 400, { "h7", "h8" } } } } },
-    { 1, 0, Probe { 9, true, 77 } },
-    { 0, 1, Evidence { 9, true, false, 77, "digest" } },
+    { 0, 0,
+        Heartbeat { 9, "10.0.0.1:7", true, false, 1ull << 40,
+            { "h1", "a-1", 30, 28, { { "h7", 3 }, { "h8", 4 } } } } },
+    { 1, 0, Probe {} },
+    { 0, 1, control::Evidence { "h1", 9, 77, false, { { 76, "nonce", "digest" } } } },
+    { 0, 2,
+        control::Summary {
+            "h1", "a-1", 77, { { "", 30 } }, 29, 1, Duration(400), { { 76, "nonce", "digest" } } } },
+    { 2, 0, CandidateReport { { 76, "nonce", "digest" }, "{}" } },
+    { 0, 2, Ack { 9 } },
     { 2, 0, HeadGet { 76 } },
     { 0, 2, HeadRow { 77, 123456, true, "{\"revision\":1}" } },
     { 3, 0, BlobGet { "digest", 1 << 19 } },
     { 0, 3, Blob { "digest", 1 << 19, 1 << 22, { 0, 255, 10 } } },
-    { 4, 0, TokenPull { "w1", 5, 100 } },
-    { 0, 4, TokenGrant { "w1", 5, 90, 500 } },
-    { 5, 0, SlotBorrow { "u1", 5, 1 } },
-    { 0, 5, SlotLoan { "u1", 5, 8, { 0, 2 }, 1000 } },
-    { 0, 0, SlotReturn { "u1", 5, 8, { 2 } } },
-    { 6, 0, MoveStats { "m1", 9, 2, { { "r1", { 1000, 3, 5000000, 12.5 }, { 10, 0, 50000, 0.25 } } } } },
-    { 0, 6, MoveShare { "m1", 5, 2, 0.01, 1000 } },
-    { 0, 0, MoveTrip { "m1", 2, "errors" } },
-    { 0, 0, Crash { "u1", { "f1", "f2" } } },
-    { 0, 0, Quarantine { "f1", "u1", 600000 } },
+    { 4, 0, TokenPull { "w1", "h1", 9, 5, limits::ShareKind::Floor, 12, 10, 1, 100 } },
+    { 0, 4,
+        TokenGrant {
+            "w1", 9, 5, limits::ShareKind::Floor, 12, limits::GrantStatus::Empty, 0, Duration(500) } },
+    { 0, 0, TokenReturn { "w1", "h1", 9, limits::ShareKind::Main, 12, 3 } },
+    { 5, 0, SlotBorrow { { "h1", 9, 4 }, "u1", Duration(2000) } },
+    { 0, 5, SlotLoan { { "h1", 9, 4 }, { "u1", 2 }, Duration(2000) } },
+    { 0, 0, SlotReturn { { "h1", 9, 4 }, { "u1", 2 } } },
+    { 0, 0, SlotRelease { { "u1", 2 }, 8 } },
+    { 6, 0,
+        MoveStats {
+            "m1", { "h1", 9, { { "r1", { { 10, 1, 1000, 3 }, { 10, 0, 1000, 1 }, 12.5 } } }, true } } },
+    { 0, 6, MoveShare { "m1", 2, 0.01, false, { "r1" }, { 1000, 2000 } } },
+    { 0, 0, MoveTrip { "m1", "errors" } },
+    { 0, 0, Crash { { "h1", 9, 3 }, "u1", { 1000 }, { { { 1, 2 }, { 900 } } } } },
+    { 0, 0, Quarantine { { 1, 2 }, { 600000 } } },
     { 0, 7, Refusal { 4, "epoch 4 is not current" } },
 };
 
@@ -89,9 +102,9 @@
 TEST_CASE("nested fields, ranges, versions and types are checked")
 {
     // Guards against truncated numbers and against misreading another release's messages.
-    const Json probe = Json::from_cbor(encode(samples[1]).value());
+    const Json headGet = Json::from_cbor(encode(samples[6]).value());
     auto with = [&](const char* name, const Json& value) {
-        Json changed = probe;
+        Json changed = headGet;
         changed[name] = value;
         return cbor(changed);
     };
@@ -99,14 +112,20 @@
     CHECK((failure(with("t", 1000)) == DecodeErrorCode::UnknownType));
     CHECK((failure(with("t", 1ull << 32)) == DecodeErrorCode::MistypedField));
     CHECK((failure(with("h", -1)) == DecodeErrorCode::MistypedField));
-    Json pull = Json::from_cbor(encode(samples[7]).value());
-    pull["n"] = 1ull << 32;
+    Json refusal = Json::from_cbor(encode(samples[22]).value());
+    refusal["c"] = 1ull << 32;
+    CHECK((failure(cbor(refusal)) == DecodeErrorCode::MistypedField));
+    Json pull = Json::from_cbor(encode(samples[10]).value());
+    pull["k"] = 2;
     CHECK((failure(cbor(pull)) == DecodeErrorCode::MistypedField));
-    Json share = Json::from_cbor(encode(samples[13]).value());
+    Json borrow = Json::from_cbor(encode(samples[13]).value());
+    borrow["d"] = 1ull << 63;
+    CHECK((failure(cbor(borrow)) == DecodeErrorCode::MistypedField));
+    Json share = Json::from_cbor(encode(samples[18]).value());
     share["p"] = std::numeric_limits<double>::quiet_NaN();
     CHECK((failure(cbor(share)) == DecodeErrorCode::MistypedField));
-    Json stats = Json::from_cbor(encode(samples[12]).value());
-    stats["R"][0]["n"].erase("q");
+    Json stats = Json::from_cbor(encode(samples[17]).value());
+    stats["s"]["R"]["r1"]["e"].erase("g");
     CHECK((failure(cbor(stats)) == DecodeErrorCode::MissingField));
     CHECK(decode(with("future", Json { { "x", 1 } })));
 }
--- a/test/peer/transport-test.cc
+++ b/test/peer/transport-test.cc
@@ -39,7 +39,7 @@
             .request_ =
                 [](const std::string&, const Message& message, const Responder& respond) {
                     if (const auto* pull = std::get_if<TokenPull>(&message))
-                        respond(TokenGrant { pull->workspace_, pull->epoch_, pull->tokens_, 500 });
+                        respond(TokenGrant { .workspace_ = pull->workspace_, .tokens_ = pull->waiting_ });
                 },
             .connected_ = [this](const std::string&, uint64_t) { ++connects_; },
             .disconnected_ = [this](const std::string&) { ++disconnects_; },
@@ -107,11 +107,11 @@
     a.transport_->setPeers({ b.address_ });
     REQUIRE(eventually([&] { return a.connected() && b.connected(); }));
     for (uint32_t i = 1; i <= 100; ++i) {
-        const auto response = a.ask("b", TokenPull { "w", 1, i }, 5s);
+        const auto response = a.ask("b", TokenPull { .workspace_ = "w", .waiting_ = i }, 5s);
         REQUIRE(response);
         CHECK(std::get<TokenGrant>(response.value()).tokens_ == i);
     }
-    CHECK(b.ask("a", TokenPull { "w", 1, 7 }, 5s));
+    CHECK(b.ask("a", TokenPull { .workspace_ = "w", .waiting_ = 7 }, 5s));
     CHECK(b.transport_->send("a", Heartbeat {}));
     CHECK(eventually([&] { return a.messages_ == 1; }));
     const TimePoint start = monotonicNow();
