--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -20,7 +20,7 @@
     /// shared by the routes, with two tests each.
     TestOptions shared(TestOptions options, size_t routes, size_t testers)
     {
-        options.tests_ = static_cast<uint32_t>(2 * 2 * std::max<size_t>(1, routes) * testers);
+        options.tests_ = static_cast<uint32_t>(4 * std::max<size_t>(1, routes) * testers);
         return options;
     }
 
@@ -206,9 +206,9 @@
     if (controller.stepSinceMs_ == 0)
         controller.stepSinceMs_ = nowMs;
     for (auto& [name, route] : controller.routes_) {
-        const std::string failed = detail::runTests(route, controller.options_, controller.routes_.size(), 1);
+        std::string failed = detail::runTests(route, controller.options_, controller.routes_.size(), 1);
         if (!failed.empty() && controller.record_.phase_ == Phase::Running)
-            detail::tripOwner(controller, failed + " on route " + name);
+            detail::tripOwner(controller, failed.append(" on route ").append(name));
         detail::endPeriod(route);
     }
     MoveActions actions;
