--- a/cmake/turmericwing.cmake
+++ b/cmake/turmericwing.cmake
@@ -2,7 +2,7 @@
 
 add_library(turmericwing_options INTERFACE)
 target_include_directories(turmericwing_options INTERFACE ${CMAKE_SOURCE_DIR}/include)
-target_compile_options(turmericwing_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+target_compile_options(turmericwing_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wzero-as-null-pointer-constant -Werror)
 if(TURMERICWING_SANITIZE)
     target_compile_options(turmericwing_options INTERFACE
         -fsanitize=${TURMERICWING_SANITIZE} -fno-sanitize-recover=all -fno-omit-frame-pointer)
