Compare candidates and members without generated ordering

Cause: clang-tidy reports modernize-use-nullptr inside the generated operator when a sort uses it, although the code has no null literal. Change: sort by host name; candidates and suspicions need equality only.

--- a/include/turmericwing/control/evidence.h
+++ b/include/turmericwing/control/evidence.h
@@ -29,7 +29,7 @@
     uint64_t baseVersion_ = 0;
     std::string nonce_;
     std::string digest_; ///< SHA-256 of the encoded head; the content is fetched by it.
-    friend auto operator<=>(const Candidate&, const Candidate&) = default;
+    friend bool operator==(const Candidate&, const Candidate&) = default;
 };
 
 /// What one incarnation knows about the head beyond its own lease. Invariants: newestVersion_ never falls;
--- a/include/turmericwing/control/membership.h
+++ b/include/turmericwing/control/membership.h
@@ -71,7 +71,7 @@
 struct Suspicion {
     std::string host_;
     uint64_t incarnation_ = 0;
-    friend auto operator<=>(const Suspicion&, const Suspicion&) = default;
+    friend bool operator==(const Suspicion&, const Suspicion&) = default;
 };
 
 /// A relay's message to other relays: sized by its domain's failures, never by pairs of hosts.
--- a/src/control/evidence.cc
+++ b/src/control/evidence.cc
@@ -24,12 +24,11 @@
         if (candidate.baseVersion_ < knowledge.newestVersion_)
             return false;
         auto& held = knowledge.candidates_;
-        const auto at = std::lower_bound(held.begin(), held.end(), candidate);
-        if (at != held.end() && *at == candidate)
+        if (std::find(held.begin(), held.end(), candidate) != held.end())
             return true;
         if (held.size() >= maxCandidates)
             return false;
-        held.insert(at, candidate);
+        held.push_back(candidate);
         return true;
     }
 
--- a/src/control/membership.cc
+++ b/src/control/membership.cc
@@ -218,7 +218,8 @@
         return other.host_ == member.host_ || other.peerAddress_ == member.peerAddress_;
     });
     next.members_.push_back(member);
-    std::sort(next.members_.begin(), next.members_.end());
+    std::sort(next.members_.begin(), next.members_.end(),
+        [](const Member& a, const Member& b) { return a.host_ < b.host_; });
     return next;
 }
 
