Test the remaining rules across objects

Cause: on a scratch copy with one rule removed at a time, the tests did not notice the loss of 4 of 17: addresses and versions of upstreams, a deadline before the start, a target without upstream, a version of another service. Change: cases for these rules and for a second link of one direction.

--- a/test/model/check-test.cc
+++ b/test/model/check-test.cc
@@ -78,6 +78,22 @@
             "add.ini:12: move a: from-version: a move has either from-version and to-version or from-region "
             "and "
             "to-region\n" },
+        { "[upstream b]\nservice = orders\nversion = x-v1\nfailure-domain = amman-a\naddress = "
+          "127.0.0.1:9001\nslots = "
+          "1\nconnections = 1\n[service x]\nversion = x-v1\ntypical-ms = 1\nmin-slots = 0\nrate-fraction = "
+          "1e-6\n"
+          "[version x-v1]\nservice = x\n",
+            "add.ini:3: upstream b: version: version \"x-v1\" belongs to service \"x\", not to \"orders\"\n"
+            "add.ini:10: service x: typical-ms: workspaces may send 1.25e-05 requests/s, but 0 slots at 1 ms "
+            "carry 0\n"
+            "base.ini:13: upstream orders-1: address: 127.0.0.1:9001 is already used by upstream \"b\"\n" },
+        { secondVersion + move("a", "orders-v1", "orders-v2", "10-09"),
+            "add.ini:15: move a: deadline: is not after the start\n" },
+        { "[version orders-v2]\nservice = orders\n" + move("a", "orders-v1", "orders-v2", "09-10"),
+            "add.ini:6: move a: to-version: the service has no upstream without drain there\n" },
+        { "[link a]\nfrom = amman\nto = irbid\ncapacity-mbps = 1\n[region irbid]\n"
+          "[link b]\nfrom = amman\nto = irbid\ncapacity-mbps = 1\n",
+            "add.ini:7: link b: from: link \"a\" already has this direction\n" },
     };
     for (const auto& one : cases)
         CHECK(faultsOf(one.text_) == one.expected_);
