--- a/include/turmericwing/limits/grants.h
+++ b/include/turmericwing/limits/grants.h
@@ -7,7 +7,7 @@
 //
 // Example of a host without tokens:
 //     noteDemand(tokens, now, options);
-//     if (!spendToken(tokens, now))
+//     if (!spendToken(tokens, now, options))
 //         if (auto pull = nextPull(tokens, { owner, ShareKind::Main, burst }, 1, epoch, now, options))
 //             send(owner, *pull); // the reply goes to acceptGrant(); if empty, try a floor
 #pragma once
@@ -31,6 +31,7 @@
     bool startEmpty_ = true; ///< Otherwise a new holder starts with a full bucket.
     bool delayTakeover_ = true; ///< Otherwise a new holder fills while old grants live.
     bool dropDuplicates_ = true; ///< Otherwise a repeated pull or grant counts twice.
+    bool dropOnEpochGap_ = true; ///< Otherwise a host keeps a share across views that it has not seen.
     bool discardWithoutLease_ = true; ///< Otherwise a host keeps its shares past its read lease.
 };
 
@@ -45,6 +46,13 @@
     Duration demandWindow_ = std::chrono::seconds(1); ///< Time constant of the demand estimate.
     /// A gap between two calls above this is a pause of the process; the control loop ticks every 50 ms.
     Duration maxGap_ = std::chrono::milliseconds(500);
+    /// A request waits this long for the next token before it is refused. Covers the tokens that a share of a
+    /// small workspace fails to refill while notices of used up batches are on their way.
+    Duration tokenPatience_ = std::chrono::milliseconds(50);
+    /// A pull without a reply for this long no longer covers demand; above the longest round trip (110 ms).
+    Duration replyTimeout_ = std::chrono::milliseconds(150);
+    /// A holder that did not reply or does not hold the share is not asked again for this long.
+    Duration holderBackoff_ = std::chrono::milliseconds(200);
     uint64_t maxBatch_ = 10'000;
     GrantSafeguards safeguards_;
 };
@@ -82,8 +90,10 @@
     friend auto operator<=>(const Grant&, const Grant&) = default;
 };
 
-/// Tokens of one pull that a host gives back unspent.
+/// Ends a batch before its deadline. With 0 tokens it only says that the batch is used up, so that the share
+/// can fill again: for a burst of a few tokens the wait for the deadline would be felt.
 struct TokenReturn {
+    std::string holder_; ///< Where to send it.
     std::string workspace_;
     std::string host_;
     uint64_t incarnation_ = 0;
@@ -126,6 +136,17 @@
 /// at the holders whose shares shrink.
 void updateShare(ShareHolder&, BucketLimits, uint64_t epoch, TimePoint now, const GrantOptions&);
 
+enum class ViewPhase {
+    Learned, ///< Removals and reductions apply at once.
+    Active, ///< The activation delay has passed: additions and increases apply as well.
+};
+
+/// Brings the shares of one workspace on `host` in line with a view. When the epoch has risen by more than 1
+/// since the last call, a view in between may have given a share to another host and back, so all shares are
+/// dropped and start empty again.
+void applyView(std::map<ShareKind, ShareHolder>&, const std::string& host, const std::vector<Share>& view,
+    uint64_t epoch, ViewPhase, TimePoint now, const GrantOptions&);
+
 /// Answers a pull: debits first, so a lost reply costs tokens and never creates them.
 Grant answerPull(ShareHolder&, const PullRequest&, TimePoint now, const GrantOptions&);
 
@@ -151,11 +172,12 @@
     PullTarget target_;
     uint64_t tokens_ = 0;
     TimePoint deadline_;
+    bool overdue_ = false; ///< No reply within the timeout; a late grant still counts.
 };
 
 struct TokenBatch {
     uint64_t sequence_ = 0;
-    ShareKind kind_ = ShareKind::Main;
+    PullTarget source_;
     uint64_t tokens_ = 0;
     TimePoint deadline_;
 };
@@ -166,12 +188,13 @@
     std::string host_;
     uint64_t incarnation_ = 0;
     uint64_t nextSequence_ = 1;
-    std::vector<PendingPull> pending_;
-    std::vector<TokenBatch> batches_;
-    std::map<PullTarget, TimePoint> emptyUntil_; ///< No pull before; keeps an overload off the holders.
+    std::vector<PendingPull> pending_ {};
+    std::vector<TokenBatch> batches_ {};
+    std::vector<TokenReturn> usedUp_ {}; ///< At most maxUsedUp, the oldest are dropped.
+    std::map<PullTarget, TimePoint> emptyUntil_ {}; ///< No pull before; keeps an overload off the holders.
     double demand_ = 0; ///< Estimate in requests/s at demandAt_.
-    TimePoint demandAt_;
-    TimePoint seenAt_; ///< Last call of refreshTokens().
+    TimePoint demandAt_ {};
+    TimePoint seenAt_ {}; ///< Last call of refreshTokens().
 };
 
 /// Counts a request for the demand estimate.
@@ -185,18 +208,31 @@
 /// shares, too, if the lease has expired.
 bool refreshTokens(HostTokens&, TimePoint leaseUntil, TimePoint now, const GrantOptions&);
 
+/// Oldest notices are dropped beyond this; the holder then waits for the deadline.
+inline constexpr size_t maxUsedUp = 64;
+
 /// Spends one token of the batch that expires first.
-bool spendToken(HostTokens&, TimePoint now);
+bool spendToken(HostTokens&, TimePoint now, const GrantOptions&);
 
 /// The pull to send now, if any. `waiting` counts requests without a token. Only the main share is prefetched
 /// from.
 std::optional<PullRequest> nextPull(
     HostTokens&, const PullTarget&, uint64_t waiting, uint64_t epoch, TimePoint now, const GrantOptions&);
 
+/// Whether a reply of this holder is expected.
+bool awaitsGrant(const HostTokens&, const PullTarget&);
+
 /// Adds the tokens of a grant. Returns the number added: 0 for late, repeated or foreign grants.
 uint64_t acceptGrant(HostTokens&, const Grant&, TimePoint now, const GrantOptions&);
 
+/// When a holder that was empty expects its next token, for Retry-After and for a short wait instead of a
+/// refusal; now if no holder is known to be empty.
+TimePoint nextTokenAt(const HostTokens&, TimePoint now);
+
+/// Notices of used up batches since the last call, to be sent to their holders.
+std::vector<TokenReturn> takeUsedUp(HostTokens&);
+
 /// Gives back everything on a graceful stop; later grants are ignored.
-std::vector<TokenReturn> returnTokens(HostTokens&, TimePoint now);
+std::vector<TokenReturn> returnTokens(HostTokens&, TimePoint now, const GrantOptions&);
 
 } // namespace turmericwing::limits
--- a/include/turmericwing/limits/placement.h
+++ b/include/turmericwing/limits/placement.h
@@ -46,10 +46,16 @@
     friend auto operator<=>(const Share&, const Share&) = default;
 };
 
+struct SplitOptions {
+    double floorFraction_ = 0.25; ///< Share of the limits for use without the owner.
+    /// Tokens. With smaller floors a request is refused while fragments of a token lie in several shares.
+    double minFloorBurst_ = 6;
+};
+
 /// Splits the limits: the owner holds 1 - floorFraction, and the rest is split evenly over preferred hosts. A
-/// floor that cannot hold one token would be lost, so small workspaces have fewer floors or none. The owner
-/// is the last to receive a floor, because floors are for the time without it. The limits of all shares sum
-/// to at most `limits`.
-std::vector<Share> splitLimits(const Placement&, BucketLimits limits, double floorFraction = 0.25);
+/// floor holds at least minFloorBurst_, so small workspaces have fewer floors or none. The owner is the last
+/// to receive a floor, because floors are for the time without it. The limits of all shares sum to at most
+/// `limits`.
+std::vector<Share> splitLimits(const Placement&, BucketLimits limits, const SplitOptions& = {});
 
 } // namespace turmericwing::limits
--- a/src/limits/bucket.cc
+++ b/src/limits/bucket.cc
@@ -27,7 +27,8 @@
     {
         if (bucket.limits_.rate_ <= 0)
             return 0;
-        const double ns = std::floor(bucket.limits_.burst_ * nsPerSecond / bucket.limits_.rate_);
+        // Rounded up like the cost, or a burst of exactly one token would never yield it.
+        const double ns = std::ceil(bucket.limits_.burst_ * nsPerSecond / bucket.limits_.rate_);
         return ns >= static_cast<double>(maxSpanNs) ? maxSpanNs : static_cast<int64_t>(ns);
     }
 
@@ -60,7 +61,10 @@
     const int64_t cost = detail::costNs(bucket, tokens);
     if (tokens == 0 || cost > level)
         return tokens == 0;
-    bucket.emptyAtNs_ = nowNs - level + cost;
+    // A full bucket gives back the nanosecond that rounding the burst up may have added.
+    const double exactBurst = bucket.limits_.burst_ * detail::nsPerSecond / bucket.limits_.rate_;
+    const bool roundedUp = level == detail::burstNs(bucket) && static_cast<double>(level) > exactBurst;
+    bucket.emptyAtNs_ = nowNs - level + cost + (roundedUp ? 1 : 0);
     return true;
 }
 
@@ -72,7 +76,9 @@
     // A bucket whose filling starts in the future keeps that start as the base.
     const int64_t base = std::max(bucket.emptyAtNs_, nowNs - detail::burstNs(bucket));
     // Rounded down, because the cost was rounded up when the tokens were taken.
-    bucket.emptyAtNs_ = base - detail::costNs(bucket, tokens) + static_cast<int64_t>(tokens != 0);
+    const double refund
+        = std::floor(static_cast<double>(tokens) * detail::nsPerSecond / bucket.limits_.rate_);
+    bucket.emptyAtNs_ = base - static_cast<int64_t>(std::min(refund, static_cast<double>(detail::maxSpanNs)));
 }
 
 void capLevel(Bucket& bucket, uint64_t reserved, TimePoint now)
--- a/src/limits/grants.cc
+++ b/src/limits/grants.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace turmericwing::limits {
 
@@ -56,13 +57,24 @@
         return settled;
     }
 
-    void dropExpired(HostTokens& tokens, TimePoint now)
+    void dropExpired(HostTokens& tokens, TimePoint now, const GrantOptions& options)
     {
+        for (auto& pull : tokens.pending_)
+            if (!pull.overdue_ && now >= pull.deadline_ - options.grantLifetime_ + options.replyTimeout_) {
+                pull.overdue_ = true;
+                tokens.emptyUntil_[pull.target_] = now + options.holderBackoff_;
+            }
         std::erase_if(tokens.batches_,
             [&](const TokenBatch& batch) { return batch.deadline_ <= now || batch.tokens_ == 0; });
         std::erase_if(tokens.pending_, [&](const PendingPull& pull) { return pull.deadline_ <= now; });
     }
 
+    TokenReturn makeReturn(const HostTokens& tokens, const TokenBatch& batch)
+    {
+        return { batch.source_.host_, tokens.workspace_, tokens.host_, tokens.incarnation_,
+            batch.source_.kind_, batch.sequence_, batch.tokens_ };
+    }
+
     Grant makeReply(const PullRequest& pull, uint64_t epoch, GrantStatus status)
     {
         return { pull.workspace_, pull.incarnation_, epoch, pull.kind_, pull.sequence_, status, 0,
@@ -99,6 +111,32 @@
     }
 }
 
+void applyView(std::map<ShareKind, ShareHolder>& held, const std::string& host,
+    const std::vector<Share>& view, uint64_t epoch, ViewPhase phase, TimePoint now,
+    const GrantOptions& options)
+{
+    std::map<ShareKind, BucketLimits> mine;
+    for (const auto& share : view)
+        if (share.host_ == host)
+            mine[share.kind_] = share.limits_;
+    std::erase_if(held, [&](const auto& entry) {
+        return !mine.contains(entry.first)
+            || (epoch > entry.second.epoch_ + 1 && options.safeguards_.dropOnEpochGap_);
+    });
+    for (const auto& [kind, limits] : mine) {
+        const auto share = held.find(kind);
+        if (share == held.end()) {
+            if (phase == ViewPhase::Active)
+                held.emplace(kind, acquireShare(limits, epoch, now, options));
+            continue;
+        }
+        const BucketLimits current = share->second.bucket_.limits_;
+        const BucketLimits reduced
+            = { std::min(limits.rate_, current.rate_), std::min(limits.burst_, current.burst_) };
+        updateShare(share->second, phase == ViewPhase::Active ? limits : reduced, epoch, now, options);
+    }
+}
+
 Grant answerPull(ShareHolder& holder, const PullRequest& pull, TimePoint now, const GrantOptions& options)
 {
     detail::expireGrants(holder, now, options);
@@ -186,26 +224,30 @@
         tokens.pending_.clear();
         return true;
     }
-    detail::dropExpired(tokens, now);
+    detail::dropExpired(tokens, now, options);
     return false;
 }
 
-bool spendToken(HostTokens& tokens, TimePoint now)
+bool spendToken(HostTokens& tokens, TimePoint now, const GrantOptions& options)
 {
-    detail::dropExpired(tokens, now);
+    detail::dropExpired(tokens, now, options);
     const auto first = std::min_element(tokens.batches_.begin(), tokens.batches_.end(),
         [](const TokenBatch& a, const TokenBatch& b) { return a.deadline_ < b.deadline_; });
     if (first == tokens.batches_.end())
         return false;
-    if (--first->tokens_ == 0)
+    if (--first->tokens_ == 0) {
+        if (tokens.usedUp_.size() >= maxUsedUp)
+            tokens.usedUp_.erase(tokens.usedUp_.begin());
+        tokens.usedUp_.push_back(detail::makeReturn(tokens, *first));
         tokens.batches_.erase(first);
+    }
     return true;
 }
 
 std::optional<PullRequest> nextPull(HostTokens& tokens, const PullTarget& target, uint64_t waiting,
     uint64_t epoch, TimePoint now, const GrantOptions& options)
 {
-    detail::dropExpired(tokens, now);
+    detail::dropExpired(tokens, now, options);
     if (const auto empty = tokens.emptyUntil_.find(target); empty != tokens.emptyUntil_.end()) {
         if (now < empty->second)
             return std::nullopt;
@@ -213,7 +255,7 @@
     }
     uint64_t covered = detail::heldTokens(tokens, now);
     for (const auto& pull : tokens.pending_)
-        covered += pull.tokens_;
+        covered += pull.overdue_ ? 0 : pull.tokens_;
     PullRequest pull;
     pull.waiting_ = waiting > covered ? waiting - covered : 0;
     // A batch above an eighth of the burst would leave other hosts without tokens for its lifetime.
@@ -238,6 +280,12 @@
     return pull;
 }
 
+bool awaitsGrant(const HostTokens& tokens, const PullTarget& target)
+{
+    return std::any_of(tokens.pending_.begin(), tokens.pending_.end(),
+        [&](const PendingPull& pull) { return !pull.overdue_ && pull.target_ == target; });
+}
+
 uint64_t acceptGrant(HostTokens& tokens, const Grant& grant, TimePoint now, const GrantOptions& options)
 {
     const auto pull = std::find_if(tokens.pending_.begin(), tokens.pending_.end(),
@@ -247,24 +295,35 @@
     const TimePoint deadline
         = options.safeguards_.expireFromSend_ ? pull->deadline_ : now + options.grantLifetime_;
     const uint64_t granted = std::min(grant.tokens_, pull->tokens_);
-    const ShareKind kind = pull->target_.kind_;
+    const PullTarget source = pull->target_;
+    if (grant.status_ == GrantStatus::NotHolder)
+        tokens.emptyUntil_[pull->target_] = now + options.holderBackoff_;
     if (grant.status_ == GrantStatus::Empty)
         tokens.emptyUntil_[pull->target_] = pull->deadline_ - options.grantLifetime_ + grant.retryAfter_;
     if (options.safeguards_.dropDuplicates_)
         tokens.pending_.erase(pull);
     if (granted == 0 || deadline <= now)
         return 0;
-    tokens.batches_.push_back({ grant.sequence_, kind, granted, deadline });
+    tokens.batches_.push_back({ grant.sequence_, source, granted, deadline });
     return granted;
 }
 
-std::vector<TokenReturn> returnTokens(HostTokens& tokens, TimePoint now)
+TimePoint nextTokenAt(const HostTokens& tokens, TimePoint now)
+{
+    TimePoint earliest = TimePoint::max();
+    for (const auto& [target, until] : tokens.emptyUntil_)
+        earliest = std::min(earliest, std::max(now, until));
+    return earliest == TimePoint::max() ? now : earliest;
+}
+
+std::vector<TokenReturn> takeUsedUp(HostTokens& tokens) { return std::exchange(tokens.usedUp_, {}); }
+
+std::vector<TokenReturn> returnTokens(HostTokens& tokens, TimePoint now, const GrantOptions& options)
 {
-    detail::dropExpired(tokens, now);
-    std::vector<TokenReturn> returns;
+    detail::dropExpired(tokens, now, options);
+    std::vector<TokenReturn> returns = takeUsedUp(tokens);
     for (const auto& batch : tokens.batches_)
-        returns.push_back({ tokens.workspace_, tokens.host_, tokens.incarnation_, batch.kind_,
-            batch.sequence_, batch.tokens_ });
+        returns.push_back(detail::makeReturn(tokens, batch));
     tokens.batches_.clear();
     tokens.pending_.clear();
     return returns;
--- a/src/limits/placement.cc
+++ b/src/limits/placement.cc
@@ -39,20 +39,21 @@
     return placement;
 }
 
-std::vector<Share> splitLimits(const Placement& placement, BucketLimits limits, double floorFraction)
+std::vector<Share> splitLimits(const Placement& placement, BucketLimits limits, const SplitOptions& options)
 {
     std::vector<Share> shares;
     if (placement.preferred_.empty())
         return shares;
     const size_t hosts = placement.preferred_.size();
-    const size_t holdable = static_cast<size_t>(std::max(0.0, std::floor(limits.burst_ * floorFraction)));
+    const size_t holdable = static_cast<size_t>(
+        std::max(0.0, std::floor(limits.burst_ * options.floorFraction_ / options.minFloorBurst_)));
     // With one host a floor would only fragment the burst.
     const size_t floors = hosts < 2 ? 0 : std::min(hosts, holdable);
-    const double mainFraction = floors == 0 ? 1.0 : 1.0 - floorFraction;
+    const double mainFraction = floors == 0 ? 1.0 : 1.0 - options.floorFraction_;
     shares.push_back(
         { placement.owner_, ShareKind::Main, { limits.rate_ * mainFraction, limits.burst_ * mainFraction } });
     for (size_t i = 1; i <= floors; ++i) {
-        const double fraction = floorFraction / static_cast<double>(floors);
+        const double fraction = options.floorFraction_ / static_cast<double>(floors);
         shares.push_back({ placement.preferred_[i % hosts], ShareKind::Floor,
             { limits.rate_ * fraction, limits.burst_ * fraction } });
     }
