Fix lint findings in limits and claims

Cause: support/lint reported implicit widening and a copied iterator. Change: explicit types; the map of empty holders is keyed by host and kind.

--- a/include/turmericwing/claims/claim.h
+++ b/include/turmericwing/claims/claim.h
@@ -44,10 +44,10 @@
 };
 
 struct ClaimOptions {
-    int64_t retentionMs_ = 24 * 3600 * 1000; ///< From the claim or its last change.
-    size_t maxBodyBytes_ = 16 * 1024; ///< Larger outcomes keep status and digest only.
+    int64_t retentionMs_ = 24LL * 3600 * 1000; ///< From the claim or its last change.
+    size_t maxBodyBytes_ = size_t(16) * 1024; ///< Larger outcomes keep status and digest only.
     /// Wall clocks of hosts may differ by this; a row is reused only this much after its expiry.
-    int64_t clockSkewMs_ = 60 * 1000;
+    int64_t clockSkewMs_ = 60LL * 1000;
     // Switched off only in tests.
     bool checkFingerprint_ = true;
     bool checkIncarnation_ = true; ///< Otherwise the claim of a crashed host stays "in progress".
--- a/include/turmericwing/limits/grants.h
+++ b/include/turmericwing/limits/grants.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace turmericwing::limits {
@@ -164,7 +165,7 @@
     std::string host_;
     ShareKind kind_ = ShareKind::Main;
     double burst_ = 0;
-    friend auto operator<=>(const PullTarget&, const PullTarget&) = default;
+    friend bool operator==(const PullTarget&, const PullTarget&) = default;
 };
 
 struct PendingPull {
@@ -191,7 +192,8 @@
     std::vector<PendingPull> pending_ {};
     std::vector<TokenBatch> batches_ {};
     std::vector<TokenReturn> usedUp_ {}; ///< At most maxUsedUp, the oldest are dropped.
-    std::map<PullTarget, TimePoint> emptyUntil_ {}; ///< No pull before; keeps an overload off the holders.
+    std::map<std::pair<std::string, ShareKind>, TimePoint>
+        emptyUntil_ {}; ///< No pull before; keeps an overload off the holders.
     double demand_ = 0; ///< Estimate in requests/s at demandAt_.
     TimePoint demandAt_ {};
     TimePoint seenAt_ {}; ///< Last call of refreshTokens().
--- a/src/claims/claim.cc
+++ b/src/claims/claim.cc
@@ -15,7 +15,7 @@
     using Json = nlohmann::json;
 
     // Bounds of a row, so that a damaged or hostile row cannot exhaust a host.
-    constexpr size_t maxRowBytes = 1024 * 1024;
+    constexpr size_t maxRowBytes = size_t(1024) * 1024;
     constexpr size_t maxNameBytes = 256;
 
     constexpr std::array stateNames { "claimed", "done", "released" };
--- a/src/limits/grants.cc
+++ b/src/limits/grants.cc
@@ -9,7 +9,7 @@
 
 namespace detail {
 
-    void releaseGrant(ShareHolder& holder, std::deque<OutstandingGrant>::iterator grant, TimePoint at,
+    void releaseGrant(ShareHolder& holder, const std::deque<OutstandingGrant>::iterator& grant, TimePoint at,
         const GrantOptions& options)
     {
         // The cap must be applied with the old reservation first: while the tokens could be spent, the
@@ -62,7 +62,7 @@
         for (auto& pull : tokens.pending_)
             if (!pull.overdue_ && now >= pull.deadline_ - options.grantLifetime_ + options.replyTimeout_) {
                 pull.overdue_ = true;
-                tokens.emptyUntil_[pull.target_] = now + options.holderBackoff_;
+                tokens.emptyUntil_[{ pull.target_.host_, pull.target_.kind_ }] = now + options.holderBackoff_;
             }
         std::erase_if(tokens.batches_,
             [&](const TokenBatch& batch) { return batch.deadline_ <= now || batch.tokens_ == 0; });
@@ -248,7 +248,8 @@
     uint64_t epoch, TimePoint now, const GrantOptions& options)
 {
     detail::dropExpired(tokens, now, options);
-    if (const auto empty = tokens.emptyUntil_.find(target); empty != tokens.emptyUntil_.end()) {
+    if (const auto empty = tokens.emptyUntil_.find({ target.host_, target.kind_ });
+        empty != tokens.emptyUntil_.end()) {
         if (now < empty->second)
             return std::nullopt;
         tokens.emptyUntil_.erase(empty);
@@ -297,9 +298,10 @@
     const uint64_t granted = std::min(grant.tokens_, pull->tokens_);
     const PullTarget source = pull->target_;
     if (grant.status_ == GrantStatus::NotHolder)
-        tokens.emptyUntil_[pull->target_] = now + options.holderBackoff_;
+        tokens.emptyUntil_[{ pull->target_.host_, pull->target_.kind_ }] = now + options.holderBackoff_;
     if (grant.status_ == GrantStatus::Empty)
-        tokens.emptyUntil_[pull->target_] = pull->deadline_ - options.grantLifetime_ + grant.retryAfter_;
+        tokens.emptyUntil_[{ pull->target_.host_, pull->target_.kind_ }]
+            = pull->deadline_ - options.grantLifetime_ + grant.retryAfter_;
     if (options.safeguards_.dropDuplicates_)
         tokens.pending_.erase(pull);
     if (granted == 0 || deadline <= now)
