Count the connections of paused hosts in the slot test

The fake left all connections of a paused host out of the count, which hid idle ones that the upstream closes only after its keep-alive time, and took requests of two processes of a host with the same number for one.

--- a/test/routing/slots-test.cc
+++ b/test/routing/slots-test.cc
@@ -5,9 +5,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <deque>
 #include <functional>
-#include <set>
 
 using namespace turmericwing;
 using namespace turmericwing::routing;
@@ -23,6 +21,7 @@
         SlotTable table_;
         bool member_ = false;
         bool paused_ = false;
+        TimePoint pausedAt_ {};
         TimePoint leaseEnds_ {};
         bool partitioned_ = false; ///< From the store.
         TimePoint nextRead_ {};
@@ -34,10 +33,6 @@
         uint64_t serial_;
         TimePoint deadline_;
     };
-    struct Change {
-        TimePoint at_;
-        Placement placement_;
-    };
 
     explicit Fleet(uint64_t seed, SlotOptions options)
         : random_(seed)
@@ -53,7 +48,7 @@
             publish(1, i == 0 ? 1 : 0);
         }
         for (size_t i = 0; i < hosts_.size(); ++i)
-            learnPlacement(hosts_[i].table_, now_, head_.front().placement_, false);
+            learnPlacement(hosts_[i].table_, now_, head_.front(), false);
         advance(500ms);
     }
 
@@ -68,7 +63,7 @@
     {
         Placement next;
         if (!head_.empty())
-            next.id_ = head_.back().placement_.id_;
+            next.id_ = head_.back().id_;
         next.id_.epoch_ += epochStep;
         next.id_.revision_ += revisionStep;
         std::vector<SlotHost> members;
@@ -79,7 +74,7 @@
         if (next.id_.revision_ > 0)
             next.upstreams_ = { { "u", "s", "r", 3, 7, timeout_ } };
         next.homes_ = slotHomes(members, next.upstreams_);
-        head_.push_back({ now_, next });
+        head_.push_back(next);
     }
 
     void restart(size_t i)
@@ -88,9 +83,10 @@
         fresh.table_.host_ = nameOf(i);
         fresh.table_.incarnation_ = ++incarnations_;
         fresh.table_.options_ = options_;
+        fresh.table_.nextSerial_ = incarnations_ << 20; // Tells requests of two processes of a host apart.
         const bool wasMember = hosts_[i].member_;
-        hosts_[i]
-            = fresh; // Connections of an ended process are closed; its requests run on to their deadlines.
+        // Connections of an ended process are closed; its requests run on to their deadlines.
+        hosts_[i] = fresh;
         hosts_[i].member_ = wasMember;
     }
 
@@ -98,7 +94,7 @@
     void read(size_t i)
     {
         const TimePoint sent = now_;
-        const Placement placement = head_.back().placement_;
+        const Placement placement = head_.back();
         const uint64_t incarnation = hosts_[i].table_.incarnation_;
         const auto deliver = [this, i, sent, placement, incarnation] {
             Host& host = hosts_[i];
@@ -266,7 +262,7 @@
         if (kind >= 28 && rare >= 4) {
             advance(delay(400ms));
         } else if (kind == 31) { // A pause, at times longer than every lease.
-            host.paused_ = !host.paused_;
+            pause(host);
         } else if (kind == 30 && rare < 2) {
             restart(i);
             if (host.member_)
@@ -293,15 +289,38 @@
         }
     }
 
+    void pause(Host& host)
+    {
+        if (host.paused_ && now_ >= host.pausedAt_ + 2s) {
+            for (; host.idleConnections_ > 0; --host.idleConnections_)
+                closeConnection(host.table_, now_, "u");
+        }
+        host.paused_ = !host.paused_;
+        host.pausedAt_ = now_;
+    }
+
+    /// Requests that the upstream has ended and the host has not noticed.
+    uint32_t ended(const Host& host) const
+    {
+        return static_cast<uint32_t>(
+            std::count_if(host.running_.begin(), host.running_.end(), [&](const SlotTicket& t) {
+                return std::none_of(running_.begin(), running_.end(),
+                    [&](const Running& r) { return r.serial_ == t.serial_ && &hosts_[r.host_] == &host; });
+            }));
+    }
+
     void check()
     {
         mostRunning_ = std::max(mostRunning_, running_.size());
         uint32_t connections = 0;
         for (const Host& host : hosts_) {
             const auto found = host.table_.upstreams_.find("u");
+            if (found == host.table_.upstreams_.end())
+                continue;
+            connections += found->second.openConnections_;
             // The upstream closes idle connections of a paused host after its keep-alive time.
-            if (!host.paused_ && found != host.table_.upstreams_.end())
-                connections += found->second.openConnections_;
+            if (host.paused_ && now_ >= host.pausedAt_ + 2s)
+                connections -= host.idleConnections_ + ended(host);
         }
         mostConnections_ = std::max(mostConnections_, connections);
     }
@@ -312,7 +331,7 @@
     TimePoint now_ = start;
     uint64_t incarnations_ = 0;
     std::vector<Host> hosts_;
-    std::vector<Change> head_;
+    std::vector<Placement> head_;
     std::multimap<TimePoint, std::function<void()>> messages_;
     std::vector<Running> running_;
     size_t mostRunning_ = 0;
