--- a/include/turmericwing/control/membership.h
+++ b/include/turmericwing/control/membership.h
@@ -27,18 +27,18 @@
 /// The relays of a domain: its lowest live host ids.
 std::vector<std::string> relaysOf(const Head&, const MembershipOptions&, std::string_view failureDomain);
 
-/// The domain whose relays also observe the hosts of `failureDomain`: the next one of the same region in name
-/// order, or of the fleet if the region has only one. Equal to `failureDomain` if there is no other.
-std::string observingDomain(const Head&, std::string_view failureDomain);
+/// For each failure domain, the domain whose relays also observe its hosts: the next one of its region in
+/// name order, or of the fleet if the region has only one. Equal to itself if there is no other.
+std::map<std::string, std::string> observingDomains(const Head&);
+
+/// Hosts that `observer` has to watch, sorted: if it is a relay, those of its domain and of the domains that
+/// its domain observes; otherwise none.
+std::vector<std::string> observedBy(const Head&, const MembershipOptions&, std::string_view observer);
 
 /// Hosts that `host` connects to, sorted. A host that is no relay connects to at most four relays, whatever
 /// the size of the fleet; up to fullMeshLimit_ members, a region is also fully meshed.
 std::vector<std::string> peersOf(const Head&, const MembershipOptions&, std::string_view host);
 
-/// True if `observer` has to watch `host`: it is a relay of the host's domain or of the domain that observes
-/// it.
-bool observes(const Head&, const MembershipOptions&, std::string_view observer, std::string_view host);
-
 struct HeartbeatRecord {
     uint64_t incarnation_ = 0;
     std::string address_; ///< Peer address.
--- a/src/control/evidence.cc
+++ b/src/control/evidence.cc
@@ -49,15 +49,15 @@
         return out;
     }
 
-    /// Time of the evidence of `member`, if it counts for a host that knows `version`.
+    /// Time of the evidence of `member`, if it counts. No evidence in the log is newer than the knowledge.
     std::optional<TimePoint> evidenceStart(const EvidenceLog& log, const Knowledge& knowledge,
-        const EvidenceOptions& options, const Member& member, uint64_t version, TimePoint now)
+        const EvidenceOptions& options, const Member& member, TimePoint now)
     {
         if (member.host_ == knowledge.host_)
             return knowledge.eligible_ ? std::optional(now) : std::nullopt;
         const auto it = log.hosts_.find(member.host_);
         if (it == log.hosts_.end() || it->second.second.incarnation_ < member.incarnation_
-            || it->second.second.newestVersion_ > version || it->second.first + options.validity_ <= now)
+            || it->second.first + options.validity_ <= now)
             return std::nullopt;
         return it->second.first;
     }
@@ -108,7 +108,7 @@
                 continue;
             }
             for (const Member* member : inDomain) {
-                if (const auto start = evidenceStart(log, knowledge, options, *member, base.version_, now))
+                if (const auto start = evidenceStart(log, knowledge, options, *member, now))
                     starts.push_back(*start);
             }
         }
@@ -241,7 +241,7 @@
         for (const Member& member : view.members_) {
             if (member.failureDomain_ != failureDomain)
                 continue;
-            const auto start = detail::evidenceStart(log, knowledge, options, member, base.version_, now);
+            const auto start = detail::evidenceStart(log, knowledge, options, member, now);
             heard += start ? 1 : 0;
             if (start)
                 out.age_ = std::max(out.age_, now - *start);
--- a/src/control/membership.cc
+++ b/src/control/membership.cc
@@ -42,35 +42,42 @@
     return out;
 }
 
-std::string observingDomain(const Head& head, std::string_view failureDomain)
+std::map<std::string, std::string> observingDomains(const Head& head)
 {
-    std::string region;
+    std::map<std::string, std::string> regionOf;
+    std::map<std::string, std::set<std::string>> byRegion;
     std::set<std::string> fleet;
     for (const Member& member : head.members_) {
-        fleet.insert(member.failureDomain_);
-        if (member.failureDomain_ == failureDomain)
-            region = member.region_;
+        if (regionOf.try_emplace(member.failureDomain_, member.region_).second) {
+            byRegion[member.region_].insert(member.failureDomain_);
+            fleet.insert(member.failureDomain_);
+        }
     }
-    std::set<std::string> regional;
-    for (const Member& member : head.members_) {
-        if (member.region_ == region)
-            regional.insert(member.failureDomain_);
-    }
-    const std::set<std::string>& domains = regional.size() > 1 ? regional : fleet;
-    if (domains.empty())
-        return std::string(failureDomain);
-    const auto next = domains.upper_bound(std::string(failureDomain));
-    return next == domains.end() ? *domains.begin() : *next;
+    std::map<std::string, std::string> out;
+    for (const auto& [domain, region] : regionOf) {
+        const std::set<std::string>& regional = byRegion.at(region);
+        const std::set<std::string>& domains = regional.size() > 1 ? regional : fleet;
+        const auto next = domains.upper_bound(domain);
+        out[domain] = next == domains.end() ? *domains.begin() : *next;
+    }
+    return out;
 }
 
-bool observes(
-    const Head& head, const MembershipOptions& options, std::string_view observer, std::string_view host)
+std::vector<std::string> observedBy(
+    const Head& head, const MembershipOptions& options, std::string_view observer)
 {
-    const Member* member = detail::findMember(head, host);
-    if (!member || observer == host)
-        return false;
-    return detail::contains(relaysOf(head, options, member->failureDomain_), observer)
-        || detail::contains(relaysOf(head, options, observingDomain(head, member->failureDomain_)), observer);
+    const Member* self = detail::findMember(head, observer);
+    if (!self || !detail::contains(relaysOf(head, options, self->failureDomain_), observer))
+        return {};
+    const std::map<std::string, std::string> observers = observingDomains(head);
+    std::vector<std::string> out;
+    for (const Member& member : head.members_) {
+        const bool watched = member.failureDomain_ == self->failureDomain_
+            || observers.at(member.failureDomain_) == self->failureDomain_;
+        if (watched && member.host_ != observer)
+            out.push_back(member.host_);
+    }
+    return out;
 }
 
 std::vector<std::string> peersOf(const Head& head, const MembershipOptions& options, std::string_view host)
@@ -78,30 +85,21 @@
     const Member* self = detail::findMember(head, host);
     if (!self)
         return {};
-    std::set<std::string> domains;
-    std::map<std::string, std::string> observers;
-    for (const Member& member : head.members_)
-        domains.insert(member.failureDomain_);
-    for (const std::string& domain : domains)
-        observers[domain] = observingDomain(head, domain);
+    const std::map<std::string, std::string> observers = observingDomains(head);
     const bool isRelay = detail::contains(relaysOf(head, options, self->failureDomain_), host);
     std::set<std::string> out;
-    const auto addRelays = [&](const std::string& domain) {
+    for (const auto& [domain, observer] : observers) {
+        const bool own = domain == self->failureDomain_ || domain == observers.at(self->failureDomain_);
+        if (!own && !isRelay)
+            continue;
         for (std::string& relay : relaysOf(head, options, domain))
             out.insert(std::move(relay));
-    };
-    addRelays(self->failureDomain_);
-    addRelays(observers.at(self->failureDomain_));
-    if (isRelay) {
-        for (const std::string& domain : domains)
-            addRelays(domain);
     }
+    for (std::string& observed : observedBy(head, options, host))
+        out.insert(std::move(observed));
     const bool mesh = head.members_.size() <= options.fullMeshLimit_;
     for (const Member& member : head.members_) {
-        const bool observed = isRelay
-            && (member.failureDomain_ == self->failureDomain_
-                || observers.at(member.failureDomain_) == self->failureDomain_);
-        if (observed || (mesh && member.region_ == self->region_))
+        if (mesh && member.region_ == self->region_)
             out.insert(member.host_);
     }
     out.erase(std::string(host));
@@ -150,6 +148,7 @@
     if (!self)
         return out;
     out.failureDomain_ = self->failureDomain_;
+    const std::vector<std::string> observed = observedBy(head, options, observer);
     for (const Member& member : head.members_) {
         const auto it = table.records_.find(member.host_);
         const bool known = it != table.records_.end() && it->second.incarnation_ >= member.incarnation_;
@@ -163,7 +162,7 @@
             out.heard_ += heard ? 1 : 0;
         }
         if (!heard && out.suspicions_.size() < maxSuspicions
-            && observes(head, options, observer, member.host_))
+            && std::binary_search(observed.begin(), observed.end(), member.host_))
             out.suspicions_.push_back({ member.host_, member.incarnation_ });
     }
     return out;
--- a/test/control/evidence-test.cc
+++ b/test/control/evidence-test.cc
@@ -92,6 +92,18 @@
     CHECK_FALSE(fleet.evaluate(0, at(2150)).start_);
 }
 
+TEST_CASE("evidence of a process that the view has replaced does not count")
+{
+    // Guards against a predecessor that still runs and answers for a candidate that its successor holds.
+    Fleet fleet(4);
+    fleet.head_.members_[1].incarnation_ = 2;
+    fleet.ask(0, { 1, 2 }, at(0));
+    CHECK_FALSE(fleet.evaluate(0, at(0)).start_);
+    fleet.hosts_[1].incarnation_ = 2;
+    fleet.ask(0, { 1 }, at(0));
+    CHECK(fleet.evaluate(0, at(0)).start_);
+}
+
 TEST_CASE("a newer version or an unknown candidate stops the extension")
 {
     // Guards against serving the old head although a member knows of a change.
--- a/test/control/lease-test.cc
+++ b/test/control/lease-test.cc
@@ -76,6 +76,7 @@
     CHECK(recordRead(lease, {}, headOf(5, 2, 2), at(1000), at(1000)).has_error());
     CHECK(lease.known_->version_ == 5);
     CHECK(lease.start_ == at(100));
+    CHECK(lease.readStart_ == at(100));
 }
 
 TEST_CASE("a skipped view withholds shares until the newest version is active")
--- a/test/control/membership-test.cc
+++ b/test/control/membership-test.cc
@@ -51,6 +51,15 @@
             CHECK(peers <= 46 + 3 * (count / 23 + 1));
         }
         CHECK(relays == 46);
+        // Every host is watched from two failure domains, which suspicion needs.
+        std::map<std::string, std::set<std::string>> watchers;
+        for (const Member& m : head.members_) {
+            for (const std::string& host : observedBy(head, options, m.host_))
+                watchers[host].insert(m.failureDomain_);
+        }
+        CHECK(watchers["h1100"] == std::set<std::string> { "d8", "d9" });
+        for (const Member& m : head.members_)
+            REQUIRE(watchers[m.host_].size() == 2);
         const HeartbeatTable silent { .records_ = {}, .observingSince_ = at(1), .lastTick_ = at(1) };
         CHECK(summariseDomain(silent, options, head, "h1000", at(9000)).suspicions_.size() <= maxSuspicions);
     }
