Test that near hosts of a workspace come first

Cause: a trial edit that drops the order by distance survived. Change: a lookup's first host is in the failure domain of the client's site.

--- a/test/steering/lookup-test.cc
+++ b/test/steering/lookup-test.cc
@@ -125,7 +125,9 @@
             CHECK(open.hosts_.size() <= 6);
             CHECK(open.ttl_ == std::chrono::seconds(5));
             always = always && domainsOf(open).size() >= 2;
-            CHECK(domainsOf(lookup(table, "photos", "small", 0x0a000001, rotation).value()).size() >= 2);
+            const LookupAnswer keyed = lookup(table, "photos", "small", 0x0a000001, rotation).value();
+            CHECK(keyed.hosts_[0]->host_.substr(0, 2) == "e1");
+            CHECK(domainsOf(keyed).size() >= 2);
         }
         CHECK(always == twoDomains);
     }
