--- a/test/control/membership-test.cc
+++ b/test/control/membership-test.cc
@@ -109,6 +109,17 @@
     }
 }
 
+TEST_CASE("a host that answers with a newer incarnation is suspected in its listed one at once")
+{
+    // Guards against shares that wait for a process that has ended.
+    const Head head = viewOf(12, 4);
+    HeartbeatTable table;
+    hear(table, {}, head, "", 100, 4000);
+    recordHeartbeat(table, {}, "h1008", 2, "p1008", at(4050));
+    CHECK(summariseDomain(table, {}, head, "h1000", at(4100)).suspicions_
+        == std::vector<Suspicion> { { "h1008", 1 } });
+}
+
 TEST_CASE("half of the fleet is never removed at once")
 {
     // Guards against observers that are cut off themselves.
