Keep asking for loans when lenders do not answer

Cause: a lender without a free slot does not answer, and a pending request for a loan counted against the limit of 4 until twice the request's remaining time had passed. Four refusals stopped all borrowing of a service on a host for seconds. Lenders of other regions were never asked while the own region had four offers. Change: a request for a loan counts as in flight for 150 ms, and a lender without an answer is passed over for 500 ms. The rule is chooseLenders() in routing, used by the dispatch.

--- a/include/turmericwing/routing/slots.h
+++ b/include/turmericwing/routing/slots.h
@@ -85,6 +85,11 @@
     Duration clockMargin_ = std::chrono::milliseconds(100);
     /// Time after which an upstream closes an idle connection of a host that is paused.
     Duration upstreamKeepAlive_ = std::chrono::seconds(2);
+    /// A lender that has no free slot does not answer. After this time, above the longest round trip between
+    /// regions, a request for a loan no longer counts as in flight.
+    Duration loanAnswer_ = std::chrono::milliseconds(150);
+    Duration askLenderAgain_ = std::chrono::milliseconds(500); ///< For the same upstream, without an answer.
+    uint32_t loansInFlight_ = 4; ///< Most requests for loans of a service at a time.
     /// Switches the wait of a new home off. Only for tests that show what it prevents.
     bool waitForPreviousHome_ = true;
     /// Switches the comparison of a request's deadline with its loan's off. Only for tests.
@@ -224,6 +229,17 @@
 uint32_t freeSlots(const SlotTable&, TimePoint now, TimePoint leaseEnds, const std::string& upstream,
     TimePoint requestDeadline);
 
+/// A host that may lend a slot of an upstream.
+struct LoanOffer {
+    std::string upstream_;
+    std::string lender_;
+    friend auto operator<=>(const LoanOffer&, const LoanOffer&) = default;
+};
+
+/// Lenders to ask now, from `offers` in order of preference. Lenders that have not answered are passed over,
+/// so that a host finds free slots although the preferred lenders have none.
+std::vector<LoanOffer> chooseLenders(const SlotTable&, TimePoint now, const std::vector<LoanOffer>& offers);
+
 /// Asks `lender` for a slot. The loan runs from now on, not from the answer.
 BorrowRequest borrow(
     SlotTable&, TimePoint now, const std::string& upstream, const std::string& lender, Duration duration);
--- a/src/host/dispatch.cc
+++ b/src/host/dispatch.cc
@@ -14,7 +14,6 @@
 
     /// A first attempt leaves a third of the time to a retry, in case its connection is silent.
     constexpr double firstAttemptShare = 2.0 / 3;
-    constexpr size_t maximumBorrowsInFlight = 4;
     constexpr auto releaseInterval = std::chrono::seconds(1);
 
     struct ActiveAttempt {
@@ -280,12 +279,8 @@
     detail::ServiceShard& shard, const DispatchRequest& request, const std::string& version)
 {
     const TimePoint now = monotonicNow();
-    std::vector<std::pair<std::string, std::string>> offers;
-    size_t pending = 0;
+    std::vector<routing::LoanOffer> offers;
     for (const auto& [name, lenders] : shard.lenders_) {
-        const auto slots = shard.slots_.upstreams_.find(name);
-        if (slots != shard.slots_.upstreams_.end())
-            pending += slots->second.pending_.size();
         const auto upstream = shard.upstreams_.find(name);
         const auto known = shard.choice_.upstreams_.find(name);
         if (upstream == shard.upstreams_.end() || known == shard.choice_.upstreams_.end()
@@ -295,19 +290,17 @@
         if (!near || known->second.drain_.any() || routing::isEjected(known->second, now))
             continue;
         for (const std::string& lender : lenders)
-            offers.emplace_back(name, lender);
+            offers.push_back({ name, lender });
     }
     std::shuffle(offers.begin(), offers.end(), shard.random_);
     // Slots of the own region first: a borrowed slot elsewhere costs a round trip between regions.
-    std::stable_partition(offers.begin(), offers.end(),
-        [&](const auto& offer) { return shard.choice_.upstreams_.at(offer.first).region_ == region_; });
+    std::stable_partition(offers.begin(), offers.end(), [&](const routing::LoanOffer& offer) {
+        return shard.choice_.upstreams_.at(offer.upstream_).region_ == region_;
+    });
     std::vector<detail::Borrow> borrows;
     const Duration duration = std::chrono::duration_cast<Duration>(request.deadline_ - now) * 2;
-    for (const auto& [upstream, lender] : offers) {
-        if (pending + borrows.size() >= detail::maximumBorrowsInFlight)
-            break;
+    for (const auto& [upstream, lender] : routing::chooseLenders(shard.slots_, now, offers))
         borrows.push_back({ lender, routing::borrow(shard.slots_, now, upstream, lender, duration) });
-    }
     return borrows;
 }
 
--- a/src/routing/slots.cc
+++ b/src/routing/slots.cc
@@ -4,6 +4,7 @@
 #include "turmericwing/base/hash.h"
 
 #include <algorithm>
+#include <set>
 
 namespace turmericwing::routing {
 
@@ -334,6 +335,28 @@
     return static_cast<uint32_t>(home + borrowed);
 }
 
+std::vector<LoanOffer> chooseLenders(
+    const SlotTable& table, TimePoint now, const std::vector<LoanOffer>& offers)
+{
+    size_t inFlight = 0;
+    std::set<LoanOffer> asked;
+    for (const auto& [upstream, slots] : table.upstreams_) {
+        for (const PendingBorrow& pending : slots.pending_) {
+            inFlight += now < pending.sent_ + table.options_.loanAnswer_ ? 1 : 0;
+            if (now < pending.sent_ + table.options_.askLenderAgain_)
+                asked.insert({ upstream, pending.lender_ });
+        }
+    }
+    std::vector<LoanOffer> chosen;
+    for (const LoanOffer& offer : offers) {
+        if (inFlight + chosen.size() >= table.options_.loansInFlight_)
+            break;
+        if (!asked.contains(offer))
+            chosen.push_back(offer);
+    }
+    return chosen;
+}
+
 BorrowRequest borrow(SlotTable& table, TimePoint now, const std::string& upstream, const std::string& lender,
     Duration duration)
 {
--- a/test/routing/slots-test.cc
+++ b/test/routing/slots-test.cc
@@ -507,3 +507,27 @@
     CHECK_FALSE(acquire(a, start + 1s, lease, "u", start + 2s));
     CHECK(acquire(a, start + 2s, lease, "u", start + 3s));
 }
+
+TEST_CASE("lenders that do not answer do not end the search for a free slot")
+{
+    // Guards against four refusals, which lenders do not answer, that stop all borrowing until the loans
+    // asked for would have ended.
+    SlotTable table;
+    table.host_ = "h";
+    std::vector<LoanOffer> offers;
+    for (const char* lender : { "a", "b", "c", "d", "e", "f" })
+        offers.push_back({ "u", lender });
+    const auto ask = [&](TimePoint now) {
+        std::string lenders;
+        for (const LoanOffer& offer : chooseLenders(table, now, offers)) {
+            borrow(table, now, offer.upstream_, offer.lender_, 10s);
+            lenders += offer.lender_;
+        }
+        return lenders;
+    };
+    CHECK(ask(start) == "abcd");
+    CHECK(ask(start + 149ms) == "");
+    CHECK(ask(start + 150ms) == "ef");
+    CHECK(ask(start + 499ms) == "");
+    CHECK(ask(start + 500ms) == "abcd");
+}
