Connect hosts: token pulls, slot loans, evidence, heartbeats, claims

Cause: only holders of a share admitted requests, claims were refused and a killed host stayed in the view. Change: peer transport wired to all parts; every change of the head is announced to f members before it is written and confirmed after; claims go through the write batcher; failed members are removed from the view. Before: 429 on hosts without a share, 503 on every claim.

--- a/include/turmericwing/host/claimstore.h
+++ b/include/turmericwing/host/claimstore.h
@@ -51,11 +51,11 @@
     /// Claims a request before its first byte goes to an upstream.
     ClaimDecision begin(const ClaimKey&, TimePoint deadline);
 
-    /// Stores the response; waits until it is written or the deadline has passed.
-    void complete(const ClaimKey&, const std::string& token, const StoredResponse&, TimePoint deadline);
+    /// Stores the response for resends. Does not wait.
+    void complete(const ClaimKey&, const std::string& token, const StoredResponse&);
 
-    /// Gives the claim up: the request has provably not run.
-    void release(const ClaimKey&, const std::string& token, TimePoint deadline);
+    /// Gives the claim up: the request has provably not run. Does not wait.
+    void release(const ClaimKey&, const std::string& token);
 
     /// The request may have run; resends are told so.
     void markUnknown(const ClaimKey&, const std::string& token);
--- a/include/turmericwing/host/controller.h
+++ b/include/turmericwing/host/controller.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "turmericwing/control/config.h"
+#include "turmericwing/control/evidence.h"
 #include "turmericwing/control/lease.h"
 #include "turmericwing/host/executor.h"
 #include "turmericwing/host/headstore.h"
 #include "turmericwing/host/snapshot.h"
 #include "turmericwing/model/parse.h"
+#include "turmericwing/peer/message.h"
 #include "turmericwing/platform/platform.h"
 
 #include <condition_variable>
@@ -15,6 +17,8 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -45,6 +49,11 @@
     platform::Platform platform_;
     std::function<void(const Snapshot&)> onSnapshot_; ///< Called after the shared snapshot was replaced.
     std::function<void()> onReplaced_; ///< Another process has joined under this host's name.
+    std::function<void(const control::Head&)> onHead_; ///< A newer head was learned; called under a lock.
+    /// Sends a request to another host; `done` is called exactly once, on another thread.
+    std::function<void(const std::string& host, peer::Message, Duration timeout,
+        std::function<void(Result<peer::Message>)> done)>
+        request_;
 };
 
 class Controller {
@@ -68,11 +77,21 @@
 
     ControlStatus status() const;
 
+    /// CPU time of the control threads since the start.
+    double cpuSeconds() const;
+
     /// Text of the newest prepared configuration with its revision.
     std::pair<uint64_t, std::string> configuration() const;
 
-    /// Learns a head from another host: its restrictions apply at once.
-    void learn(const control::Head&);
+    /// Answers a request of another host about the head or a configuration; empty for other requests.
+    std::optional<peer::Message> answer(const peer::Message&);
+
+    /// Proposes the removal of failed hosts from the view, unless another live member is to do so.
+    void removeFailed(const std::vector<std::string>& failed, const std::set<std::string>& heard);
+
+    /// An operator states that a region is lost: fenced, so that its hosts need not be heard. Errors:
+    /// NotFound.
+    Result<void> declareLost(const std::string& region);
 
 private:
     struct State;
--- a/include/turmericwing/host/tokens.h
+++ b/include/turmericwing/host/tokens.h
@@ -78,6 +78,8 @@
     void send(const std::vector<Pull>&);
     void refresh(Workspace&, TimePoint now);
     void dropRemoved(const Snapshot&);
+    static void addressReturns(const Workspace&, std::vector<limits::TokenReturn>,
+        std::vector<std::pair<std::string, limits::TokenReturn>>& out);
 
     const std::string host_;
     const uint64_t incarnation_;
--- a/src/host/controller.cc
+++ b/src/host/controller.cc
@@ -6,6 +6,8 @@
 #include "turmericwing/host/log.h"
 
 #include <algorithm>
+#include <atomic>
+#include <ctime>
 #include <set>
 
 namespace turmericwing::host {
@@ -17,6 +19,20 @@
     constexpr auto contactLifetime = std::chrono::seconds(1);
     constexpr int changeAttempts = 8;
     constexpr auto changeBackoff = std::chrono::milliseconds(20);
+    constexpr auto probeInterval = std::chrono::milliseconds(400);
+    constexpr auto peerTimeout = std::chrono::milliseconds(400);
+    constexpr auto reportInterval = std::chrono::milliseconds(150);
+    constexpr auto acknowledgeTimeout = std::chrono::milliseconds(1500);
+    constexpr auto acceptTimeout = std::chrono::seconds(2);
+    constexpr size_t maximumReports = 8; ///< Members that a writer asks; more than f + 1 of any fleet.
+    constexpr size_t blobPartBytes = size_t { 512 } * 1024;
+
+    double threadCpuSeconds()
+    {
+        timespec used {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+        return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
+    }
 
     const control::Member* findMember(const control::Head& head, const std::string& host)
     {
@@ -58,18 +74,34 @@
     std::map<uint64_t, control::Head> heads_; ///< By version: the one in force and all newer ones.
     std::map<std::string, std::shared_ptr<const model::ObjectSet>> sets_; ///< Prepared, by digest.
     std::map<std::string, std::string> texts_; ///< Of the sets, by digest.
+    Random fetchRandom_ = makeRandom();
     std::set<std::string> fetching_; ///< Digests with a fetch under way.
     control::Head known_;
     TimePoint lastContact_;
     bool everRead_ = false;
     bool joining_ = false;
     bool stopping_ = false;
+    bool removing_ = false; ///< A removal of failed members is being written.
     std::vector<uint64_t> published_; ///< Versions in the current snapshot, the one in force first.
     bool publishedUsable_ = false;
     bool leaseWasValid_ = false;
 
     std::mutex changeMutex_; ///< One head change at a time on this host.
     Random random_ = makeRandom(); ///< Guarded by changeMutex_.
+    const control::EvidenceOptions evidenceOptions_;
+    control::Knowledge knowledge_;
+    control::EvidenceLog evidence_;
+    control::LostHosts lost_;
+    control::CandidateHeads candidates_; ///< Prepared: the configuration is at hand.
+    std::map<std::string, control::Head> unprepared_; ///< Candidates whose configuration is being fetched.
+    std::map<std::string, std::string>
+        candidateTexts_; ///< Encoded candidate heads by digest, for other hosts.
+    std::vector<control::Candidate> inDoubt_; ///< Restrict while the lease rests on evidence.
+    TimePoint nextProbe_;
+    std::optional<control::Proposal> proposal_; ///< Of this host's change in progress.
+    std::condition_variable acknowledged_;
+    std::atomic<double> readerCpu_ { 0 }; ///< Seconds, of each control thread.
+    std::atomic<double> tickerCpu_ { 0 };
     std::thread reader_;
     std::thread ticker_;
 
@@ -80,11 +112,26 @@
     void learned(const control::Head&, TimePoint now);
     void startFetches(TimePoint now);
     void fetch(const control::FetchAction&);
+    void fetchPart(const std::string& host, const std::string& digest, std::string text);
     void acceptText(const std::string& digest, std::string text);
     void maybeJoin();
     std::shared_ptr<const Snapshot> nextSnapshot(const control::Effective&);
     std::optional<Version> versionOf(const control::HeadMark&) const;
+    void probeMembers(TimePoint now);
+    void useEvidence(TimePoint now);
+    void askForNewer(const control::Extension&);
+    void takeCandidate(const std::string& digest, const std::string& text);
+    void prepareCandidates();
+    void fetchSet(const std::string& digest);
+    std::vector<std::string> reportTargets(const control::Head& base) const;
+    void sendReports(const control::Head& base, const peer::Message&, bool outcome);
+    Result<void> collectAcks(const control::Head& base, const control::Head& next);
+    void confirmOutcome(const control::Head& next);
     Result<control::Head> attemptChange(const std::string& who, const std::string& what, const HeadEdit&);
+    Result<std::pair<uint64_t, std::string>> newestConfiguration();
+    peer::Message learnRow(const peer::HeadRow&, TimePoint now);
+    peer::Message takeReport(const peer::CandidateReport&);
+    peer::Blob blobPart(const peer::BlobGet&) const;
 };
 
 Controller::Controller(ControllerOptions options, SharedState& shared, Executor& executor)
@@ -92,6 +139,9 @@
 {
     // Before the first publication the configuration is the empty set of revision 0.
     state_->sets_[""] = std::make_shared<const model::ObjectSet>();
+    state_->knowledge_.host_ = state_->options_.self_.host_;
+    state_->knowledge_.incarnation_ = state_->options_.self_.incarnation_;
+    state_->knowledge_.startedAt_ = monotonicNow();
 }
 
 Controller::~Controller() { stop(); }
@@ -123,6 +173,7 @@
         lock.unlock();
         readOnce();
         tick();
+        readerCpu_ = detail::threadCpuSeconds();
         lock.lock();
         wake_.wait_until(lock, next, [this] { return stopping_; });
     }
@@ -134,6 +185,7 @@
     while (!stopping_) {
         lock.unlock();
         tick();
+        tickerCpu_ = detail::threadCpuSeconds();
         lock.lock();
         wake_.wait_for(lock, detail::tickInterval, [this] { return stopping_; });
     }
@@ -151,6 +203,8 @@
         return;
     }
     lastContact_ = now;
+    control::noteContact(knowledge_, sentAt);
+    control::noteHead(knowledge_, head.value());
     const auto outcome = control::recordRead(lease_, leaseOptions_, head.value(), sentAt, now);
     if (!outcome) {
         logEvent(LogLevel::Error, "head-refused", { { "error", outcome.error().message_ } });
@@ -165,12 +219,19 @@
 {
     known_ = head;
     heads_[head.version_] = head;
+    control::noteHead(knowledge_, head);
+    std::erase_if(candidates_, [&](const auto& entry) { return entry.second.version_ <= head.version_; });
+    std::erase_if(unprepared_, [&](const auto& entry) { return entry.second.version_ <= head.version_; });
+    if (options_.onHead_)
+        options_.onHead_(head);
     if (head.digest_.empty())
         control::recordPrepared(lease_, head.revision_);
     else
         control::learnRevision(config_, configOptions_, control::markOf(head), now);
-    if (sets_.count(head.digest_) > 0)
-        control::recordPrepared(lease_, head.revision_);
+    if (const auto text = texts_.find(head.digest_); text != texts_.end()) {
+        if (!control::acceptBlob(config_, lease_, head.digest_, text->second))
+            control::recordPrepared(lease_, head.revision_);
+    }
     logEvent(LogLevel::Info, "head-learned",
         { { "version", std::to_string(head.version_) }, { "revision", std::to_string(head.revision_) },
             { "epoch", std::to_string(head.epoch_) }, { "by", head.publisher_ },
@@ -179,7 +240,13 @@
 
 void Controller::State::startFetches(TimePoint now)
 {
-    for (const control::FetchAction& action : control::dueFetches(config_, configOptions_, {}, now)) {
+    std::vector<std::string> holders;
+    for (const control::Member& member : known_.members_) {
+        if (member.host_ != options_.self_.host_)
+            holders.push_back(member.host_);
+    }
+    std::shuffle(holders.begin(), holders.end(), fetchRandom_);
+    for (const control::FetchAction& action : control::dueFetches(config_, configOptions_, holders, now)) {
         if (!fetching_.insert(action.digest_).second)
             continue;
         executor_.post([this, action] { fetch(action); });
@@ -188,6 +255,10 @@
 
 void Controller::State::fetch(const control::FetchAction& action)
 {
+    if (!action.fromStore_) {
+        fetchPart(action.peer_, action.digest_, {});
+        return;
+    }
     auto text = options_.platform_.objects_.get_(action.digest_);
     if (text)
         acceptText(action.digest_, std::move(text.value()));
@@ -198,6 +269,31 @@
     fetching_.erase(action.digest_);
 }
 
+/// Fetches a configuration from another host, part by part. Without an answer the next due fetch asks
+/// elsewhere.
+void Controller::State::fetchPart(const std::string& host, const std::string& digest, std::string text)
+{
+    const uint64_t offset = text.size();
+    options_.request_(host, peer::BlobGet { digest, offset }, detail::peerTimeout,
+        [this, host, digest, text = std::move(text)](Result<peer::Message> reply) mutable {
+            const auto* blob = reply ? std::get_if<peer::Blob>(&reply.value()) : nullptr;
+            const bool part = blob && !blob->bytes_.empty() && blob->offset_ == text.size();
+            if (part)
+                text.append(blob->bytes_.begin(), blob->bytes_.end());
+            const bool more = part && text.size() < blob->total_;
+            executor_.post([this, host, digest, part, more, text = std::move(text)]() mutable {
+                if (more) {
+                    fetchPart(host, digest, std::move(text));
+                    return;
+                }
+                if (part)
+                    acceptText(digest, std::move(text));
+                std::lock_guard lock(mutex_);
+                fetching_.erase(digest);
+            });
+        });
+}
+
 void Controller::State::acceptText(const std::string& digest, std::string text)
 {
     if (sha256Hex(text) != digest) {
@@ -243,6 +339,13 @@
             newer.push_back(std::move(*version));
         }
     }
+    for (const control::Candidate& candidate : effective.needsEvidence_ ? inDoubt_ : decltype(inDoubt_)()) {
+        const auto found = candidates_.find(candidate.digest_);
+        if (found == candidates_.end())
+            continue;
+        versions.push_back(hash64(candidate.nonce_));
+        newer.push_back({ found->second, sets_.at(found->second.digest_) });
+    }
     const bool regained = effective.admitKeyed_ && !leaseWasValid_;
     leaseWasValid_ = effective.admitKeyed_;
     if (versions == published_ && publishedUsable_ == effective.sharesUsable_ && !regained)
@@ -259,6 +362,7 @@
     {
         std::lock_guard lock(mutex_);
         const TimePoint now = monotonicNow();
+        useEvidence(now);
         const control::Effective effective = control::evaluate(lease_, leaseOptions_, now);
         control::activateConfigs(config_, effective);
         startFetches(now);
@@ -321,12 +425,11 @@
         control::Head edited = base;
         BOOST_OUTCOME_TRY(edit(edited));
         const control::Head next = nextHead(base, std::move(edited), who, what, random_);
-        const auto written = writeHead(options_.platform_.table_, base, next);
+        auto written = collectAcks(base, next);
+        if (written)
+            written = writeHead(options_.platform_.table_, base, next);
         if (written) {
-            const TimePoint now = monotonicNow();
-            std::lock_guard lock(mutex_);
-            if (control::learnHead(lease_, leaseOptions_, next, now))
-                learned(next, now);
+            confirmOutcome(next);
             return next;
         }
         last = written.error();
@@ -355,6 +458,7 @@
         return PublishOutcome { 0, std::move(parsed.faults_) };
     const std::string canonical = model::canonicalText(parsed.set_);
     BOOST_OUTCOME_TRY(digest, state_->options_.platform_.objects_.put_(canonical));
+    state_->acceptText(digest, canonical);
     BOOST_OUTCOME_TRY(head, changeHead(who, "publish: " + message, [&](control::Head& next) -> Result<void> {
         if (next.revision_ != expectedRevision)
             return makeError(ErrorCode::Conflict,
@@ -365,17 +469,22 @@
         next.digest_ = digest;
         return boost::outcome_v2::success();
     }));
-    state_->acceptText(digest, canonical);
     return PublishOutcome { head.revision_, {} };
 }
 
 Result<PublishOutcome> Controller::editConfiguration(const std::string& who, const std::string& what,
     const std::function<Result<void>(model::ObjectSet&)>& edit)
 {
-    const auto [revision, text] = configuration();
-    model::Parsed parsed = model::parseSet({ { "objects.ini", text } });
-    BOOST_OUTCOME_TRY(edit(parsed.set_));
-    return publish(who, revision, model::canonicalText(parsed.set_), what);
+    // The edit does not depend on the base, so it is applied again when another change came first.
+    for (int attempt = 1;; ++attempt) {
+        BOOST_OUTCOME_TRY(newest, state_->newestConfiguration());
+        model::Parsed parsed = model::parseSet({ { "objects.ini", newest.second } });
+        BOOST_OUTCOME_TRY(edit(parsed.set_));
+        auto published = publish(who, newest.first, model::canonicalText(parsed.set_), what);
+        const bool lostRace = !published && published.error().code_ == ErrorCode::Conflict;
+        if (!lostRace || attempt == detail::changeAttempts)
+            return published;
+    }
 }
 
 ControlStatus Controller::status() const
@@ -397,6 +506,8 @@
     return status;
 }
 
+double Controller::cpuSeconds() const { return state_->readerCpu_.load() + state_->tickerCpu_.load(); }
+
 std::pair<uint64_t, std::string> Controller::configuration() const
 {
     std::lock_guard lock(state_->mutex_);
@@ -404,13 +515,300 @@
     return { state_->known_.revision_, found == state_->texts_.end() ? std::string() : found->second };
 }
 
-void Controller::learn(const control::Head& head)
+Result<std::pair<uint64_t, std::string>> Controller::State::newestConfiguration()
 {
-    std::lock_guard lock(state_->mutex_);
+    BOOST_OUTCOME_TRY(head, readHead(options_.platform_.table_));
+    if (head.digest_.empty())
+        return makeError(ErrorCode::NotFound, "nothing has been published yet");
+    {
+        std::lock_guard lock(mutex_);
+        const auto found = texts_.find(head.digest_);
+        if (found != texts_.end())
+            return std::make_pair(head.revision_, found->second);
+    }
+    BOOST_OUTCOME_TRY(text, options_.platform_.objects_.get_(head.digest_));
+    return std::make_pair(head.revision_, std::move(text));
+}
+
+void Controller::State::probeMembers(TimePoint now)
+{
+    if (now < nextProbe_)
+        return;
+    nextProbe_ = now + detail::probeInterval;
+    for (const control::Member& member : known_.members_) {
+        if (member.host_ == options_.self_.host_)
+            continue;
+        executor_.post([this, host = member.host_] {
+            const TimePoint sentAt = monotonicNow();
+            options_.request_(
+                host, peer::Probe {}, detail::peerTimeout, [this, sentAt](Result<peer::Message> reply) {
+                    const auto* evidence = reply ? std::get_if<control::Evidence>(&reply.value()) : nullptr;
+                    if (!evidence)
+                        return;
+                    std::lock_guard lock(mutex_);
+                    control::recordEvidence(evidence_, knowledge_, lost_, sentAt, *evidence);
+                });
+        });
+    }
+}
+
+void Controller::State::useEvidence(TimePoint now)
+{
+    inDoubt_.clear();
+    if (known_.members_.empty() || control::hasContact(knowledge_, evidenceOptions_, now))
+        return;
+    probeMembers(now);
+    prepareCandidates();
+    control::tryRecover(knowledge_, evidence_, evidenceOptions_, known_, candidates_, lost_, now);
+    const control::Extension extension
+        = control::evaluateEvidence(evidence_, knowledge_, evidenceOptions_, known_, candidates_, lost_, now);
+    inDoubt_ = extension.restrictBy_;
+    if (extension.start_)
+        control::extendLease(lease_, known_.version_, *extension.start_);
+    if (extension.newerVersion_ > 0 || !extension.unknown_.empty())
+        askForNewer(extension);
+}
+
+/// Another host knows more: asks all members for a newer head and for the content of unknown candidates.
+void Controller::State::askForNewer(const control::Extension& extension)
+{
+    for (const control::Member& member : known_.members_) {
+        if (member.host_ == options_.self_.host_)
+            continue;
+        executor_.post([this, host = member.host_, version = known_.version_, unknown = extension.unknown_] {
+            options_.request_(
+                host, peer::HeadGet { version }, detail::peerTimeout, [this](Result<peer::Message> reply) {
+                    const auto* row = reply ? std::get_if<peer::HeadRow>(&reply.value()) : nullptr;
+                    std::lock_guard lock(mutex_);
+                    if (row && !row->row_.empty())
+                        learnRow(*row, monotonicNow());
+                });
+            for (const control::Candidate& candidate : unknown)
+                options_.request_(host, peer::BlobGet { candidate.digest_, 0 }, detail::peerTimeout,
+                    [this, digest = candidate.digest_](Result<peer::Message> reply) {
+                        const auto* blob = reply ? std::get_if<peer::Blob>(&reply.value()) : nullptr;
+                        if (blob && blob->total_ > 0 && blob->total_ == blob->bytes_.size())
+                            takeCandidate(digest, std::string(blob->bytes_.begin(), blob->bytes_.end()));
+                    });
+        });
+    }
+}
+
+void Controller::State::takeCandidate(const std::string& digest, const std::string& text)
+{
+    const auto head = control::decodeHead(text);
+    if (!head || sha256Hex(text) != digest)
+        return;
+    std::lock_guard lock(mutex_);
+    candidateTexts_[digest] = text;
+    if (candidates_.count(digest) == 0)
+        unprepared_[digest] = head.value();
+}
+
+void Controller::State::prepareCandidates()
+{
+    for (auto entry = unprepared_.begin(); entry != unprepared_.end();) {
+        if (sets_.count(entry->second.digest_) > 0) {
+            candidates_[entry->first] = entry->second;
+            entry = unprepared_.erase(entry);
+            continue;
+        }
+        fetchSet(entry->second.digest_);
+        ++entry;
+    }
+}
+
+void Controller::State::fetchSet(const std::string& digest)
+{
+    if (fetching_.insert(digest).second)
+        executor_.post([this, digest] { fetch({ digest, true, {} }); });
+}
+
+std::vector<std::string> Controller::State::reportTargets(const control::Head& base) const
+{
+    std::vector<std::string> targets;
+    for (const control::Member& member : base.members_) {
+        if (member.host_ != options_.self_.host_ && targets.size() < detail::maximumReports)
+            targets.push_back(member.host_);
+    }
+    return targets;
+}
+
+void Controller::State::sendReports(const control::Head& base, const peer::Message& message, bool outcome)
+{
+    for (const std::string& host : reportTargets(base)) {
+        const TimePoint sentAt = monotonicNow();
+        options_.request_(
+            host, message, detail::peerTimeout, [this, host, sentAt, outcome](Result<peer::Message> reply) {
+                const auto* ack = reply ? std::get_if<peer::Ack>(&reply.value()) : nullptr;
+                std::lock_guard lock(mutex_);
+                if (ack && proposal_)
+                    control::recordAck(outcome ? proposal_->outcomeAcks_ : proposal_->acks_, host,
+                        { ack->incarnation_, sentAt });
+                acknowledged_.notify_all();
+            });
+    }
+}
+
+Result<void> Controller::State::collectAcks(const control::Head& base, const control::Head& next)
+{
+    const std::string text = control::encodeHead(next);
+    const control::Candidate candidate { base.version_, next.nonce_, sha256Hex(text) };
+    const TimePoint deadline = monotonicNow() + detail::acknowledgeTimeout;
+    std::unique_lock lock(mutex_);
+    // The caller has just read `base` from the store.
+    control::noteContact(knowledge_, monotonicNow());
+    control::noteHead(knowledge_, base);
+    if (!control::acknowledgeCandidate(knowledge_, candidate))
+        return makeError(ErrorCode::Conflict, "a newer head is known");
+    candidateTexts_[candidate.digest_] = text;
+    unprepared_[candidate.digest_] = next;
+    proposal_ = control::Proposal { candidate, {}, {} };
+    const auto allowed = [&] {
+        return control::mayWrite(*proposal_, knowledge_, evidenceOptions_, base, lost_, monotonicNow());
+    };
+    for (;;) {
+        const auto now = allowed();
+        if (now)
+            return boost::outcome_v2::success();
+        if (now.error().code_ == ErrorCode::Conflict || monotonicNow() >= deadline)
+            return now.error();
+        lock.unlock();
+        // Members that lag behind the base refuse the candidate, so they are told of the base first.
+        sendReports(base, peer::HeadRow { base.version_, 0, false, control::encodeHead(base) }, true);
+        sendReports(base, peer::CandidateReport { candidate, text }, false);
+        lock.lock();
+        acknowledged_.wait_for(lock, detail::reportInterval, [&] { return allowed().has_value(); });
+    }
+}
+
+void Controller::State::confirmOutcome(const control::Head& next)
+{
+    const TimePoint deadline = monotonicNow() + detail::acceptTimeout;
+    std::unique_lock lock(mutex_);
+    proposal_->outcomeAcks_.clear();
     const TimePoint now = monotonicNow();
-    const auto outcome = control::learnHead(state_->lease_, state_->leaseOptions_, head, now);
+    const auto outcome = control::learnHead(lease_, leaseOptions_, next, now);
     if (outcome && outcome.value() == control::LearnOutcome::Learned)
-        state_->learned(head, now);
+        learned(next, now);
+    const auto accepted = [&] {
+        return control::isAccepted(*proposal_, knowledge_, evidenceOptions_, next, lost_, monotonicNow());
+    };
+    while (!accepted() && monotonicNow() < deadline) {
+        lock.unlock();
+        sendReports(next, peer::HeadRow { next.version_, 0, false, control::encodeHead(next) }, true);
+        lock.lock();
+        acknowledged_.wait_for(lock, detail::reportInterval, accepted);
+    }
+    if (!accepted())
+        logEvent(LogLevel::Warning, "change-not-confirmed",
+            { { "version", std::to_string(next.version_) },
+                { "detail", "too few members have acknowledged it" } });
+    proposal_.reset();
+}
+
+peer::Message Controller::State::learnRow(const peer::HeadRow& row, TimePoint now)
+{
+    const auto head = control::decodeHead(row.row_);
+    if (!head)
+        return peer::Refusal { static_cast<uint32_t>(ErrorCode::Invalid), head.error().message_ };
+    const auto outcome = control::learnHead(lease_, leaseOptions_, head.value(), now);
+    if (outcome && outcome.value() == control::LearnOutcome::Learned)
+        learned(head.value(), now);
+    return peer::Ack { options_.self_.incarnation_ };
+}
+
+peer::Message Controller::State::takeReport(const peer::CandidateReport& report)
+{
+    const auto head = control::decodeHead(report.head_);
+    if (!head || sha256Hex(report.head_) != report.candidate_.digest_
+        || !control::acknowledgeCandidate(knowledge_, report.candidate_))
+        return peer::Refusal { static_cast<uint32_t>(ErrorCode::Conflict), "not based on the newest head" };
+    candidateTexts_[report.candidate_.digest_] = report.head_;
+    unprepared_[report.candidate_.digest_] = head.value();
+    prepareCandidates();
+    return peer::Ack { options_.self_.incarnation_ };
+}
+
+peer::Blob Controller::State::blobPart(const peer::BlobGet& wanted) const
+{
+    const auto& source = texts_.count(wanted.digest_) > 0 ? texts_ : candidateTexts_;
+    const auto found = source.find(wanted.digest_);
+    if (found == source.end() || wanted.offset_ > found->second.size())
+        return { wanted.digest_, wanted.offset_, 0, {} };
+    const std::string part = found->second.substr(wanted.offset_, detail::blobPartBytes);
+    return { wanted.digest_, wanted.offset_, found->second.size(), { part.begin(), part.end() } };
+}
+
+std::optional<peer::Message> Controller::answer(const peer::Message& message)
+{
+    State& state = *state_;
+    const TimePoint now = monotonicNow();
+    std::lock_guard lock(state.mutex_);
+    if (const auto* row = std::get_if<peer::HeadRow>(&message))
+        return state.learnRow(*row, now);
+    if (const auto* report = std::get_if<peer::CandidateReport>(&message))
+        return state.takeReport(*report);
+    if (const auto* wanted = std::get_if<peer::BlobGet>(&message))
+        return state.blobPart(*wanted);
+    if (const auto* wanted = std::get_if<peer::HeadGet>(&message)) {
+        const bool newer = state.known_.version_ > wanted->knownVersion_;
+        return peer::HeadRow { state.known_.version_, 0, false,
+            newer ? control::encodeHead(state.known_) : std::string() };
+    }
+    if (!std::get_if<peer::Probe>(&message))
+        return std::nullopt;
+    if (const auto evidence = control::giveEvidence(state.knowledge_, state.evidenceOptions_, now))
+        return *evidence;
+    return peer::Refusal { static_cast<uint32_t>(ErrorCode::Unavailable),
+        "a new incarnation gives no evidence yet" };
+}
+
+void Controller::removeFailed(const std::vector<std::string>& failed, const std::set<std::string>& heard)
+{
+    if (failed.empty())
+        return;
+    State& state = *state_;
+    {
+        std::lock_guard lock(state.mutex_);
+        const auto isProposer = [&](const control::Member& member) {
+            const bool self = member.host_ == state.options_.self_.host_;
+            return std::find(failed.begin(), failed.end(), member.host_) == failed.end()
+                && (self || heard.count(member.host_) > 0);
+        };
+        const auto& members = state.known_.members_;
+        const auto proposer = std::find_if(members.begin(), members.end(), isProposer);
+        if (proposer == members.end() || proposer->host_ != state.options_.self_.host_ || state.removing_)
+            return;
+        state.removing_ = true;
+    }
+    state.executor_.post([this, failed] {
+        std::string names;
+        for (const std::string& host : failed)
+            names += (names.empty() ? "" : ", ") + host;
+        const auto removed = changeHead(state_->options_.self_.host_, "remove failed hosts: " + names,
+            [&](control::Head& head) -> Result<void> {
+                const control::Head without = control::withoutMembers(head, failed);
+                if (without.members_.size() == head.members_.size())
+                    return makeError(ErrorCode::NotFound, "the hosts have been removed already");
+                head = without;
+                return boost::outcome_v2::success();
+            });
+        static_cast<void>(removed);
+        std::lock_guard lock(state_->mutex_);
+        state_->removing_ = false;
+    });
+}
+
+Result<void> Controller::declareLost(const std::string& region)
+{
+    std::lock_guard lock(state_->mutex_);
+    const control::LostHosts lost = control::lostRegion(state_->known_, region, state_->known_.version_);
+    if (lost.hosts_.empty())
+        return makeError(ErrorCode::NotFound, "no host of region '" + region + "' is in the view");
+    state_->lost_ = lost;
+    logEvent(LogLevel::Warning, "region-declared-lost", { { "region", region } });
+    return boost::outcome_v2::success();
 }
 
 } // namespace turmericwing::host
--- a/src/host/host.cc
+++ b/src/host/host.cc
@@ -7,6 +7,7 @@
 #include "turmericwing/host/lookup.h"
 #include "turmericwing/host/operatorapi.h"
 #include "turmericwing/host/path.h"
+#include "turmericwing/host/peers.h"
 #include "turmericwing/platform/http.h"
 
 #include <algorithm>
@@ -20,6 +21,7 @@
     /// Lookup answers live this long; a leaving host serves until they have expired everywhere.
     constexpr auto drainNotice = lookupTimeToLive + std::chrono::seconds(1);
     constexpr auto housekeepingInterval = std::chrono::milliseconds(50);
+    constexpr auto pullTimeout = std::chrono::milliseconds(400);
 
     std::string text(const Address& address) { return address.ip_ + ":" + std::to_string(address.port_); }
 
@@ -39,12 +41,27 @@
         , incarnation_(static_cast<uint64_t>(wallNow().ms_))
         , executor_(detail::maximumThreads)
         , platform_({ .address_ = detail::text(settings_.platformAddress_) })
+        , peers_({ .self_ = detail::memberOf(settings_, incarnation_),
+              .secret_ = settings_.peerSecret_,
+              .handlers_
+              = { [this](const std::string& from, const peer::Message& message) { receive(from, message); },
+                  [this](const std::string& from, const peer::Message& message,
+                      const peer::Responder& respond) { respond(answer(from, message)); } } })
         , tokens_(settings_.name_, incarnation_, shared_,
-              { [](const auto&, const auto&) {}, [](const auto&, const auto&) {} })
+              { [this](const std::string& to, const limits::PullRequest& pull) { sendPull(to, pull); },
+                  [this](const std::string& to, const limits::TokenReturn& tokens) {
+                      peers_.send(to, tokens);
+                  } })
         , dispatch_(settings_.name_, settings_.region_, incarnation_, shared_,
-              { [](const auto&, const auto&) {}, [](const auto&, const auto&) {},
-                  [](const auto&, const auto&) {} })
-        , quarantines_(settings_.name_, incarnation_, { [](const auto&) {}, [](const auto&) {} })
+              { [this](
+                    const std::string& to, const routing::BorrowRequest& borrow) { sendBorrow(to, borrow); },
+                  [this](const std::string& to, const routing::LoanReturn& loan) { peers_.send(to, loan); },
+                  [this](const std::string& to, const routing::SlotRelease& release) {
+                      peers_.send(to, release);
+                  } })
+        , quarantines_(settings_.name_, incarnation_,
+              { [this](const routing::CrashReport& report) { peers_.broadcast(report); },
+                  [this](const routing::QuarantineRecord& record) { peers_.broadcast(record); } })
         , claims_(settings_.name_, incarnation_, platform_.platform().table_, shared_)
         , upstreams_(executor_)
         , controller_({ .self_ = detail::memberOf(settings_, incarnation_),
@@ -54,7 +71,13 @@
                                   tokens_.apply(snapshot);
                                   dispatch_.apply(snapshot);
                               },
-                          .onReplaced_ = [this] { drain(); } },
+                          .onReplaced_ = [this] { drain(); },
+                          .onHead_ = [this](const control::Head& head) { peers_.setMembers(head); },
+                          .request_ =
+                              [this](const std::string& to, peer::Message message, Duration timeout,
+                                  std::function<void(Result<peer::Message>)> done) {
+                                  peers_.request(to, std::move(message), timeout, std::move(done));
+                              } },
               shared_, executor_)
         , path_ { shared_, tokens_, dispatch_, claims_, quarantines_, upstreams_, metrics_, trace_,
             inFlight_ }
@@ -75,6 +98,11 @@
         wake_.notify_all();
     }
 
+    void sendPull(const std::string& to, const limits::PullRequest&);
+    void sendBorrow(const std::string& to, const routing::BorrowRequest&);
+    void receive(const std::string& from, const peer::Message&);
+    peer::Message answer(const std::string& from, const peer::Message&);
+    void watchMembers();
     void refreshGauges();
     void leaveView();
     Server& makeServer(ServerOptions);
@@ -87,6 +115,7 @@
     std::atomic<int> inFlight_ { 0 };
     Executor executor_;
     platform::HttpPlatform platform_;
+    Peers peers_;
     Tokens tokens_;
     Dispatch dispatch_;
     Quarantines quarantines_;
@@ -110,6 +139,70 @@
 
 Host::~Host() = default;
 
+void Host::State::sendPull(const std::string& to, const limits::PullRequest& pull)
+{
+    peers_.request(to, pull, detail::pullTimeout, [this, pull](Result<peer::Message> reply) {
+        const auto* grant = reply ? std::get_if<limits::Grant>(&reply.value()) : nullptr;
+        if (grant) {
+            tokens_.acceptGrant(*grant);
+            return;
+        }
+        // Nothing was sent, so this pull cannot yield tokens; the next holder is asked at once.
+        if (!reply && reply.error().code_ == ErrorCode::Unavailable) {
+            limits::Grant none = limits::refusePull(pull, pull.epoch_);
+            none.retryAfter_ = detail::pullTimeout;
+            tokens_.acceptGrant(none);
+        }
+    });
+}
+
+void Host::State::sendBorrow(const std::string& to, const routing::BorrowRequest& borrow)
+{
+    peers_.request(to, borrow, detail::pullTimeout, [this, to](Result<peer::Message> reply) {
+        if (const auto* loan = reply ? std::get_if<routing::Loan>(&reply.value()) : nullptr)
+            dispatch_.acceptLoan(to, *loan);
+    });
+}
+
+void Host::State::receive(const std::string& from, const peer::Message& message)
+{
+    static_cast<void>(from);
+    if (const auto* tokens = std::get_if<limits::TokenReturn>(&message))
+        tokens_.acceptReturn(*tokens);
+    else if (const auto* loan = std::get_if<routing::LoanReturn>(&message))
+        dispatch_.takeReturn(*loan);
+    else if (const auto* release = std::get_if<routing::SlotRelease>(&message))
+        dispatch_.takeRelease(*release);
+    else if (const auto* report = std::get_if<routing::CrashReport>(&message))
+        dispatch_.forgive(quarantines_.acceptReport(*report));
+    else if (const auto* record = std::get_if<routing::QuarantineRecord>(&message))
+        quarantines_.acceptRecord(*record);
+}
+
+peer::Message Host::State::answer(const std::string& from, const peer::Message& message)
+{
+    // A host speaks for itself only; the transport has authenticated its name.
+    if (const auto* pull = std::get_if<limits::PullRequest>(&message); pull && pull->host_ == from)
+        return tokens_.answer(*pull);
+    if (const auto* borrow = std::get_if<routing::BorrowRequest>(&message);
+        borrow && borrow->id_.borrower_ == from) {
+        if (auto loan = dispatch_.lend(*borrow))
+            return *loan;
+        return peer::Refusal { static_cast<uint32_t>(ErrorCode::Unavailable), "no slot is free" };
+    }
+    if (auto reply = controller_.answer(message))
+        return std::move(*reply);
+    return peer::Refusal { static_cast<uint32_t>(ErrorCode::Invalid), "not a request" };
+}
+
+void Host::State::watchMembers()
+{
+    const ControlStatus control = controller_.status();
+    const TimePoint now = monotonicNow();
+    const auto failed = peers_.tick({ control.leaseValid_, shared_.draining(), control.known_ }, now);
+    controller_.removeFailed(failed, peers_.heard(now));
+}
+
 void Host::State::refreshGauges()
 {
     const ControlStatus control = controller_.status();
@@ -120,6 +213,14 @@
     metrics_.setGauge("turmericwing_members", "", "", static_cast<double>(control.known_.members_.size()));
     metrics_.setGauge("turmericwing_requests_in_flight", "", "", inFlight_.load());
     metrics_.setGauge("turmericwing_quarantined_requests", "", "", static_cast<double>(quarantines_.size()));
+    const auto traffic = peers_.counters();
+    metrics_.setGauge("turmericwing_peer_bytes", "direction", "in", static_cast<double>(traffic.bytesIn_));
+    metrics_.setGauge("turmericwing_peer_bytes", "direction", "out", static_cast<double>(traffic.bytesOut_));
+    metrics_.setGauge(
+        "turmericwing_peer_messages", "direction", "in", static_cast<double>(traffic.messagesIn_));
+    metrics_.setGauge(
+        "turmericwing_peer_messages", "direction", "out", static_cast<double>(traffic.messagesOut_));
+    metrics_.setGauge("turmericwing_control_cpu_seconds", "", "", controller_.cpuSeconds());
     const auto counters = platform_.counters();
     metrics_.setGauge("turmericwing_store_requests", "kind", "read", static_cast<double>(counters.reads_));
     metrics_.setGauge("turmericwing_store_requests", "kind", "write", static_cast<double>(counters.writes_));
@@ -188,6 +289,7 @@
     options.local_
         = [&state](const LocalRequest& request) { return handleOperator(state.operators_, request); };
     state.operatorServer_ = std::make_unique<Server>(options);
+    BOOST_OUTCOME_TRY(state.peers_.start());
     BOOST_OUTCOME_TRY(state.operatorServer_->start());
     BOOST_OUTCOME_TRY(state.callerServer_->start());
     state.controller_.start();
@@ -198,6 +300,7 @@
             state.tokens_.tick();
             state.dispatch_.tick();
             state.quarantines_.tick();
+            state.watchMembers();
             lock.lock();
             state.wake_.wait_for(lock, detail::housekeepingInterval, [&state] { return state.stopping_; });
         }
@@ -228,6 +331,7 @@
     state.wake_.notify_all();
     state.housekeeping_.join();
     state.controller_.stop();
+    state.peers_.stop();
     state.executor_.shutdown();
     logEvent(LogLevel::Info, "stopped");
 }
--- a/src/host/operatorapi.cc
+++ b/src/host/operatorapi.cc
@@ -62,7 +62,8 @@
     {
         Json extra = Json::object();
         if (error.code_ == ErrorCode::Conflict) {
-            const control::Head head = parts.controller_.status().known_;
+            const auto stored = readHead(parts.table_);
+            const control::Head head = stored ? stored.value() : parts.controller_.status().known_;
             extra["by"] = head.publisher_;
             extra["change"] = head.change_;
             extra["revision"] = head.revision_;
@@ -276,6 +277,15 @@
             }));
     }
 
+    LocalResponse regionLost(const OperatorParts& parts, const std::string&, const Body& body)
+    {
+        const auto declared = parts.controller_.declareLost(body.text("region"));
+        if (!declared)
+            return errorResponse(parts, declared.error());
+        return jsonResponse(
+            200, { { "region", body.text("region") }, { "state", "declared lost on this host" } });
+    }
+
     LocalResponse audit(const OperatorParts& parts, const LocalRequest& request)
     {
         size_t limit = defaultAuditEntries;
@@ -391,7 +401,7 @@
     {
         static const std::map<std::string, ChangeHandler> handlers { { "publish", publish },
             { "key-withdraw", withdrawKey }, { "move", changeMove }, { "upstream-drain", drainUpstream },
-            { "host-drain", drainHost } };
+            { "host-drain", drainHost }, { "region-lost", regionLost } };
         const auto handler = handlers.find(name);
         if (handler == handlers.end())
             return problem(404, "not-found", "no such operation");
--- a/src/host/path.cc
+++ b/src/host/path.cc
@@ -404,7 +404,7 @@
     void endClaimNotRun(Context& context)
     {
         if (context.claim_)
-            context.parts_.claims_.release(*context.claim_, context.claimToken_, context.deadline_);
+            context.parts_.claims_.release(*context.claim_, context.claimToken_);
         context.claim_.reset();
     }
 
@@ -451,8 +451,7 @@
         if (call->state() != CallState::Complete) {
             if (context.claim_)
                 context.parts_.claims_.complete(*context.claim_, context.claimToken_,
-                    { head.status_, headerValue(head.headers_, "Content-Type"), {}, true },
-                    context.deadline_);
+                    { head.status_, headerValue(head.headers_, "Content-Type"), {}, true });
             response.finish_ = std::make_shared<StreamingAttempt>(context.parts_.dispatch_, assignment, call);
             response.stream_ = std::move(call);
             return response;
@@ -462,8 +461,7 @@
         context.parts_.dispatch_.release(assignment, { AttemptEnd::Answered, head.status_ });
         if (context.claim_)
             context.parts_.claims_.complete(*context.claim_, context.claimToken_,
-                { head.status_, headerValue(head.headers_, "Content-Type"), response.body_, false },
-                context.deadline_);
+                { head.status_, headerValue(head.headers_, "Content-Type"), response.body_, false });
         return response;
     }
 
--- a/src/host/tokens.cc
+++ b/src/host/tokens.cc
@@ -29,23 +29,11 @@
         return hosts;
     }
 
-    /// Keeps the shares that this host also holds in a newer version, with the smaller limits.
-    void restrictShares(std::map<limits::ShareKind, limits::BucketLimits>& own, const std::string& workspace,
-        const std::string& host, const Version& newer)
+    std::vector<limits::Share> sharesIn(const Version& version, const std::string& workspace)
     {
-        std::map<limits::ShareKind, limits::BucketLimits> kept;
-        const model::Workspace* definition = model::find(newer.set_->workspaces_, workspace);
-        const auto shares
-            = definition ? sharesOf(*definition, placementHosts(newer.head_)) : std::vector<limits::Share>();
-        for (const limits::Share& share : shares) {
-            const auto found = own.find(share.kind_);
-            if (share.host_ != host || found == own.end())
-                continue;
-            kept.emplace(share.kind_,
-                limits::BucketLimits { std::min(found->second.rate_, share.limits_.rate_),
-                    std::min(found->second.burst_, share.limits_.burst_) });
-        }
-        own = std::move(kept);
+        const model::Workspace* definition = model::find(version.set_->workspaces_, workspace);
+        return definition ? sharesOf(*definition, placementHosts(version.head_))
+                          : std::vector<limits::Share>();
     }
 
 } // namespace detail
@@ -76,25 +64,19 @@
         workspace.pulled_.incarnation_ = incarnation_;
         workspace.epoch_ = snapshot.head_.epoch_;
         workspace.targets_.clear();
-        std::map<limits::ShareKind, limits::BucketLimits> own;
-        for (const limits::Share& share : detail::sharesOf(definition, members)) {
-            if (share.host_ == host_)
-                own.emplace(share.kind_, share.limits_);
-            else
+        const auto shares = detail::sharesOf(definition, members);
+        for (const limits::Share& share : shares) {
+            if (share.host_ != host_)
                 workspace.targets_.push_back({ share.host_, share.kind_, share.limits_.burst_ });
         }
-        for (const Version& newer : snapshot.newer_)
-            detail::restrictShares(own, definition.name_, host_, newer);
         if (!snapshot.sharesUsable_)
-            own.clear();
-        std::erase_if(workspace.held_, [&](const auto& entry) { return own.count(entry.first) == 0; });
-        for (const auto& [kind, limits] : own) {
-            const auto held = workspace.held_.find(kind);
-            if (held == workspace.held_.end())
-                workspace.held_.emplace(kind, limits::acquireShare(limits, workspace.epoch_, now, options_));
-            else
-                limits::updateShare(held->second, limits, workspace.epoch_, now, options_);
-        }
+            workspace.held_.clear();
+        else
+            limits::applyView(workspace.held_, host_, shares, snapshot.head_.epoch_,
+                limits::ViewPhase::Active, now, options_);
+        for (const Version& newer : snapshot.newer_)
+            limits::applyView(workspace.held_, host_, detail::sharesIn(newer, definition.name_),
+                newer.head_.epoch_, limits::ViewPhase::Learned, now, options_);
         shard.changed_.notify_all();
     }
     dropRemoved(snapshot);
@@ -128,7 +110,7 @@
         if (limits::spendFromShare(share, now, options_))
             return kind == limits::ShareKind::Main ? TokenSource::MainShare : TokenSource::FloorShare;
     }
-    if (limits::spendToken(workspace.pulled_, now))
+    if (limits::spendToken(workspace.pulled_, now, options_))
         return TokenSource::Pulled;
     return std::nullopt;
 }
@@ -191,7 +173,7 @@
         send(prefetch);
         return { source, {} };
     }
-    TimePoint ready = now + std::chrono::seconds(1);
+    TimePoint ready = std::max<TimePoint>(limits::nextTokenAt(workspace.pulled_, now), now);
     for (const auto& [kind, share] : workspace.held_)
         ready = std::min(ready, limits::tokensReadyAt(share.bucket_, 1, now));
     const auto wait = std::chrono::duration_cast<Duration>(ready - now);
@@ -255,11 +237,28 @@
 
 void Tokens::tick()
 {
+    std::vector<std::pair<std::string, limits::TokenReturn>> notices;
     for (Shard& shard : shards_) {
         std::lock_guard lock(shard.mutex_);
         const TimePoint now = monotonicNow();
-        for (auto& [name, workspace] : shard.workspaces_)
+        for (auto& [name, workspace] : shard.workspaces_) {
             refresh(workspace, now);
+            addressReturns(workspace, limits::takeUsedUp(workspace.pulled_), notices);
+        }
+    }
+    for (const auto& [host, tokens] : notices)
+        outbox_.giveBack_(host, tokens);
+}
+
+void Tokens::addressReturns(const Workspace& workspace, std::vector<limits::TokenReturn> returns,
+    std::vector<std::pair<std::string, limits::TokenReturn>>& out)
+{
+    // Holders ignore returns of grants that they did not make, so a floor's return goes to all floor holders.
+    for (limits::TokenReturn& tokens : returns) {
+        for (const limits::PullTarget& target : workspace.targets_) {
+            if (target.kind_ == tokens.kind_)
+                out.emplace_back(target.host_, tokens);
+        }
     }
 }
 
@@ -268,12 +267,9 @@
     std::vector<std::pair<std::string, limits::TokenReturn>> returns;
     for (Shard& shard : shards_) {
         std::lock_guard lock(shard.mutex_);
-        for (auto& [name, workspace] : shard.workspaces_) {
-            if (workspace.targets_.empty())
-                continue;
-            for (limits::TokenReturn& tokens : limits::returnTokens(workspace.pulled_, monotonicNow()))
-                returns.emplace_back(workspace.targets_.front().host_, std::move(tokens));
-        }
+        for (auto& [name, workspace] : shard.workspaces_)
+            addressReturns(
+                workspace, limits::returnTokens(workspace.pulled_, monotonicNow(), options_), returns);
     }
     for (const auto& [host, tokens] : returns)
         outbox_.giveBack_(host, tokens);
