Refuse dot segments behind encoded separators; keep upstreams out of cut bodies

Cause: '/open/..%2fwrite' and '%5c..%5c' passed the check of open routes, and a caller that broke its chunked body off, or exceeded the limit with it, ended as a crash of the upstream, which ejects it and quarantines the request. Change: escapes of slash and backslash are decoded before the check; such an attempt ends as Canceled. Ports of the tests lie below the ephemeral range.

--- a/include/turmericwing/host/dispatch.h
+++ b/include/turmericwing/host/dispatch.h
@@ -53,6 +53,8 @@
     NotSent, ///< No connection.
     Crashed, ///< The connection ended before any response byte.
     Failed, ///< Short, late or mismatched response; the upstream may still run the request.
+    Canceled, ///< The caller broke its body off; says nothing of the upstream, which may still run the
+              ///< request.
     Overloaded, ///< The upstream shed the request.
     Draining, ///< The upstream takes no new work.
 };
--- a/src/host/dispatch.cc
+++ b/src/host/dispatch.cc
@@ -104,6 +104,7 @@
         case AttemptEnd::Overloaded:
             return routing::Outcome::Overload;
         case AttemptEnd::Draining:
+        case AttemptEnd::Canceled:
             return routing::Outcome::Ignored;
         case AttemptEnd::NotSent:
         case AttemptEnd::Crashed:
@@ -115,7 +116,10 @@
 
     /// After these ends the upstream may still run the request: a connection can break on the way while the
     /// upstream goes on.
-    bool mayStillRun(AttemptEnd end) { return end == AttemptEnd::Failed || end == AttemptEnd::Crashed; }
+    bool mayStillRun(AttemptEnd end)
+    {
+        return end == AttemptEnd::Failed || end == AttemptEnd::Crashed || end == AttemptEnd::Canceled;
+    }
 
 } // namespace detail
 
--- a/src/host/path.cc
+++ b/src/host/path.cc
@@ -98,19 +98,30 @@
         return split;
     }
 
-    /// A dot segment would let one route's path reach another route on the upstream.
-    bool hasDotSegments(const std::string& path)
+    /// Decodes the escapes of dots and slashes; a backslash counts as a slash, as some servers take it.
+    std::string decodeSeparators(const std::string& path)
     {
+        static constexpr std::array<std::pair<const char*, char>, 3> escapes { { { "%2e", '.' },
+            { "%2f", '/' }, { "%5c", '/' } } };
         std::string decoded;
         for (size_t i = 0; i < path.size(); ++i) {
-            if (strncasecmp(path.c_str() + i, "%2e", 3) == 0) {
-                decoded += '.';
+            const auto* escape = std::find_if(escapes.begin(), escapes.end(),
+                [&](const auto& known) { return strncasecmp(path.c_str() + i, known.first, 3) == 0; });
+            if (escape != escapes.end()) {
+                decoded += escape->second;
                 i += 2;
             } else
-                decoded += path[i];
+                decoded += path[i] == '\\' ? '/' : path[i];
         }
-        return (decoded + "/").find("/../") != std::string::npos
-            || (decoded + "/").find("/./") != std::string::npos;
+        return decoded;
+    }
+
+    /// A dot segment would let one route's path reach another route on an upstream that resolves it.
+    /// Upstreams differ in what they decode before, so encoded separators count too.
+    bool hasDotSegments(const std::string& path)
+    {
+        const std::string decoded = decodeSeparators(path) + "/";
+        return decoded.find("/../") != std::string::npos || decoded.find("/./") != std::string::npos;
     }
 
     struct Ended {
@@ -357,8 +368,9 @@
         return request;
     }
 
-    /// Passes the caller's body on. The body is read to its end even when the upstream stops reading.
-    void pumpBody(Context& context, UpstreamCall& call)
+    /// Passes the caller's body on. The body is read to its end even when the upstream stops reading. False
+    /// when the caller broke it off or it exceeds the route's limit.
+    bool pumpBody(Context& context, UpstreamCall& call)
     {
         uint64_t total = 0;
         const uint64_t limit = context.route_->maxBodyBytes_;
@@ -371,6 +383,7 @@
             return total <= limit;
         });
         call.body().close(whole && forwarding ? PipeState::Finished : PipeState::Failed);
+        return whole;
     }
 
     AttemptEnd attemptEnd(CallState state, const ResponseHead& head)
@@ -485,6 +498,9 @@
             return { Reason::Overloaded, "the upstream is overloaded", std::chrono::seconds(1) };
         if (provablyNotRun(end) && !anyMayHaveRun)
             return { Reason::Overloaded, "no upstream could be reached", std::chrono::seconds(1) };
+        if (end == AttemptEnd::Canceled)
+            return { Reason::UpstreamFailed,
+                "the body ended early or exceeds the route's limit; may have run" };
         return { Reason::UpstreamFailed, "the upstream's response was lost; the request may have run" };
     }
 
@@ -511,10 +527,13 @@
             const auto running
                 = context.parts_.quarantines_.enter(assignment.upstream_, context.fingerprint_);
             auto call = context.parts_.upstreams_.start(std::move(request));
-            if (context.streaming_)
-                pumpBody(context, *call);
+            const bool bodyCut = context.streaming_ && !pumpBody(context, *call);
             const CallState state = call->waitBuffered();
             end = attemptEnd(state, call->head());
+            // Otherwise a caller could get healthy upstreams ejected, and requests quarantined, by cut
+            // bodies.
+            if (bodyCut && end == AttemptEnd::Crashed)
+                end = AttemptEnd::Canceled;
             if (end == AttemptEnd::Answered) {
                 context.parts_.quarantines_.completed(context.fingerprint_);
                 CallerResponse response = respond(context, assignment, std::move(call));
--- a/test/host/bed.h
+++ b/test/host/bed.h
@@ -53,11 +53,18 @@
     return { fd, ntohs(address.sin_port) };
 }
 
+/// A port below the ephemeral range, so that no outgoing connection of the test takes it before its use.
 inline uint16_t freePort()
 {
-    const auto [fd, port] = listenAnywhere();
-    close(fd);
-    return static_cast<uint16_t>(port);
+    static int next = 10000 + getpid() % 200 * 100;
+    for (;; ++next) {
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        const sockaddr_in address = loopback(next);
+        const int bound = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+        close(fd);
+        if (bound == 0)
+            return static_cast<uint16_t>(next++);
+    }
 }
 
 /// Sends bytes and returns all that comes back until the peer closes or says nothing for a while.
@@ -164,7 +171,10 @@
     Result<void> start()
     {
         host_ = std::make_unique<Host>(settings_);
-        return host_->start();
+        auto started = host_->start();
+        if (!started)
+            host_.reset();
+        return started;
     }
     void stop()
     {
--- a/test/host/host-test.cc
+++ b/test/host/host-test.cc
@@ -540,7 +540,6 @@
     broken.settings_.tlsCertificate_ = bed().tls_.key_;
     broken.settings_.tlsPrivateKey_ = bed().tls_.key_;
     const auto started = broken.start();
-    broken.host_.reset();
     REQUIRE_FALSE(started);
     CHECK(started.error().message_.find("certificate") != std::string::npos);
 }
@@ -554,7 +553,6 @@
         RunningHost second("h8", "r-b");
         second.settings_.*address = bed().h1_.settings_.*address;
         const auto started = second.start();
-        second.host_.reset();
         REQUIRE_FALSE(started);
         CHECK((started.error().code_ == ErrorCode::Unavailable));
         CAPTURE(started.error().message_);
