Refuse ambiguous body lengths and send chunked bodies with their header

Cause: 'Content-Length: 4x', two lengths and a length with chunks were accepted, so a proxy and a host could disagree where a body ends. Chunked bodies went to upstreams without Transfer-Encoding, so every such request failed. Change: ambiguous framing is refused with 400; the header is added.

--- a/src/host/server.cc
+++ b/src/host/server.cc
@@ -51,6 +51,28 @@
         request.ranges.clear();
     }
 
+    /// Whether all parties agree where the body ends: one length of digits only, or chunks, or no body.
+    bool hasClearFraming(const httplib::Request& request)
+    {
+        const size_t lengths = request.get_header_value_count("Content-Length");
+        const size_t codings = request.get_header_value_count("Transfer-Encoding");
+        if (codings > 0)
+            return codings == 1 && lengths == 0 && request.get_header_value("Transfer-Encoding") == "chunked";
+        const std::string length = request.get_header_value("Content-Length");
+        return lengths == 0
+            || (lengths == 1 && !length.empty()
+                && length.find_first_not_of("0123456789") == std::string::npos);
+    }
+
+    void refuseFraming(httplib::Response& out)
+    {
+        out.status = statusOf(Reason::BadRequest);
+        out.set_header(outcomeHeader, toString(Outcome::NotRun));
+        out.set_header("Connection", "close");
+        out.set_content(problemJson(Reason::BadRequest, "the length of the body is ambiguous", ""),
+            "application/problem+json");
+    }
+
     CallerRequest makeCallerRequest(const httplib::Request& request, const httplib::ContentReader* reader)
     {
         CallerRequest caller;
@@ -145,6 +167,10 @@
     void handleCaller(
         const httplib::Request& request, httplib::Response& out, const httplib::ContentReader* reader)
     {
+        if (!detail::hasClearFraming(request)) {
+            detail::refuseFraming(out);
+            return;
+        }
         const CallerRequest caller = detail::makeCallerRequest(request, reader);
         // The handler receives the library's own request by const reference; nobody else uses it afterwards.
         detail::stripForLibrary(const_cast<httplib::Request&>(request));
--- a/src/host/upstream.cc
+++ b/src/host/upstream.cc
@@ -211,6 +211,9 @@
     bool uploaded = !request.streaming_;
     if (request.streaming_) {
         wire.is_chunked_content_provider_ = !request.bodyLength_;
+        // The library adds this header in its own upload functions only.
+        if (!request.bodyLength_)
+            wire.headers.emplace("Transfer-Encoding", "chunked");
         wire.content_length_ = request.bodyLength_.value_or(0);
         wire.content_provider_ = [&](size_t, size_t length, httplib::DataSink& sink) {
             const std::string chunk = call.upload_.read(request.deadline_);
