Check that a quarantined request is not retried in the rig; add measures

Cause: the rig retried a request after its quarantine, unlike host/path.cc, so it crashed three upstreams.

--- a/test/scenario/rig-requests.cc
+++ b/test/scenario/rig-requests.cc
@@ -527,7 +527,8 @@
             ? routing::takeRetry(service.retries_, {}, now, failed)
             : end == End::NotSent && r->attempts_ < 3;
         r->failed_ = a->upstream_;
-        if (again && now_ < r->deadline_)
+        if (again && now_ < r->deadline_
+            && !routing::isQuarantined(h.quarantine_, detail::wall(now_), print(*r)))
             service.waiting_.push_back(r);
         else if (end == End::NotSent)
             refuse(h, r, "upstream");
