Connect moves and fair admission, hold slots past their deadline

Change: hosts report to the owner of each move and take its share; a fair queue per service side orders waiting requests and refuses those that cannot be served in time; a slot stays taken 250 ms past its deadline.

--- a/include/turmericwing/host/dispatch.h
+++ b/include/turmericwing/host/dispatch.h
@@ -26,6 +26,8 @@
     std::string workspace_; ///< Empty on open routes.
     double weight_ = 1;
     bool idempotent_ = false;
+    std::string version_; ///< Only upstreams of this version.
+    std::string upstreamRegion_; ///< Only upstreams of this region; empty for any.
     TimePoint deadline_;
     std::vector<std::string> exclude_; ///< Upstreams that earlier attempts used.
 };
--- a/include/turmericwing/host/path.h
+++ b/include/turmericwing/host/path.h
@@ -4,6 +4,7 @@
 #include "turmericwing/host/claimstore.h"
 #include "turmericwing/host/dispatch.h"
 #include "turmericwing/host/metrics.h"
+#include "turmericwing/host/moves.h"
 #include "turmericwing/host/quarantines.h"
 #include "turmericwing/host/snapshot.h"
 #include "turmericwing/host/tokens.h"
@@ -46,6 +47,7 @@
     const SharedState& state_;
     Tokens& tokens_;
     Dispatch& dispatch_;
+    Moves& moves_;
     ClaimStore& claims_;
     Quarantines& quarantines_;
     UpstreamPool& upstreams_;
--- a/include/turmericwing/host/snapshot.h
+++ b/include/turmericwing/host/snapshot.h
@@ -22,6 +22,7 @@
 struct Version {
     control::Head head_;
     std::shared_ptr<const model::ObjectSet> set_;
+    bool candidate_ = false; ///< Not known to be written.
 };
 
 struct Snapshot {
@@ -34,7 +35,7 @@
     std::set<std::string> revokedKeys_; ///< Digests that a newer configuration, not yet in force, takes away.
     std::set<std::string>
         drained_; ///< Upstreams without new work, from the head and all known configurations.
-    std::set<std::string> stoppedMoves_; ///< Moves that are held or rolled back.
+    std::set<std::string> stoppedMoves_; ///< Moves that are rolled back.
 };
 
 /// Builds the index.
--- a/src/host/controller.cc
+++ b/src/host/controller.cc
@@ -344,7 +344,7 @@
         if (found == candidates_.end())
             continue;
         versions.push_back(hash64(candidate.nonce_));
-        newer.push_back({ found->second, sets_.at(found->second.digest_) });
+        newer.push_back({ found->second, sets_.at(found->second.digest_), true });
     }
     const bool regained = effective.admitKeyed_ && !leaseWasValid_;
     leaseWasValid_ = effective.admitKeyed_;
--- a/src/host/dispatch.cc
+++ b/src/host/dispatch.cc
@@ -1,6 +1,7 @@
 // Assignment of upstream slots to requests.
 #include "turmericwing/host/dispatch.h"
 
+#include "turmericwing/limits/admission.h"
 #include "turmericwing/routing/choice.h"
 
 #include <algorithm>
@@ -16,12 +17,32 @@
     constexpr double firstAttemptShare = 2.0 / 3;
     constexpr auto releaseInterval = std::chrono::seconds(1);
 
+    /// A slot stays taken for this long after its request's deadline: the upstream counts the deadline from
+    /// the arrival of the request, and learns of a cancellation after a trip between regions.
+    constexpr auto stopMargin = std::chrono::milliseconds(250);
+    /// How often a request that waits for a slot looks again and asks for loans.
+    constexpr auto assignInterval = std::chrono::milliseconds(20);
+
     struct ActiveAttempt {
         routing::SlotTicket ticket_;
         std::string upstream_;
+        std::string side_; ///< Key of the admission queue.
         TimePoint start_;
     };
 
+    /// A request in an admission queue.
+    struct Waiter {
+        bool started_ = false;
+        bool refused_ = false;
+    };
+
+    /// Upstreams of different versions or regions are not interchangeable, so each side of a move has its
+    /// queue.
+    std::string sideOf(const DispatchRequest& request)
+    {
+        return request.version_ + "/" + request.upstreamRegion_;
+    }
+
     struct ServiceShard {
         mutable std::mutex mutex_;
         std::condition_variable changed_;
@@ -31,6 +52,8 @@
         std::map<std::string, routing::LinkBudget> links_; ///< By region of the upstream.
         std::map<std::string, model::Upstream> upstreams_;
         std::map<uint64_t, ActiveAttempt> attempts_; ///< By Assignment::ticket_.
+        std::map<std::string, limits::Admission> admission_; ///< By side.
+        std::map<uint64_t, Waiter> waiters_; ///< By admission request.
         uint64_t nextTicket_ = 1;
         Random random_ = makeRandom();
         std::set<std::string> drained_;
@@ -78,6 +101,29 @@
         return placement;
     }
 
+    Version newestWritten(const Snapshot& snapshot)
+    {
+        Version newest { snapshot.head_, snapshot.set_ };
+        for (const Version& version : snapshot.newer_) {
+            if (!version.candidate_)
+                newest = version;
+        }
+        return newest;
+    }
+
+    /// Adds the upstreams of which this host holds a slot that another placement gives to somebody else.
+    void addLostUpstreams(std::set<std::string>& upstreams, const routing::SlotTable& table,
+        const std::string& host, const routing::Placement& other)
+    {
+        for (const auto& [name, slots] : table.upstreams_) {
+            for (const routing::HomeSlot& slot : slots.home_) {
+                const auto home = other.homes_.find(slot.id_);
+                if (home == other.homes_.end() || home->second.host_ != host)
+                    upstreams.insert(name);
+            }
+        }
+    }
+
     std::map<std::string, routing::LinkBudget> makeLinks(const Snapshot& snapshot, const std::string& region)
     {
         const auto& members = snapshot.head_.members_;
@@ -127,6 +173,8 @@
     Dispatch::Outbox outbox_;
     mutable std::mutex mutex_; ///< Guards the map; shards have their own locks and are never removed.
     std::map<std::string, std::unique_ptr<detail::ServiceShard>> shards_;
+    std::optional<routing::PlacementId> lastPlacement_; ///< Learned by the existing shards.
+    const limits::AdmissionOptions admissionOptions_ {};
 
     detail::ServiceShard* find(const std::string& service) const
     {
@@ -155,6 +203,10 @@
             shard->slots_.host_ = host_;
             shard->slots_.incarnation_ = incarnation_;
             shard->choice_.host_ = host_;
+            // The version before had no upstreams of this service; after revision 0 nothing need be waited
+            // for.
+            if (lastPlacement_)
+                routing::learnPlacement(shard->slots_, monotonicNow(), { *lastPlacement_, {}, {} }, true);
         }
         return *shard;
     }
@@ -169,11 +221,11 @@
     }
 
     void applyService(const Snapshot& snapshot, const std::string& service);
-    std::optional<Assignment> tryAssign(
-        detail::ServiceShard&, const DispatchRequest&, const std::string& version);
-    std::vector<detail::Borrow> planBorrows(
-        detail::ServiceShard&, const DispatchRequest&, const std::string& version);
-    bool usable(const detail::ServiceShard&, const model::Upstream&, const std::string& version) const;
+    std::optional<Assignment> tryAssign(detail::ServiceShard&, const DispatchRequest&);
+    size_t concurrency(detail::ServiceShard&, const std::string& side) const;
+    void pump(detail::ServiceShard&, const std::string& side, const limits::AdmissionChanges&);
+    std::vector<detail::Borrow> planBorrows(detail::ServiceShard&, const DispatchRequest&);
+    bool usable(const detail::ServiceShard&, const model::Upstream&, const DispatchRequest&) const;
 };
 
 Dispatch::Dispatch(
@@ -214,10 +266,15 @@
     if (shard.links_.empty() || first)
         shard.links_ = detail::makeLinks(snapshot, region_);
 
+    // Homes that a candidate in doubt takes away are not used, and homes that it gives are not learned.
+    for (const Version& newer : snapshot.newer_) {
+        if (newer.candidate_)
+            detail::addLostUpstreams(shard.drained_, shard.slots_, host_,
+                detail::makePlacement(newer.head_, *newer.set_, service));
+    }
     // A placement is learned as soon as its head is known: lost slots stop at once and gained slots wait by
     // themselves, so the newest version counts here and not the one in force.
-    const Version newest
-        = snapshot.newer_.empty() ? Version { snapshot.head_, snapshot.set_ } : snapshot.newer_.back();
+    const Version newest = detail::newestWritten(snapshot);
     const auto placement = detail::makePlacement(newest.head_, *newest.set_, service);
     routing::learnPlacement(shard.slots_, now, placement, snapshot.sharesUsable_);
     shard.lenders_.clear();
@@ -231,18 +288,30 @@
 
 void Dispatch::apply(const Snapshot& snapshot)
 {
+    const Version newest = detail::newestWritten(snapshot);
+    std::set<std::string> services;
     for (const model::Service& service : snapshot.set_->services_)
-        state_->applyService(snapshot, service.name_);
+        services.insert(service.name_);
+    // Slots of a service that is not in force yet are learned now, so that they are ready when it is.
+    for (const model::Service& service : newest.set_->services_)
+        services.insert(service.name_);
+    for (const std::string& service : services)
+        state_->applyService(snapshot, service);
+    std::lock_guard lock(state_->mutex_);
+    state_->lastPlacement_ = routing::PlacementId { newest.head_.revision_, newest.head_.epoch_ };
 }
 
 bool DispatchState::usable(
-    const detail::ServiceShard& shard, const model::Upstream& upstream, const std::string& version) const
+    const detail::ServiceShard& shard, const model::Upstream& upstream, const DispatchRequest& request) const
 {
-    return upstream.version_ == version && shard.drained_.count(upstream.name_) == 0;
+    if (upstream.version_ != request.version_ || shard.drained_.count(upstream.name_) > 0)
+        return false;
+    return request.upstreamRegion_.empty()
+        || shard.choice_.upstreams_.at(upstream.name_).region_ == request.upstreamRegion_;
 }
 
 std::optional<Assignment> DispatchState::tryAssign(
-    detail::ServiceShard& shard, const DispatchRequest& request, const std::string& version)
+    detail::ServiceShard& shard, const DispatchRequest& request)
 {
     const TimePoint now = monotonicNow();
     const TimePoint leaseEnd = shared_.leaseEnd();
@@ -252,9 +321,10 @@
             + std::chrono::duration_cast<Duration>((request.deadline_ - now) * detail::firstAttemptShare);
     std::vector<routing::SlotCount> counts;
     for (const auto& [name, upstream] : shard.upstreams_) {
-        if (!usable(shard, upstream, version))
+        if (!usable(shard, upstream, request))
             continue;
-        const uint32_t free = routing::freeSlots(shard.slots_, now, leaseEnd, name, deadline);
+        const uint32_t free
+            = routing::freeSlots(shard.slots_, now, leaseEnd, name, deadline + detail::stopMargin);
         const auto& state = shard.choice_.upstreams_.at(name);
         counts.push_back({ name, free + state.inFlight_, free });
     }
@@ -264,19 +334,19 @@
         = routing::chooseUpstream(shard.choice_, now, choice, counts, shard.links_, shard.random_);
     if (!chosen)
         return std::nullopt;
-    const auto ticket = routing::acquire(shard.slots_, now, leaseEnd, *chosen, deadline);
+    const auto ticket = routing::acquire(shard.slots_, now, leaseEnd, *chosen, deadline + detail::stopMargin);
     if (!ticket)
         return std::nullopt;
     routing::beginRequest(shard.choice_, *chosen);
     const uint64_t number = shard.nextTicket_++;
-    shard.attempts_.emplace(number, detail::ActiveAttempt { *ticket, *chosen, now });
+    shard.attempts_.emplace(number, detail::ActiveAttempt { *ticket, *chosen, detail::sideOf(request), now });
     const model::Upstream& upstream = shard.upstreams_.at(*chosen);
-    return Assignment { request.service_, *chosen, upstream.address_, version, request.route_, now, deadline,
-        number };
+    return Assignment { request.service_, *chosen, upstream.address_, request.version_, request.route_, now,
+        deadline, number };
 }
 
 std::vector<detail::Borrow> DispatchState::planBorrows(
-    detail::ServiceShard& shard, const DispatchRequest& request, const std::string& version)
+    detail::ServiceShard& shard, const DispatchRequest& request)
 {
     const TimePoint now = monotonicNow();
     std::vector<routing::LoanOffer> offers;
@@ -284,7 +354,7 @@
         const auto upstream = shard.upstreams_.find(name);
         const auto known = shard.choice_.upstreams_.find(name);
         if (upstream == shard.upstreams_.end() || known == shard.choice_.upstreams_.end()
-            || !usable(shard, upstream->second, version))
+            || !usable(shard, upstream->second, request))
             continue;
         const bool near = known->second.region_ == region_ || shard.links_.count(known->second.region_) > 0;
         if (!near || known->second.drain_.any() || routing::isEjected(known->second, now))
@@ -298,28 +368,77 @@
         return shard.choice_.upstreams_.at(offer.upstream_).region_ == region_;
     });
     std::vector<detail::Borrow> borrows;
-    const Duration duration = std::chrono::duration_cast<Duration>(request.deadline_ - now) * 2;
+    const Duration duration
+        = (std::chrono::duration_cast<Duration>(request.deadline_ - now) + detail::stopMargin) * 2;
     for (const auto& [upstream, lender] : routing::chooseLenders(shard.slots_, now, offers))
         borrows.push_back({ lender, routing::borrow(shard.slots_, now, upstream, lender, duration) });
     return borrows;
 }
 
+/// Requests that this host can run at once on a side: running, free slots, and loans that it has asked for.
+size_t DispatchState::concurrency(detail::ServiceShard& shard, const std::string& side) const
+{
+    const TimePoint now = monotonicNow();
+    size_t slots = shard.admission_[side].running_;
+    bool lenders = false;
+    for (const auto& [name, upstream] : shard.upstreams_) {
+        const std::string& region = shard.choice_.upstreams_.at(name).region_;
+        const bool onSide = side == upstream.version_ + "/" || side == upstream.version_ + "/" + region;
+        if (!onSide || shard.drained_.count(name) > 0)
+            continue;
+        slots += routing::freeSlots(shard.slots_, now, shared_.leaseEnd(), name, now + detail::stopMargin);
+        const auto lender = shard.lenders_.find(name);
+        lenders = lenders || (lender != shard.lenders_.end() && !lender->second.empty());
+    }
+    return slots + (lenders ? 1 : 0);
+}
+
+void DispatchState::pump(
+    detail::ServiceShard& shard, const std::string& side, const limits::AdmissionChanges& changes)
+{
+    for (const uint64_t id : changes.start_)
+        shard.waiters_[id].started_ = true;
+    for (const uint64_t id : changes.refuse_)
+        shard.waiters_[id].refused_ = true;
+    const auto more = limits::pollAdmission(
+        shard.admission_[side], concurrency(shard, side), monotonicNow(), admissionOptions_);
+    for (const uint64_t id : more.start_)
+        shard.waiters_[id].started_ = true;
+    for (const uint64_t id : more.refuse_)
+        shard.waiters_[id].refused_ = true;
+    shard.changed_.notify_all();
+}
+
 std::variant<Assignment, Refusal> Dispatch::acquire(const DispatchRequest& request)
 {
     detail::ServiceShard* shard = state_->find(request.service_);
     if (!shard)
         return Refusal { Reason::NotReady, "the service has no upstreams yet", std::chrono::seconds(1) };
-    const model::Service* service = model::find(request.snapshot_->set_->services_, request.service_);
-    const std::string version = service ? service->version_ : std::string();
+    const std::string side = detail::sideOf(request);
+    const Duration retryAfter = std::chrono::seconds(1);
     std::unique_lock lock(shard->mutex_);
     if (request.exclude_.empty())
         routing::earnRetry(shard->retries_, {});
-    for (;;) {
-        if (auto assignment = state_->tryAssign(*shard, request, version))
-            return *assignment;
-        if (monotonicNow() >= request.deadline_)
+    limits::Admission& admission = shard->admission_[side];
+    const TimePoint now = monotonicNow();
+    const auto typical
+        = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(admission.serviceSeconds_));
+    const uint64_t id = shard->nextTicket_++;
+    const auto decision
+        = limits::admit(admission, { id, request.workspace_, request.weight_, request.deadline_ - typical },
+            state_->concurrency(*shard, side), now, state_->admissionOptions_);
+    if (decision == limits::AdmissionDecision::Refused)
+        return Refusal { Reason::Overloaded, "the request cannot be served before its deadline", retryAfter };
+    detail::Waiter& waiter = shard->waiters_[id];
+    waiter.started_ = decision == limits::AdmissionDecision::Start;
+    std::optional<Assignment> assignment;
+    const TimePoint startBy = request.deadline_ - typical;
+    while (!waiter.refused_) {
+        if (waiter.started_ && (assignment = state_->tryAssign(*shard, request)))
+            break;
+        if (monotonicNow() >= startBy)
             break;
-        const auto borrows = state_->planBorrows(*shard, request, version);
+        const auto borrows = state_->planBorrows(*shard, request);
         if (!borrows.empty()) {
             lock.unlock();
             for (const detail::Borrow& borrow : borrows)
@@ -327,9 +446,21 @@
             lock.lock();
         }
         shard->changed_.wait_until(
-            lock, std::min<TimePoint>(request.deadline_, monotonicNow() + std::chrono::milliseconds(20)));
+            lock, std::min<TimePoint>(startBy, monotonicNow() + detail::assignInterval));
+        if (!waiter.started_ && !waiter.refused_)
+            state_->pump(*shard, side, {});
     }
-    return Refusal { Reason::Overloaded, "no upstream has a free slot", std::chrono::seconds(1) };
+    const bool started = waiter.started_;
+    shard->waiters_.erase(id);
+    if (assignment)
+        return *assignment;
+    if (started)
+        state_->pump(*shard, side,
+            limits::finishAdmitted(admission, typical, state_->concurrency(*shard, side), monotonicNow(),
+                state_->admissionOptions_));
+    else
+        limits::cancelQueued(admission, id);
+    return Refusal { Reason::Overloaded, "no upstream has a free slot", retryAfter };
 }
 
 void Dispatch::release(const Assignment& assignment, const AttemptResult& result)
@@ -346,17 +477,19 @@
     shard->attempts_.erase(found);
     routing::finish(shard->slots_, now, attempt.ticket_,
         detail::mayStillRun(result.end_) ? routing::RequestEnd::Abandoned : routing::RequestEnd::Complete);
+    const auto service = std::chrono::duration_cast<Duration>(now - attempt.start_);
+    state_->pump(*shard, attempt.side_,
+        limits::finishAdmitted(shard->admission_[attempt.side_], service,
+            state_->concurrency(*shard, attempt.side_), now, state_->admissionOptions_));
     const auto known = shard->choice_.upstreams_.find(attempt.upstream_);
     if (known != shard->choice_.upstreams_.end()) {
-        routing::endRequest(shard->choice_, now, attempt.upstream_, detail::outcomeOf(result),
-            std::chrono::duration_cast<Duration>(now - attempt.start_));
+        routing::endRequest(shard->choice_, now, attempt.upstream_, detail::outcomeOf(result), service);
         if (result.end_ == AttemptEnd::Draining) {
             auto drain = known->second.drain_;
             drain.response_ = true;
             routing::setDrain(shard->choice_, now, attempt.upstream_, drain);
         }
     }
-    shard->changed_.notify_one();
 }
 
 void Dispatch::forgive(const std::vector<std::string>& upstreams)
@@ -470,7 +603,8 @@
     const TimePoint now = monotonicNow();
     for (const auto& [name, upstream] : shard->upstreams_) {
         const auto& known = shard->choice_.upstreams_.at(name);
-        const uint32_t free = routing::freeSlots(shard->slots_, now, state_->shared_.leaseEnd(), name, now);
+        const uint32_t free = routing::freeSlots(
+            shard->slots_, now, state_->shared_.leaseEnd(), name, now + detail::stopMargin);
         rows.push_back({ name, upstream.version_, known.region_, free + known.inFlight_, free,
             known.inFlight_, known.drain_.any() || shard->drained_.count(name) > 0,
             routing::isEjected(known, now), known.latency_ });
--- a/src/host/host.cc
+++ b/src/host/host.cc
@@ -59,6 +59,12 @@
                   [this](const std::string& to, const routing::SlotRelease& release) {
                       peers_.send(to, release);
                   } })
+        , moves_(settings_.name_, settings_.region_, incarnation_,
+              { [this](const std::string& to, const peer::MoveStats& report) { sendReport(to, report); },
+                  [this](const peer::MoveTrip& trip) { peers_.broadcast(trip); },
+                  [this](const std::string& move, const rollout::Proposal& proposal) {
+                      propose(move, proposal);
+                  } })
         , quarantines_(settings_.name_, incarnation_,
               { [this](const routing::CrashReport& report) { peers_.broadcast(report); },
                   [this](const routing::QuarantineRecord& record) { peers_.broadcast(record); } })
@@ -70,6 +76,7 @@
                               [this](const Snapshot& snapshot) {
                                   tokens_.apply(snapshot);
                                   dispatch_.apply(snapshot);
+                                  moves_.apply(snapshot);
                               },
                           .onReplaced_ = [this] { drain(); },
                           .onHead_ = [this](const control::Head& head) { peers_.setMembers(head); },
@@ -79,7 +86,7 @@
                                   peers_.request(to, std::move(message), timeout, std::move(done));
                               } },
               shared_, executor_)
-        , path_ { shared_, tokens_, dispatch_, claims_, quarantines_, upstreams_, metrics_, trace_,
+        , path_ { shared_, tokens_, dispatch_, moves_, claims_, quarantines_, upstreams_, metrics_, trace_,
             inFlight_ }
         , operators_ { settings_, shared_, controller_, dispatch_, metrics_, trace_,
             platform_.platform().table_, [this] { refreshGauges(); }, [this] { drain(); },
@@ -100,6 +107,8 @@
 
     void sendPull(const std::string& to, const limits::PullRequest&);
     void sendBorrow(const std::string& to, const routing::BorrowRequest&);
+    void sendReport(const std::string& to, const peer::MoveStats&);
+    void propose(const std::string& move, const rollout::Proposal&);
     void receive(const std::string& from, const peer::Message&);
     peer::Message answer(const std::string& from, const peer::Message&);
     void watchMembers();
@@ -118,6 +127,8 @@
     Peers peers_;
     Tokens tokens_;
     Dispatch dispatch_;
+    Moves moves_;
+    std::atomic<bool> proposing_ { false }; ///< A proposal of a move is being written.
     Quarantines quarantines_;
     ClaimStore claims_;
     UpstreamPool upstreams_;
@@ -164,6 +175,36 @@
     });
 }
 
+void Host::State::sendReport(const std::string& to, const peer::MoveStats& report)
+{
+    const TimePoint sentAt = monotonicNow();
+    peers_.request(to, report, detail::pullTimeout, [this, sentAt](Result<peer::Message> reply) {
+        if (const auto* share = reply ? std::get_if<peer::MoveShare>(&reply.value()) : nullptr)
+            moves_.acceptShare(*share, sentAt);
+    });
+}
+
+void Host::State::propose(const std::string& move, const rollout::Proposal& proposal)
+{
+    if (proposing_.exchange(true))
+        return;
+    executor_.post([this, move, proposal] {
+        const std::string what = "move " + move + ": step " + std::to_string(proposal.next_.step_)
+            + ", share " + std::to_string(proposal.next_.share_)
+            + (proposal.next_.reason_.empty() ? std::string() : ", " + proposal.next_.reason_);
+        const auto written
+            = controller_.changeHead(settings_.name_, what, [&](control::Head& head) -> Result<void> {
+                  const auto next = rollout::applyProposal(moveRecord(head, move), proposal);
+                  if (!next)
+                      return makeError(ErrorCode::Conflict, "the move has been changed meanwhile");
+                  putMoveRecord(head, move, *next);
+                  return boost::outcome_v2::success();
+              });
+        static_cast<void>(written);
+        proposing_ = false;
+    });
+}
+
 void Host::State::receive(const std::string& from, const peer::Message& message)
 {
     static_cast<void>(from);
@@ -177,6 +218,8 @@
         dispatch_.forgive(quarantines_.acceptReport(*report));
     else if (const auto* record = std::get_if<routing::QuarantineRecord>(&message))
         quarantines_.acceptRecord(*record);
+    else if (const auto* trip = std::get_if<peer::MoveTrip>(&message))
+        moves_.acceptTrip(*trip);
 }
 
 peer::Message Host::State::answer(const std::string& from, const peer::Message& message)
@@ -190,6 +233,8 @@
             return *loan;
         return peer::Refusal { static_cast<uint32_t>(ErrorCode::Unavailable), "no slot is free" };
     }
+    if (const auto* report = std::get_if<peer::MoveStats>(&message); report && report->stats_.host_ == from)
+        return moves_.answer(*report);
     if (auto reply = controller_.answer(message))
         return std::move(*reply);
     return peer::Refusal { static_cast<uint32_t>(ErrorCode::Invalid), "not a request" };
@@ -201,6 +246,7 @@
     const TimePoint now = monotonicNow();
     const auto failed = peers_.tick({ control.leaseValid_, shared_.draining(), control.known_ }, now);
     controller_.removeFailed(failed, peers_.heard(now));
+    moves_.tick(control.storeContact_);
 }
 
 void Host::State::refreshGauges()
--- a/src/host/path.cc
+++ b/src/host/path.cc
@@ -137,6 +137,7 @@
         routing::Fingerprint fingerprint_;
         std::optional<ClaimKey> claim_;
         std::string claimToken_;
+        MoveSide side_;
         std::vector<std::string> upstreams_;
     };
 
@@ -488,17 +489,38 @@
         return { Reason::UpstreamFailed, "the upstream's response was lost; the request may have run" };
     }
 
+    /// Only the first attempt counts for a move: retries may go to another upstream of the same side.
+    void recordMove(const Context& context, const Assignment& assignment, AttemptEnd end, int status)
+    {
+        if (context.upstreams_.size() != 1 || provablyNotRun(end))
+            return;
+        const bool failed = end != AttemptEnd::Answered || status >= 500;
+        context.parts_.moves_.record(context.side_, context.route_->name_, failed,
+            std::chrono::duration_cast<Duration>(monotonicNow() - assignment.start_));
+        if (!context.side_.move_.empty())
+            context.parts_.metrics_.countMove(context.side_.move_, assignment.version_);
+    }
+
     CallerResponse dispatch(Context& context)
     {
+        const model::Service* service
+            = model::find(context.snapshot_->set_->services_, context.target_.service_);
+        context.side_ = context.parts_.moves_.choose(*service, context.route_->name_);
         bool anyMayHaveRun = false;
         AttemptEnd end = AttemptEnd::NotSent;
         do {
             if (!context.upstreams_.empty())
                 context.parts_.metrics_.countRetry(context.target_.service_);
-            const auto assigned = context.parts_.dispatch_.acquire(
-                { context.snapshot_, context.target_.service_, context.route_->name_, workspaceName(context),
-                    context.workspace_ ? context.workspace_->share_ : 1, context.route_->idempotent_,
-                    context.deadline_, context.upstreams_ });
+            const auto assigned = context.parts_.dispatch_.acquire({ .snapshot_ = context.snapshot_,
+                .service_ = context.target_.service_,
+                .route_ = context.route_->name_,
+                .workspace_ = workspaceName(context),
+                .weight_ = context.workspace_ ? context.workspace_->share_ : 1,
+                .idempotent_ = context.route_->idempotent_,
+                .version_ = context.side_.version_,
+                .upstreamRegion_ = context.side_.region_,
+                .deadline_ = context.deadline_,
+                .exclude_ = context.upstreams_ });
             if (const auto* refusal = std::get_if<Refusal>(&assigned)) {
                 if (anyMayHaveRun)
                     break;
@@ -515,6 +537,7 @@
                 pumpBody(context, *call);
             const CallState state = call->waitBuffered();
             end = attemptEnd(state, call->head());
+            recordMove(context, assignment, end, call->head().status_);
             if (end == AttemptEnd::Answered) {
                 context.parts_.quarantines_.completed(context.fingerprint_);
                 CallerResponse response = respond(context, assignment, std::move(call));
--- a/src/host/snapshot.cc
+++ b/src/host/snapshot.cc
@@ -51,7 +51,7 @@
                 snapshot.drained_.insert(upstream.name_);
         }
         for (const model::Move& move : set.moves_) {
-            if (move.state_ != model::MoveState::Running)
+            if (move.state_ == model::MoveState::RolledBack)
                 snapshot.stoppedMoves_.insert(move.name_);
         }
     }
