--- a/test/control/membership-test.cc
+++ b/test/control/membership-test.cc
@@ -51,6 +51,15 @@
             CHECK(peers <= 46 + 3 * (count / 23 + 1));
         }
         CHECK(relays == 46);
+        // Every host is watched from two failure domains, which suspicion needs.
+        std::map<std::string, std::set<std::string>> watchers;
+        for (const Member& m : head.members_) {
+            for (const std::string& host : observedBy(head, options, m.host_))
+                watchers[host].insert(m.failureDomain_);
+        }
+        CHECK(watchers["h1100"] == std::set<std::string> { "d8", "d9" });
+        for (const Member& m : head.members_)
+            REQUIRE(watchers[m.host_].size() == 2);
         const HeartbeatTable silent { .records_ = {}, .observingSince_ = at(1), .lastTick_ = at(1) };
         CHECK(summariseDomain(silent, options, head, "h1000", at(9000)).suspicions_.size() <= maxSuspicions);
     }
@@ -100,6 +109,17 @@
     }
 }
 
+TEST_CASE("a host that answers with a newer incarnation is suspected in its listed one at once")
+{
+    // Guards against shares that wait for a process that has ended.
+    const Head head = viewOf(12, 4);
+    HeartbeatTable table;
+    hear(table, {}, head, "", 100, 4000);
+    recordHeartbeat(table, {}, "h1008", 2, "p1008", at(4050));
+    CHECK(summariseDomain(table, {}, head, "h1000", at(4100)).suspicions_
+        == std::vector<Suspicion> { { "h1008", 1 } });
+}
+
 TEST_CASE("half of the fleet is never removed at once")
 {
     // Guards against observers that are cut off themselves.
--- a/test/routing/slots-test.cc
+++ b/test/routing/slots-test.cc
@@ -5,9 +5,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <deque>
 #include <functional>
-#include <set>
 
 using namespace turmericwing;
 using namespace turmericwing::routing;
@@ -23,6 +21,7 @@
         SlotTable table_;
         bool member_ = false;
         bool paused_ = false;
+        TimePoint pausedAt_ {};
         TimePoint leaseEnds_ {};
         bool partitioned_ = false; ///< From the store.
         TimePoint nextRead_ {};
@@ -34,14 +33,11 @@
         uint64_t serial_;
         TimePoint deadline_;
     };
-    struct Change {
-        TimePoint at_;
-        Placement placement_;
-    };
 
-    explicit Fleet(uint64_t seed, SlotOptions options)
+    Fleet(uint64_t seed, SlotOptions options, uint32_t connections)
         : random_(seed)
         , options_(options)
+        , connections_(connections)
     {
         for (size_t i = 0; i < 4; ++i)
             hosts_.emplace_back();
@@ -53,7 +49,7 @@
             publish(1, i == 0 ? 1 : 0);
         }
         for (size_t i = 0; i < hosts_.size(); ++i)
-            learnPlacement(hosts_[i].table_, now_, head_.front().placement_, false);
+            learnPlacement(hosts_[i].table_, now_, head_.front(), false);
         advance(500ms);
     }
 
@@ -68,7 +64,7 @@
     {
         Placement next;
         if (!head_.empty())
-            next.id_ = head_.back().placement_.id_;
+            next.id_ = head_.back().id_;
         next.id_.epoch_ += epochStep;
         next.id_.revision_ += revisionStep;
         std::vector<SlotHost> members;
@@ -77,9 +73,9 @@
                 members.push_back({ nameOf(i), hosts_[i].table_.incarnation_, "r" });
         }
         if (next.id_.revision_ > 0)
-            next.upstreams_ = { { "u", "s", "r", 3, 7, timeout_ } };
+            next.upstreams_ = { { "u", "s", "r", 3, connections_, timeout_ } };
         next.homes_ = slotHomes(members, next.upstreams_);
-        head_.push_back({ now_, next });
+        head_.push_back(next);
     }
 
     void restart(size_t i)
@@ -88,9 +84,10 @@
         fresh.table_.host_ = nameOf(i);
         fresh.table_.incarnation_ = ++incarnations_;
         fresh.table_.options_ = options_;
+        fresh.table_.nextSerial_ = incarnations_ << 20; // Tells requests of two processes of a host apart.
         const bool wasMember = hosts_[i].member_;
-        hosts_[i]
-            = fresh; // Connections of an ended process are closed; its requests run on to their deadlines.
+        // Connections of an ended process are closed; its requests run on to their deadlines.
+        hosts_[i] = fresh;
         hosts_[i].member_ = wasMember;
     }
 
@@ -98,7 +95,7 @@
     void read(size_t i)
     {
         const TimePoint sent = now_;
-        const Placement placement = head_.back().placement_;
+        const Placement placement = head_.back();
         const uint64_t incarnation = hosts_[i].table_.incarnation_;
         const auto deliver = [this, i, sent, placement, incarnation] {
             Host& host = hosts_[i];
@@ -266,7 +263,7 @@
         if (kind >= 28 && rare >= 4) {
             advance(delay(400ms));
         } else if (kind == 31) { // A pause, at times longer than every lease.
-            host.paused_ = !host.paused_;
+            pause(host);
         } else if (kind == 30 && rare < 2) {
             restart(i);
             if (host.member_)
@@ -293,26 +290,53 @@
         }
     }
 
+    void pause(Host& host)
+    {
+        if (host.paused_ && now_ >= host.pausedAt_ + 2s) {
+            for (; host.idleConnections_ > 0; --host.idleConnections_)
+                closeConnection(host.table_, now_, "u");
+            host.paused_ = false;
+            work(static_cast<size_t>(&host - hosts_.data()));
+            return;
+        }
+        host.paused_ = !host.paused_;
+        host.pausedAt_ = now_;
+    }
+
+    /// Requests that the upstream has ended and the host has not noticed.
+    uint32_t ended(const Host& host) const
+    {
+        return static_cast<uint32_t>(
+            std::count_if(host.running_.begin(), host.running_.end(), [&](const SlotTicket& t) {
+                return std::none_of(running_.begin(), running_.end(),
+                    [&](const Running& r) { return r.serial_ == t.serial_ && &hosts_[r.host_] == &host; });
+            }));
+    }
+
     void check()
     {
         mostRunning_ = std::max(mostRunning_, running_.size());
         uint32_t connections = 0;
         for (const Host& host : hosts_) {
             const auto found = host.table_.upstreams_.find("u");
+            if (found == host.table_.upstreams_.end())
+                continue;
+            connections += found->second.openConnections_;
             // The upstream closes idle connections of a paused host after its keep-alive time.
-            if (!host.paused_ && found != host.table_.upstreams_.end())
-                connections += found->second.openConnections_;
+            if (host.paused_ && now_ >= host.pausedAt_ + 2s)
+                connections -= host.idleConnections_ + ended(host);
         }
         mostConnections_ = std::max(mostConnections_, connections);
     }
 
     Random random_;
     SlotOptions options_;
+    uint32_t connections_;
     Duration timeout_ = 3s;
     TimePoint now_ = start;
     uint64_t incarnations_ = 0;
     std::vector<Host> hosts_;
-    std::vector<Change> head_;
+    std::vector<Placement> head_;
     std::multimap<TimePoint, std::function<void()>> messages_;
     std::vector<Running> running_;
     size_t mostRunning_ = 0;
@@ -322,9 +346,9 @@
 };
 
 /// Runs `count` random commands and returns the fleet.
-Fleet randomRun(uint64_t seed, SlotOptions options, size_t count)
+Fleet randomRun(uint64_t seed, SlotOptions options, size_t count, uint32_t connections = 7)
 {
-    Fleet fleet(seed, options);
+    Fleet fleet(seed, options, connections);
     Random commands(seed ^ 0x5eed);
     for (size_t i = 0; i < count; ++i)
         fleet.step(static_cast<uint32_t>(commands()));
@@ -355,7 +379,7 @@
     CHECK(rc::check("slots", [](uint64_t seed) {
         const auto commands = *rc::gen::resize(
             1000, rc::gen::container<std::vector<uint32_t>>(rc::gen::arbitrary<uint32_t>()));
-        Fleet fleet(seed, {});
+        Fleet fleet(seed, {}, 7);
         for (const uint32_t command : commands) {
             fleet.step(command);
             RC_ASSERT(fleet.mostRunning_ <= 3u);
@@ -507,3 +531,58 @@
     CHECK_FALSE(acquire(a, start + 1s, lease, "u", start + 2s));
     CHECK(acquire(a, start + 2s, lease, "u", start + 3s));
 }
+
+TEST_CASE("lenders that do not answer do not end the search for a free slot")
+{
+    // Guards against four refusals, which lenders do not answer, that stop all borrowing until the loans
+    // asked for would have ended.
+    SlotTable table;
+    table.host_ = "h";
+    std::vector<LoanOffer> offers;
+    for (const char* lender : { "a", "b", "c", "d", "e", "f" })
+        offers.push_back({ "u", lender });
+    const auto ask = [&](TimePoint now) {
+        std::string lenders;
+        for (const LoanOffer& offer : chooseLenders(table, now, offers)) {
+            borrow(table, now, offer.upstream_, offer.lender_, 10s);
+            lenders += offer.lender_;
+        }
+        return lenders;
+    };
+    CHECK(ask(start) == "abcd");
+    CHECK(ask(start + 149ms) == "");
+    CHECK(ask(start + 150ms) == "ef");
+    CHECK(ask(start + 499ms) == "");
+    CHECK(ask(start + 500ms) == "abcd");
+}
+
+TEST_CASE("slots belong to one process, and connections and loans are bounded by them")
+{
+    // Guards against a process that uses the slots of the one before it, and against loans and connections
+    // that the next home does not wait for.
+    const Placement placement = placementOf(1, { { { "u", 0 }, { "a", 1 } }, { { "u", 1 }, { "a", 1 } } });
+    SlotTable restarted { .host_ = "a", .incarnation_ = 2, .options_ = {} };
+    learnPlacement(restarted, start, placement, false);
+    tick(restarted, start + 1h);
+    CHECK(freeSlots(restarted, start, lease, "u", start + 1s) == 0);
+    SlotTable a = tableOf("a", placement);
+    CHECK(lend(a, start, lease, { { "b", 1, 1 }, "u", 1h })->duration_ == 3s);
+    CHECK(connectionLimit(a, start, "u") == 9);
+    for (int i = 0; i < 9; ++i)
+        CHECK(openConnection(a, start, lease, "u"));
+    CHECK_FALSE(openConnection(a, start, lease, "u"));
+    CHECK_FALSE(lend(a, start, lease, { { "b", 1, 2 }, "u", 1s }));
+    learnPlacement(a, start, placementOf(2, {}), true);
+    CHECK(connectionsToClose(a, start, "u") == 9);
+    CHECK(releases(a, start).empty());
+}
+
+TEST_CASE("connections stay within a bound that equals the slots" * doctest::skip())
+{
+    // Guards against a connection that stays open beside that of the next holder of its slot. Run as the
+    // CTest test routing-connections.
+    for (uint64_t seed = 0; seed < 300; ++seed) {
+        CAPTURE(seed);
+        REQUIRE(randomRun(seed, {}, 3000, 3).mostConnections_ <= 3);
+    }
+}
