Remove failed hosts that only one other domain observes

Cause: removal needs suspicions from two failure domains, but only relays of the host's own domain and of one other domain observe it. A host alone in its domain and all hosts of a domain that fails as a whole stayed in the view for ever. Darna and Sanad have two such hosts each. Change: relays of a domain are also observed by the relays of a second other domain, with which they are connected anyway.

--- a/include/turmericwing/control/membership.h
+++ b/include/turmericwing/control/membership.h
@@ -31,12 +31,17 @@
 /// order, or of the fleet if the region has only one. Equal to `failureDomain` if there is no other.
 std::string observingDomain(const Head&, std::string_view failureDomain);
 
+/// The domain whose relays observe the relays of `failureDomain`, beside observingDomain. Without it, nobody
+/// in a second domain would suspect the hosts of a domain that fails as a whole, or a host that is alone in
+/// its domain. Equal to observingDomain if the fleet has only two domains.
+std::string secondObservingDomain(const Head&, std::string_view failureDomain);
+
 /// Hosts that `host` connects to, sorted. A host that is no relay connects to at most four relays, whatever
 /// the size of the fleet; up to fullMeshLimit_ members, a region is also fully meshed.
 std::vector<std::string> peersOf(const Head&, const MembershipOptions&, std::string_view host);
 
 /// True if `observer` has to watch `host`: it is a relay of the host's domain or of the domain that observes
-/// it.
+/// it, or of the second such domain if `host` is a relay.
 bool observes(const Head&, const MembershipOptions&, std::string_view observer, std::string_view host);
 
 struct HeartbeatRecord {
--- a/src/control/membership.cc
+++ b/src/control/membership.cc
@@ -63,14 +63,33 @@
     return next == domains.end() ? *domains.begin() : *next;
 }
 
+std::string secondObservingDomain(const Head& head, std::string_view failureDomain)
+{
+    const std::string first = observingDomain(head, failureDomain);
+    std::set<std::string> others;
+    for (const Member& member : head.members_) {
+        if (member.failureDomain_ != failureDomain && member.failureDomain_ != first)
+            others.insert(member.failureDomain_);
+    }
+    if (others.empty())
+        return first;
+    const auto next = others.upper_bound(first);
+    return next == others.end() ? *others.begin() : *next;
+}
+
 bool observes(
     const Head& head, const MembershipOptions& options, std::string_view observer, std::string_view host)
 {
     const Member* member = detail::findMember(head, host);
     if (!member || observer == host)
         return false;
-    return detail::contains(relaysOf(head, options, member->failureDomain_), observer)
-        || detail::contains(relaysOf(head, options, observingDomain(head, member->failureDomain_)), observer);
+    const auto isRelayOf = [&](const std::string& domain, std::string_view name) {
+        return detail::contains(relaysOf(head, options, domain), name);
+    };
+    return isRelayOf(member->failureDomain_, observer)
+        || isRelayOf(observingDomain(head, member->failureDomain_), observer)
+        || (isRelayOf(member->failureDomain_, host)
+            && isRelayOf(secondObservingDomain(head, member->failureDomain_), observer));
 }
 
 std::vector<std::string> peersOf(const Head& head, const MembershipOptions& options, std::string_view host)
