Encode members compactly and a head as its difference from a known one

The row of a head with 810 members had 151,117 bytes, and each change of the head carries it to every member. Members are now arrays that refer to a list of regions and failure domains, and a peer address repeats only its port if its IP address is the caller address's. encodeHeadChange carries only the members that differ and names its base by version and nonce.

--- a/include/turmericwing/control/head.h
+++ b/include/turmericwing/control/head.h
@@ -56,10 +56,18 @@
     friend bool operator==(const Head&, const Head&) = default;
 };
 
-/// Head as JSON text, the row's value.
+/// Head as JSON text, the row's value. Members are arrays that refer to a list of places, because the row of
+/// 810 members is read by every relay and sent to every new host.
 std::string encodeHead(const Head&);
 
 /// Errors: Invalid with the field that is malformed.
 Result<Head> decodeHead(const std::string& text);
 
+/// `next` as the difference from `base`. Its size depends on the members that differ, not on all members.
+std::string encodeHeadChange(const Head& base, const Head& next);
+
+/// Reads the text of encodeHead or encodeHeadChange. Errors: Conflict if it is a change of another head than
+/// `base`, otherwise as decodeHead.
+Result<Head> decodeHeadChange(const Head& base, const std::string& text);
+
 } // namespace turmericwing::control
--- a/src/control/head.cc
+++ b/src/control/head.cc
@@ -6,6 +6,11 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <iterator>
+#include <map>
+#include <set>
+#include <tuple>
+#include <utility>
 
 namespace turmericwing::control {
 
@@ -13,7 +18,7 @@
 
     using Json = nlohmann::json;
 
-    // A head of 810 members takes about 200 KB; messages between hosts carry at most 1 MiB.
+    // A head of 810 members takes about 60 KB; messages between hosts carry at most 1 MiB.
     constexpr size_t maxHeadBytes = 1 << 20;
     constexpr size_t maxListEntries = 4096;
     constexpr size_t maxStringBytes = 1024;
@@ -104,6 +109,19 @@
             return *value;
         }
 
+        std::vector<std::string> texts(const char* field) const
+        {
+            std::vector<std::string> out;
+            for (const Json& entry : list(field)) {
+                if (!entry.is_string() || entry.get_ref<const std::string&>().size() > maxStringBytes) {
+                    fail(field, "entry is not a string of at most 1024 bytes");
+                    break;
+                }
+                out.push_back(entry.get<std::string>());
+            }
+            return out;
+        }
+
         /// Calls `read` with a Reader for each entry of a list of objects.
         template <typename Read> void each(const char* field, Read read) const
         {
@@ -131,90 +149,243 @@
 
 } // namespace detail
 
-using detail::Json;
-using detail::Reader;
+namespace detail {
 
-std::string encodeHead(const Head& head)
-{
-    Json members = Json::array();
-    for (const Member& m : head.members_)
-        members.push_back({ { "host", m.host_ }, { "incarnation", m.incarnation_ }, { "region", m.region_ },
-            { "failureDomain", m.failureDomain_ }, { "callerAddress", m.callerAddress_ },
-            { "peerAddress", m.peerAddress_ },
-            { "state", detail::memberStates[static_cast<size_t>(m.state_)] } });
-    Json moves = Json::array();
-    for (const MoveStatus& m : head.moves_)
-        moves.push_back({ { "name", m.name_ }, { "step", m.step_ }, { "share", m.share_ },
-            { "phase", detail::movePhases[static_cast<size_t>(m.phase_)] }, { "reason", m.reason_ } });
-    const Json out { { "version", head.version_ }, { "revision", head.revision_ }, { "digest", head.digest_ },
-        { "epoch", head.epoch_ }, { "members", std::move(members) }, { "moves", std::move(moves) },
-        { "drainedUpstreams", head.drainedUpstreams_ }, { "publisher", head.publisher_ },
-        { "nonce", head.nonce_ }, { "change", head.change_ }, { "writtenAt", head.writtenAt_.ms_ } };
-    // Strings come from operators; invalid UTF-8 is replaced because the encoder must not fail.
-    return out.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
+    /// Region and failure domain.
+    using Place = std::pair<std::string, std::string>;
+
+    std::string hostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
+
+    Json encodeMembers(const std::vector<Member>& members, Json& places)
+    {
+        std::map<Place, size_t> index;
+        Json out = Json::array();
+        for (const Member& m : members) {
+            const auto [place, added] = index.try_emplace({ m.region_, m.failureDomain_ }, index.size());
+            if (added)
+                places.push_back({ m.region_, m.failureDomain_ });
+            // A host has one address for callers and peers as a rule; then only the port is repeated.
+            const std::string host = hostOf(m.callerAddress_);
+            const bool shared = !host.empty() && m.peerAddress_.size() > host.size()
+                && m.peerAddress_.compare(0, host.size(), host) == 0 && m.peerAddress_[host.size()] == ':';
+            out.push_back({ m.host_, m.incarnation_, place->second, m.callerAddress_,
+                shared ? m.peerAddress_.substr(host.size()) : m.peerAddress_,
+                memberStates[static_cast<size_t>(m.state_)] });
+        }
+        return out;
+    }
+
+    /// Entries of an array by position, with the field names of the error messages.
+    struct Entry {
+        const Json& array_;
+        std::string path_;
+        std::string& fault_;
+
+        void fail(const char* field, const char* reason) const
+        {
+            if (fault_.empty())
+                fault_ = path_ + field + ": " + reason;
+        }
+
+        std::string text(size_t position, const char* field) const
+        {
+            if (array_[position].is_string()
+                && array_[position].get_ref<const std::string&>().size() <= maxStringBytes)
+                return array_[position].get<std::string>();
+            fail(field, "not a string of at most 1024 bytes");
+            return {};
+        }
+
+        uint64_t number(size_t position, const char* field) const
+        {
+            if (array_[position].is_number_unsigned())
+                return array_[position].get<uint64_t>();
+            fail(field, "not an unsigned integer");
+            return 0;
+        }
+    };
+
+    /// Calls `read` with an Entry for each array of `size` values in a list.
+    template <typename Read> void eachArray(const Reader& reader, const char* field, size_t size, Read read)
+    {
+        size_t i = 0;
+        for (const Json& entry : reader.list(field)) {
+            const std::string path = field + ("[" + std::to_string(i++) + "]");
+            if (!entry.is_array() || entry.size() != size)
+                return reader.fail(path, "not an array of the right size");
+            read(Entry { entry, reader.path_ + path + ".", reader.fault_ });
+        }
+    }
+
+    std::vector<Member> decodeMembers(const Reader& reader)
+    {
+        std::vector<Place> places;
+        eachArray(reader, "places", 2, [&](const Entry& entry) {
+            places.emplace_back(entry.text(0, "region"), entry.text(1, "failureDomain"));
+        });
+        std::vector<Member> members;
+        eachArray(reader, "members", 6, [&](const Entry& entry) {
+            Member member;
+            member.host_ = entry.text(0, "host");
+            if (member.host_.empty() || (!members.empty() && member.host_ <= members.back().host_))
+                entry.fail("host", "empty, or not in ascending order");
+            member.incarnation_ = entry.number(1, "incarnation");
+            const uint64_t place = entry.number(2, "place");
+            if (place < places.size())
+                std::tie(member.region_, member.failureDomain_) = places[place];
+            else
+                entry.fail("place", "not in the list of places");
+            member.callerAddress_ = entry.text(3, "callerAddress");
+            member.peerAddress_ = entry.text(4, "peerAddress");
+            if (!member.peerAddress_.empty() && member.peerAddress_.front() == ':')
+                member.peerAddress_.insert(0, hostOf(member.callerAddress_));
+            const std::string state = entry.text(5, "state");
+            const auto it = std::find(memberStates.begin(), memberStates.end(), state);
+            if (it == memberStates.end())
+                entry.fail("state", "unknown value");
+            else
+                member.state_ = static_cast<MemberState>(it - memberStates.begin());
+            members.push_back(std::move(member));
+        });
+        return members;
+    }
+
+    Json encode(const Head& head)
+    {
+        Json places = Json::array();
+        Json members = encodeMembers(head.members_, places);
+        Json moves = Json::array();
+        for (const MoveStatus& m : head.moves_)
+            moves.push_back({ { "name", m.name_ }, { "step", m.step_ }, { "share", m.share_ },
+                { "phase", movePhases[static_cast<size_t>(m.phase_)] }, { "reason", m.reason_ } });
+        return { { "version", head.version_ }, { "revision", head.revision_ }, { "digest", head.digest_ },
+            { "epoch", head.epoch_ }, { "places", std::move(places) }, { "members", std::move(members) },
+            { "moves", std::move(moves) }, { "drainedUpstreams", head.drainedUpstreams_ },
+            { "publisher", head.publisher_ }, { "nonce", head.nonce_ }, { "change", head.change_ },
+            { "writtenAt", head.writtenAt_.ms_ } };
+    }
+
+    std::string dump(const Json& json)
+    {
+        // Strings come from operators; invalid UTF-8 is replaced because the encoder must not fail.
+        return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    }
+
+    Error invalid(const std::string& message) { return makeError(ErrorCode::Invalid, "head: " + message); }
+
+    Result<Json> parse(const std::string& text)
+    {
+        if (text.size() > maxHeadBytes)
+            return invalid("larger than 1 MiB");
+        Json json = Json::parse(text, nullptr, false);
+        if (!json.is_object())
+            return invalid("not a JSON object");
+        return json;
+    }
+
+    Head decode(const Reader& reader)
+    {
+        Head head;
+        head.version_ = reader.number("version");
+        head.revision_ = reader.number("revision");
+        head.digest_ = reader.text("digest");
+        if (!head.digest_.empty() && !isDigest(head.digest_))
+            reader.fail("digest", "not 64 hexadecimal digits");
+        head.epoch_ = reader.number("epoch");
+        head.members_ = decodeMembers(reader);
+        reader.each("moves", [&](const Reader& r) {
+            MoveStatus move;
+            move.name_ = r.text("name");
+            const uint64_t step = r.number("step");
+            if (step > UINT32_MAX)
+                r.fail("step", "larger than 32 bits");
+            move.step_ = static_cast<uint32_t>(step);
+            move.share_ = r.share("share");
+            move.phase_ = static_cast<MovePhase>(r.choice("phase", movePhases));
+            move.reason_ = r.text("reason");
+            head.moves_.push_back(std::move(move));
+        });
+        head.drainedUpstreams_ = reader.texts("drainedUpstreams");
+        head.publisher_ = reader.text("publisher");
+        head.nonce_ = reader.text("nonce");
+        head.change_ = reader.text("change");
+        if (const Json* writtenAt = reader.get("writtenAt")) {
+            if (writtenAt->is_number_integer())
+                head.writtenAt_.ms_ = writtenAt->get<int64_t>();
+            else
+                reader.fail("writtenAt", "not an integer");
+        }
+        return head;
+    }
+
+    const Member* findByHost(const std::vector<Member>& members, const std::string& host)
+    {
+        const auto it = std::lower_bound(members.begin(), members.end(), host,
+            [](const Member& m, const std::string& name) { return m.host_ < name; });
+        return it != members.end() && it->host_ == host ? &*it : nullptr;
+    }
+
+} // namespace detail
+
+std::string encodeHead(const Head& head) { return detail::dump(detail::encode(head)); }
 
 Result<Head> decodeHead(const std::string& text)
 {
-    const auto invalid
-        = [](std::string message) { return makeError(ErrorCode::Invalid, std::move(message)); };
-    if (text.size() > detail::maxHeadBytes)
-        return invalid("head: larger than 1 MiB");
-    const Json json = Json::parse(text, nullptr, false);
-    if (!json.is_object())
-        return invalid("head: not a JSON object");
+    BOOST_OUTCOME_TRY(json, detail::parse(text));
     std::string fault;
-    const Reader reader { json, "", fault };
-    Head head;
-    head.version_ = reader.number("version");
-    head.revision_ = reader.number("revision");
-    head.digest_ = reader.text("digest");
-    if (!head.digest_.empty() && !detail::isDigest(head.digest_))
-        reader.fail("digest", "not 64 hexadecimal digits");
-    head.epoch_ = reader.number("epoch");
-    reader.each("members", [&](const Reader& r) {
-        Member member;
-        member.host_ = r.text("host");
-        if (member.host_.empty() || (!head.members_.empty() && member.host_ <= head.members_.back().host_))
-            r.fail("host", "empty, or not in ascending order");
-        member.incarnation_ = r.number("incarnation");
-        member.region_ = r.text("region");
-        member.failureDomain_ = r.text("failureDomain");
-        member.callerAddress_ = r.text("callerAddress");
-        member.peerAddress_ = r.text("peerAddress");
-        member.state_ = static_cast<MemberState>(r.choice("state", detail::memberStates));
-        head.members_.push_back(std::move(member));
-    });
-    reader.each("moves", [&](const Reader& r) {
-        MoveStatus move;
-        move.name_ = r.text("name");
-        const uint64_t step = r.number("step");
-        if (step > UINT32_MAX)
-            r.fail("step", "larger than 32 bits");
-        move.step_ = static_cast<uint32_t>(step);
-        move.share_ = r.share("share");
-        move.phase_ = static_cast<MovePhase>(r.choice("phase", detail::movePhases));
-        move.reason_ = r.text("reason");
-        head.moves_.push_back(std::move(move));
+    Head head = detail::decode({ json, "", fault });
+    if (!fault.empty())
+        return detail::invalid(fault);
+    return head;
+}
+
+std::string encodeHeadChange(const Head& base, const Head& next)
+{
+    Head changed = next;
+    std::erase_if(changed.members_, [&](const Member& member) {
+        const Member* before = detail::findByHost(base.members_, member.host_);
+        return before && *before == member;
     });
-    for (const Json& entry : reader.list("drainedUpstreams")) {
-        if (!entry.is_string() || entry.get_ref<const std::string&>().size() > detail::maxStringBytes) {
-            reader.fail("drainedUpstreams", "entry is not a string of at most 1024 bytes");
-            break;
-        }
-        head.drainedUpstreams_.push_back(entry.get<std::string>());
-    }
-    head.publisher_ = reader.text("publisher");
-    head.nonce_ = reader.text("nonce");
-    head.change_ = reader.text("change");
-    if (const Json* writtenAt = reader.get("writtenAt")) {
-        if (writtenAt->is_number_integer())
-            head.writtenAt_.ms_ = writtenAt->get<int64_t>();
-        else
-            reader.fail("writtenAt", "not an integer");
+    detail::Json json = detail::encode(changed);
+    detail::Json removed = detail::Json::array();
+    for (const Member& member : base.members_) {
+        if (!detail::findByHost(next.members_, member.host_))
+            removed.push_back(member.host_);
     }
+    json["removed"] = std::move(removed);
+    json["baseVersion"] = base.version_;
+    json["baseNonce"] = base.nonce_;
+    return detail::dump(json);
+}
+
+Result<Head> decodeHeadChange(const Head& base, const std::string& text)
+{
+    BOOST_OUTCOME_TRY(json, detail::parse(text));
+    std::string fault;
+    const detail::Reader reader { json, "", fault };
+    Head head = detail::decode(reader);
+    const bool isChange = json.contains("baseVersion");
+    const uint64_t baseVersion = isChange ? reader.number("baseVersion") : 0;
+    const std::string baseNonce = isChange ? reader.text("baseNonce") : std::string();
+    const std::vector<std::string> removed = isChange ? reader.texts("removed") : std::vector<std::string> {};
     if (!fault.empty())
-        return invalid("head: " + fault);
+        return detail::invalid(fault);
+    if (!isChange)
+        return head;
+    if (baseVersion != base.version_ || baseNonce != base.nonce_)
+        return makeError(ErrorCode::Conflict,
+            "head: a change of version " + std::to_string(baseVersion) + ", not of "
+                + std::to_string(base.version_));
+    const std::set<std::string> gone(removed.begin(), removed.end());
+    std::vector<Member> kept;
+    for (const Member& member : base.members_) {
+        if (gone.count(member.host_) == 0 && !detail::findByHost(head.members_, member.host_))
+            kept.push_back(member);
+    }
+    std::vector<Member> members;
+    std::merge(kept.begin(), kept.end(), head.members_.begin(), head.members_.end(),
+        std::back_inserter(members), [](const Member& a, const Member& b) { return a.host_ < b.host_; });
+    head.members_ = std::move(members);
     return head;
 }
 
--- a/test/control/head-test.cc
+++ b/test/control/head-test.cc
@@ -51,7 +51,12 @@
     refused("\"epoch\":2,", "", "epoch");
     refused("\"share\":0.25", "\"share\":1.5", "moves[0].share");
     refused("\"step\":2", "\"step\":4294967296", "moves[0].step");
-    refused("\"host\":\"h1\"", "\"host\":\"h3\"", "members[1].host");
+    refused("[\"h1\"", "[\"h3\"", "members[1].host");
+    refused("[\"h1\"", "[1", "members[0].host");
+    refused("[\"h1\",", "[", "members[0]");
+    refused("\"h2\",9", "\"h2\",-9", "members[1].incarnation");
+    refused("\"h2\",9,1", "\"h2\",9,2", "members[1].place");
+    refused("[\"amman\",", "[", "places[0]");
     refused("\"live\"", "\"dead\"", "members[1].state");
     refused("\"aaa", "\"AAA", "digest");
     refused("[\"u1\"]", "[1]", "drainedUpstreams");
@@ -60,3 +65,43 @@
     CHECK(decodeHead(std::string(2 << 20, '[')).error().message_ == "head: larger than 1 MiB");
     CHECK(decodeHead(std::string(1 << 19, '[')).has_error());
 }
+
+TEST_CASE("a change of a head yields the next head, and only on its own base")
+{
+    // Guards against a host that applies a change to another head, and against changes that grow with the
+    // fleet.
+    const Head base = sampleHead();
+    Head next = base;
+    ++next.version_;
+    next.nonce_ = "n8";
+    next.moves_.clear();
+    next.members_[1].incarnation_ = 10;
+    next.members_.erase(next.members_.begin());
+    next.members_.push_back({ "h3", 1, "sfax", "sfax-a", "127.0.0.2:3", "127.0.0.3:4", MemberState::Live });
+    const std::string change = encodeHeadChange(base, next);
+    CHECK(decodeHeadChange(base, change).value() == next);
+    CHECK(decodeHeadChange(next, encodeHeadChange(next, base)).value() == base);
+    CHECK(decodeHeadChange({}, encodeHeadChange({}, base)).value() == base);
+    CHECK(decodeHeadChange({}, encodeHead(next)).value() == next);
+    Head other = base;
+    other.nonce_ = "m";
+    CHECK((decodeHeadChange(other, change).error().code_ == ErrorCode::Conflict));
+    other = base;
+    ++other.version_;
+    CHECK((decodeHeadChange(other, change).error().code_ == ErrorCode::Conflict));
+
+    Head large = base;
+    large.members_.clear();
+    for (int i = 0; i < 810; ++i) {
+        const std::string address = "10.0." + std::to_string(i / 200) + "." + std::to_string(i % 200);
+        large.members_.push_back({ "host-" + std::to_string(1000 + i), 1796377825488, "region-1", "domain-1",
+            address + ":7100", address + ":7200", MemberState::Live });
+    }
+    next = large;
+    next.members_[500].state_ = MemberState::Leaving;
+    CHECK(decodeHead(encodeHead(large)).value() == large);
+    CHECK(decodeHeadChange(large, encodeHeadChange(large, next)).value() == next);
+    CHECK(encodeHeadChange(large, next).size() < 1024);
+    // 128 MB and 5 KB/s leave room for about 80 bytes for each member.
+    CHECK(encodeHead(large).size() < size_t { 810 } * 80);
+}
