Spread observation of hosts over groups, and watch each host from three domains

Two relays observed a whole failure domain and the domain next to it. At 810 hosts and 23 domains each of them received heartbeats from about 70 hosts and 44 relays. A domain that was lost as a whole was suspected by one other domain only, so it was never removed. An observer that a change of the view had just appointed suspected hosts at once that it had not heard yet.

A pair of observers now watches a group of at most five hosts in each of three domains; relays of large domains do not observe, and their number follows the domain's size. A new observer waits suspectAfter before it suspects.

--- a/include/turmericwing/control/membership.h
+++ b/include/turmericwing/control/membership.h
@@ -15,7 +15,11 @@
     Duration suspectAfter_ = std::chrono::milliseconds(1500); ///< Without a heartbeat; interval 500 ms.
     Duration reportLifetime_ = std::chrono::milliseconds(1000); ///< Of another observer's suspicion.
     Duration pauseGap_ = std::chrono::milliseconds(500); ///< Between ticks; more means that this host paused.
-    size_t relaysPerDomain_ = 2;
+    size_t relaysPerDomain_ = 2; ///< At least.
+    size_t hostsPerRelay_ = 12; ///< Most hosts that ask one relay for the head.
+    /// Most hosts of a failure domain that one pair of observers watches. With one pair for a whole domain of
+    /// 35 hosts its observers would receive 10 KB/s of heartbeats, twice the budget.
+    size_t watchGroup_ = 5;
     size_t fullMeshLimit_ = 64; ///< Members up to which hosts connect to their whole region.
     bool requireTwoDomains_ = true; ///< Tests switch it off to show that it is needed.
     bool detectPauses_ = true; ///< Tests switch it off to show that it is needed.
@@ -24,19 +28,23 @@
 /// Most suspicions in one summary, which bounds the message during the failure of a whole domain.
 inline constexpr size_t maxSuspicions = 64;
 
-/// The relays of a domain: its lowest live host ids.
+/// The relays of a domain, which read the head for it: its lowest live host ids.
 std::vector<std::string> relaysOf(const Head&, const MembershipOptions&, std::string_view failureDomain);
 
-/// For each failure domain, the domain whose relays also observe its hosts: the next one of its region in
-/// name order, or of the fleet if the region has only one. Equal to itself if there is no other.
-std::map<std::string, std::string> observingDomains(const Head&);
+/// For each failure domain, up to two others that also observe its hosts, so that the loss of the whole
+/// domain is noticed in two domains: those of its region first, then those that observe the fewest so far.
+std::map<std::string, std::vector<std::string>> observingDomains(const Head&);
 
-/// Hosts that `observer` has to watch, sorted: if it is a relay, those of its domain and of the domains that
-/// its domain observes; otherwise none.
+/// Hosts that watch `host`, sorted: two of its own group in its failure domain, and two in each observing
+/// domain. A host sends its heartbeats to them. An observer that suspects it sends its summary to them too.
+std::vector<std::string> watchersOf(const Head&, const MembershipOptions&, std::string_view host);
+
+/// Hosts that `observer` has to watch, sorted; the inverse of watchersOf.
 std::vector<std::string> observedBy(const Head&, const MembershipOptions&, std::string_view observer);
 
-/// Hosts that `host` connects to, sorted. A host that is no relay connects to at most four relays, whatever
-/// the size of the fleet; up to fullMeshLimit_ members, a region is also fully meshed.
+/// Hosts that `host` connects to, sorted: the relays of its domain, its watchers, the hosts that it watches
+/// and their other watchers; for a relay also one relay of each domain. The number does not depend on the
+/// size of the fleet. Up to fullMeshLimit_ members, a region is also fully meshed.
 std::vector<std::string> peersOf(const Head&, const MembershipOptions&, std::string_view host);
 
 struct HeartbeatRecord {
@@ -50,6 +58,8 @@
 /// What one host has heard. Invariant: incarnations of a host only increase.
 struct HeartbeatTable {
     std::map<std::string, HeartbeatRecord> records_;
+    /// Hosts that this host observes, and since when: a new observer has not heard from them yet.
+    std::map<std::string, TimePoint> watchedSince_;
     TimePoint observingSince_; ///< Start, or end of the last pause of this host.
     TimePoint lastTick_;
 };
@@ -74,19 +84,20 @@
     friend bool operator==(const Suspicion&, const Suspicion&) = default;
 };
 
-/// A relay's message to other relays: sized by its domain's failures, never by pairs of hosts.
+/// An observer's message to other observers: sized by the failures in its groups, never by pairs of hosts.
 struct DomainSummary {
     std::string relay_;
     std::string failureDomain_;
-    size_t members_ = 0;
+    size_t members_ = 0; ///< That the observer watches, with itself.
     size_t heard_ = 0;
     std::vector<Suspicion> suspicions_; ///< At most maxSuspicions.
     friend bool operator==(const DomainSummary&, const DomainSummary&) = default;
 };
 
-/// The observer's own view: its domain's count, and everyone that it observes and has not heard from.
+/// The observer's own view: whom it observes and has not heard from. Call with each heartbeat; a host that
+/// was not observed in the previous call is given suspectAfter_ from now on.
 DomainSummary summariseDomain(
-    const HeartbeatTable&, const MembershipOptions&, const Head&, const std::string& observer, TimePoint now);
+    HeartbeatTable&, const MembershipOptions&, const Head&, const std::string& observer, TimePoint now);
 
 /// Newest summary of each observer, with the time of receipt.
 using SuspicionLog = std::map<std::string, std::pair<TimePoint, DomainSummary>>;
--- a/src/control/membership.cc
+++ b/src/control/membership.cc
@@ -28,56 +28,173 @@
         return next;
     }
 
+    /// Members of a failure domain, sorted by host.
+    struct Domain {
+        std::vector<const Member*> members_;
+        std::vector<std::string_view> relays_;
+        size_t groups_ = 1;
+    };
+
+    size_t divideUp(size_t value, size_t divisor)
+    {
+        return (value + divisor - 1) / std::max<size_t>(divisor, 1);
+    }
+
+    std::map<std::string_view, Domain> domainsOf(const Head& head, const MembershipOptions& options)
+    {
+        std::map<std::string_view, Domain> out;
+        for (const Member& member : head.members_)
+            out[member.failureDomain_].members_.push_back(&member);
+        for (auto& [name, domain] : out) {
+            domain.groups_ = std::max<size_t>(1, divideUp(domain.members_.size(), options.watchGroup_));
+            const size_t relays = std::max(
+                options.relaysPerDomain_, divideUp(domain.members_.size(), options.hostsPerRelay_));
+            for (const Member* member : domain.members_) {
+                if (member->state_ == MemberState::Live && domain.relays_.size() < relays)
+                    domain.relays_.push_back(member->host_);
+            }
+        }
+        return out;
+    }
+
+    /// The two observers of a group. Member number i of a domain is in group i modulo the number of groups,
+    /// which spreads a rack of neighbouring names over the groups.
+    std::vector<std::string_view> observersIn(const Domain& domain, size_t group)
+    {
+        constexpr size_t observers = 2;
+        group %= domain.groups_;
+        std::vector<std::string_view> out;
+        const auto add = [&](size_t first, size_t step, bool relays) {
+            for (size_t i = first; i < domain.members_.size() && out.size() < observers; i += step) {
+                const Member& member = *domain.members_[i];
+                const bool isRelay = std::find(domain.relays_.begin(), domain.relays_.end(), member.host_)
+                    != domain.relays_.end();
+                if (member.state_ == MemberState::Live && (relays || !isRelay)
+                    && std::find(out.begin(), out.end(), member.host_) == out.end())
+                    out.push_back(member.host_);
+            }
+        };
+        // In a large domain relays are busy with the head, so others observe.
+        if (domain.groups_ > 1)
+            add(group, domain.groups_, false);
+        add(group, domain.groups_, true);
+        add(0, 1, true);
+        return out;
+    }
+
+    struct Watch {
+        std::map<std::string_view, Domain> domains_;
+        std::map<std::string, std::vector<std::string>> observing_;
+    };
+
+    Watch watchOf(const Head& head, const MembershipOptions& options)
+    {
+        return { domainsOf(head, options), observingDomains(head) };
+    }
+
+    /// Watchers of a group of a failure domain.
+    std::set<std::string> watchersOfGroup(const Watch& watch, std::string_view domain, size_t group)
+    {
+        std::set<std::string> out;
+        const auto add = [&](std::string_view name) {
+            for (const std::string_view host : observersIn(watch.domains_.at(name), group))
+                out.emplace(host);
+        };
+        add(domain);
+        for (const std::string& other : watch.observing_.at(std::string(domain)))
+            add(other);
+        return out;
+    }
+
+    std::set<std::string> watchersOfMember(const Watch& watch, const Member& member)
+    {
+        const Domain& domain = watch.domains_.at(member.failureDomain_);
+        const auto at = std::find(domain.members_.begin(), domain.members_.end(), &member);
+        std::set<std::string> out = watchersOfGroup(
+            watch, member.failureDomain_, static_cast<size_t>(at - domain.members_.begin()) % domain.groups_);
+        out.erase(member.host_);
+        return out;
+    }
+
+    /// Adds the hosts that `observer` watches to `observed`, and all watchers of these to `watchers`.
+    void collectObserved(const Watch& watch, std::string_view observer, std::set<std::string>& observed,
+        std::set<std::string>& watchers)
+    {
+        for (const auto& [name, domain] : watch.domains_) {
+            for (size_t group = 0; group < domain.groups_; ++group) {
+                const std::set<std::string> all = watchersOfGroup(watch, name, group);
+                if (all.count(std::string(observer)) == 0)
+                    continue;
+                watchers.insert(all.begin(), all.end());
+                for (size_t i = group; i < domain.members_.size(); i += domain.groups_)
+                    observed.insert(domain.members_[i]->host_);
+            }
+        }
+        observed.erase(std::string(observer));
+        watchers.erase(std::string(observer));
+    }
+
 } // namespace detail
 
 std::vector<std::string> relaysOf(
     const Head& head, const MembershipOptions& options, std::string_view failureDomain)
 {
-    std::vector<std::string> out;
-    for (const Member& member : head.members_) {
-        if (member.failureDomain_ == failureDomain && member.state_ == MemberState::Live
-            && out.size() < options.relaysPerDomain_)
-            out.push_back(member.host_);
-    }
-    return out;
+    const auto domains = detail::domainsOf(head, options);
+    const auto it = domains.find(failureDomain);
+    if (it == domains.end())
+        return {};
+    return { it->second.relays_.begin(), it->second.relays_.end() };
 }
 
-std::map<std::string, std::string> observingDomains(const Head& head)
+std::map<std::string, std::vector<std::string>> observingDomains(const Head& head)
 {
+    constexpr size_t others = 2;
     std::map<std::string, std::string> regionOf;
-    std::map<std::string, std::set<std::string>> byRegion;
-    std::set<std::string> fleet;
-    for (const Member& member : head.members_) {
-        if (regionOf.try_emplace(member.failureDomain_, member.region_).second) {
-            byRegion[member.region_].insert(member.failureDomain_);
-            fleet.insert(member.failureDomain_);
+    for (const Member& member : head.members_)
+        regionOf.try_emplace(member.failureDomain_, member.region_);
+    std::map<std::string, std::vector<std::string>> out;
+    std::map<std::string, size_t> load;
+    for (const bool sameRegion : { true, false }) {
+        for (auto it = regionOf.begin(); it != regionOf.end(); ++it) {
+            std::vector<std::string>& observing = out[it->first];
+            std::vector<std::string> candidates;
+            auto next = it;
+            for (size_t i = 1; i < regionOf.size(); ++i) {
+                if (++next == regionOf.end())
+                    next = regionOf.begin();
+                if ((next->second == it->second) == sameRegion)
+                    candidates.push_back(next->first);
+            }
+            // Each domain observes about two others, so that no observer has a multiple of the load.
+            std::stable_sort(candidates.begin(), candidates.end(),
+                [&](const std::string& a, const std::string& b) { return load[a] < load[b]; });
+            for (const std::string& candidate : candidates) {
+                if (observing.size() < others) {
+                    observing.push_back(candidate);
+                    ++load[candidate];
+                }
+            }
         }
     }
-    std::map<std::string, std::string> out;
-    for (const auto& [domain, region] : regionOf) {
-        const std::set<std::string>& regional = byRegion.at(region);
-        const std::set<std::string>& domains = regional.size() > 1 ? regional : fleet;
-        const auto next = domains.upper_bound(domain);
-        out[domain] = next == domains.end() ? *domains.begin() : *next;
-    }
     return out;
 }
 
+std::vector<std::string> watchersOf(const Head& head, const MembershipOptions& options, std::string_view host)
+{
+    const Member* self = detail::findMember(head, host);
+    if (!self)
+        return {};
+    const std::set<std::string> out = detail::watchersOfMember(detail::watchOf(head, options), *self);
+    return { out.begin(), out.end() };
+}
+
 std::vector<std::string> observedBy(
     const Head& head, const MembershipOptions& options, std::string_view observer)
 {
-    const Member* self = detail::findMember(head, observer);
-    if (!self || !detail::contains(relaysOf(head, options, self->failureDomain_), observer))
-        return {};
-    const std::map<std::string, std::string> observers = observingDomains(head);
-    std::vector<std::string> out;
-    for (const Member& member : head.members_) {
-        const bool watched = member.failureDomain_ == self->failureDomain_
-            || observers.at(member.failureDomain_) == self->failureDomain_;
-        if (watched && member.host_ != observer)
-            out.push_back(member.host_);
-    }
-    return out;
+    std::set<std::string> observed;
+    std::set<std::string> watchers;
+    detail::collectObserved(detail::watchOf(head, options), observer, observed, watchers);
+    return { observed.begin(), observed.end() };
 }
 
 std::vector<std::string> peersOf(const Head& head, const MembershipOptions& options, std::string_view host)
@@ -85,18 +202,24 @@
     const Member* self = detail::findMember(head, host);
     if (!self)
         return {};
-    const std::map<std::string, std::string> observers = observingDomains(head);
-    const bool isRelay = detail::contains(relaysOf(head, options, self->failureDomain_), host);
-    std::set<std::string> out;
-    for (const auto& [domain, observer] : observers) {
-        const bool own = domain == self->failureDomain_ || domain == observers.at(self->failureDomain_);
-        if (!own && !isRelay)
-            continue;
-        for (std::string& relay : relaysOf(head, options, domain))
-            out.insert(std::move(relay));
+    const detail::Watch watch = detail::watchOf(head, options);
+    const std::vector<std::string_view>& relays = watch.domains_.at(self->failureDomain_).relays_;
+    std::set<std::string> out = detail::watchersOfMember(watch, *self);
+    out.insert(relays.begin(), relays.end());
+    detail::collectObserved(watch, host, out, out);
+    const auto rank = static_cast<size_t>(std::find(relays.begin(), relays.end(), host) - relays.begin());
+    for (const auto& [name, domain] : watch.domains_) {
+        // Relays of equal rank form a mesh; with all pairs, pings alone would cost 2 KB/s.
+        if (rank < relays.size() && !domain.relays_.empty())
+            out.emplace(domain.relays_[rank % domain.relays_.size()]);
+        // The other end of a connection to a relay of lower rank than any of its own.
+        for (size_t i = rank; rank < relays.size() && i < domain.relays_.size(); i += relays.size())
+            out.emplace(domain.relays_[i]);
+    }
+    if (rank < relays.size()) {
+        for (const Member* member : watch.domains_.at(self->failureDomain_).members_)
+            out.insert(member->host_);
     }
-    for (std::string& observed : observedBy(head, options, host))
-        out.insert(std::move(observed));
     const bool mesh = head.members_.size() <= options.fullMeshLimit_;
     for (const Member& member : head.members_) {
         if (mesh && member.region_ == self->region_)
@@ -139,7 +262,7 @@
     table.lastTick_ = now;
 }
 
-DomainSummary summariseDomain(const HeartbeatTable& table, const MembershipOptions& options, const Head& head,
+DomainSummary summariseDomain(HeartbeatTable& table, const MembershipOptions& options, const Head& head,
     const std::string& observer, TimePoint now)
 {
     DomainSummary out;
@@ -149,20 +272,25 @@
         return out;
     out.failureDomain_ = self->failureDomain_;
     const std::vector<std::string> observed = observedBy(head, options, observer);
-    for (const Member& member : head.members_) {
-        const auto it = table.records_.find(member.host_);
+    std::erase_if(table.watchedSince_, [&](const auto& entry) {
+        return !std::binary_search(observed.begin(), observed.end(), entry.first);
+    });
+    out.members_ = 1;
+    out.heard_ = 1;
+    for (const std::string& host : observed) {
+        const Member& member = *detail::findMember(head, host);
+        const TimePoint watchedSince = table.watchedSince_.try_emplace(host, now).first->second;
+        TimePoint since = std::max(table.observingSince_, watchedSince);
+        const auto it = table.records_.find(host);
         const bool known = it != table.records_.end() && it->second.incarnation_ >= member.incarnation_;
-        const TimePoint since
-            = known ? std::max(it->second.lastHeard_, table.observingSince_) : table.observingSince_;
+        if (known)
+            since = std::max(since, it->second.lastHeard_);
         // A newer incarnation means that the listed one has ended.
         const bool replaced = known && it->second.incarnation_ > member.incarnation_;
-        const bool heard = member.host_ == observer || (!replaced && now < since + options.suspectAfter_);
-        if (member.failureDomain_ == self->failureDomain_) {
-            ++out.members_;
-            out.heard_ += heard ? 1 : 0;
-        }
-        if (!heard && out.suspicions_.size() < maxSuspicions
-            && std::binary_search(observed.begin(), observed.end(), member.host_))
+        const bool heard = !replaced && now < since + options.suspectAfter_;
+        ++out.members_;
+        out.heard_ += heard ? 1 : 0;
+        if (!heard && out.suspicions_.size() < maxSuspicions)
             out.suspicions_.push_back({ member.host_, member.incarnation_ });
     }
     return out;
