--- /dev/null
+++ b/support/bench.d/bench-capacity.cc
@@ -0,0 +1,540 @@
+// bench-capacity: cost of control at 10 to 810 hosts. Runs the real codecs, state tables and decision
+// functions with the state and messages of a fleet of that size in one process. Prints one line per figure,
+// "kind<TAB>name<TAB>hosts<TAB>value"; support/capacity turns them into docs/CAPACITY.md and charts.
+#include "turmericwing/base/hash.h"
+#include "turmericwing/base/random.h"
+#include "turmericwing/control/evidence.h"
+#include "turmericwing/control/lease.h"
+#include "turmericwing/control/membership.h"
+#include "turmericwing/limits/grants.h"
+#include "turmericwing/limits/placement.h"
+#include "turmericwing/model/parse.h"
+#include "turmericwing/peer/message.h"
+#include "turmericwing/rollout/controller.h"
+#include "turmericwing/routing/slots.h"
+#include "turmericwing/steering/assign.h"
+#include "turmericwing/steering/lookup.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <map>
+#include <new>
+#include <set>
+#include <string>
+
+#include <malloc.h>
+
+// Counts the heap, so that the memory of one structure can be told from that of the process.
+static size_t heapBytes = 0;
+
+void* operator new(size_t size)
+{
+    void* const block = std::malloc(size);
+    if (!block)
+        std::abort();
+    heapBytes += malloc_usable_size(block);
+    return block;
+}
+
+void operator delete(void* block) noexcept
+{
+    heapBytes -= block ? malloc_usable_size(block) : 0;
+    std::free(block);
+}
+
+void operator delete(void* block, size_t) noexcept { operator delete(block); }
+
+using namespace turmericwing;
+
+namespace {
+
+constexpr size_t regions = 9;
+constexpr size_t domains = 23;
+constexpr size_t workspaces = 8;
+constexpr uint64_t incarnation = 1796377825488; // Milliseconds since the epoch have this length.
+constexpr size_t frameBytes = 6; // Mean WebSocket header: 2 to 4 bytes, and 4 more from the connecting side.
+constexpr double beatsPerSecond = 2;
+constexpr double readsPerSecond = 2.5;
+constexpr double tokenPullsPerSecond = 5; // One batch covers 200 ms of demand (GrantOptions::batchSpan_).
+constexpr double moveReportsPerSecond = 2; // A share lasts for 1 s from the sending of a report.
+// 530 publications; 58 restarts with a leaving mark and a join; 2 failures with a removal and a join.
+constexpr double changesPerSecond = (530 + 2 * 58 + 2 * 2) / 86400.0;
+// Each end of a connection sends two pings and two pongs a second, with headers of 2 or 6 bytes.
+constexpr double pingBytesPerSecond = 32;
+constexpr double unchangedReadBytes = 280; // Headers of a conditional read and of its 304 response.
+
+void print(const char* kind, const std::string& name, size_t hosts, double value)
+{
+    std::printf("%s\t%s\t%zu\t%.6g\n", kind, name.c_str(), hosts, value);
+}
+
+std::string numbered(const char* prefix, size_t i) { return prefix + std::to_string(1000 + i); }
+
+/// CPU microseconds of one call.
+template <typename F> double cpuUs(F f)
+{
+    f();
+    size_t rounds = 1;
+    while (true) {
+        timespec begin {};
+        timespec end {};
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &begin);
+        for (size_t i = 0; i < rounds; ++i)
+            f();
+        clock_gettime(CLOCK_THREAD_CPUTIME_ID, &end);
+        const double us = static_cast<double>(end.tv_sec - begin.tv_sec) * 1e6
+            + static_cast<double>(end.tv_nsec - begin.tv_nsec) / 1e3;
+        if (us > 20000)
+            return us / static_cast<double>(rounds);
+        rounds *= 4;
+    }
+}
+
+/// Heap bytes of what `make` returns.
+template <typename F> double heapOf(F make)
+{
+    const size_t before = heapBytes;
+    const auto value = make();
+    return static_cast<double>(heapBytes - before) + static_cast<double>(sizeof(value));
+}
+
+control::Head fleetOf(size_t hosts)
+{
+    // A small fleet has two failure domains in each of three regions, as today; a large one has the
+    // planned 23.
+    const size_t domainCount = hosts < 100 ? 6 : domains;
+    const size_t regionCount = hosts < 100 ? 3 : regions;
+    control::Head head;
+    head.version_ = 123456;
+    head.revision_ = 60000;
+    head.epoch_ = 63456;
+    head.digest_ = std::string(64, 'a');
+    head.publisher_ = "operator-one";
+    head.nonce_ = std::string(32, 'b');
+    head.change_ = "publish: withdraw key photo-2";
+    head.writtenAt_ = { int64_t { 1796377825488 } };
+    for (size_t i = 0; i < hosts; ++i) {
+        const size_t domain = i % domainCount;
+        const std::string ip = "10." + std::to_string(100 + domain) + "." + std::to_string(i / 200) + "."
+            + std::to_string(i % 200 + 20);
+        head.members_.push_back(
+            { numbered("host-", i), incarnation + i, numbered("region-", domain % regionCount),
+                numbered("domain-", domain), ip + ":7100", ip + ":7200", control::MemberState::Live });
+    }
+    return head;
+}
+
+/// Bytes with the WebSocket header, and CPU time at the sender and at the receiver.
+struct Cost {
+    double bytes_ = 0;
+    double encodeUs_ = 0;
+    double decodeUs_ = 0;
+};
+
+Cost costOf(const char* name, size_t hosts, const peer::Message& message)
+{
+    const peer::Envelope envelope { .id_ = 100000, .replyTo_ = 0, .message_ = message };
+    const std::string text = peer::encode(envelope).value();
+    size_t sink = 0;
+    Cost cost;
+    cost.bytes_ = static_cast<double>(text.size() + frameBytes);
+    cost.encodeUs_ = cpuUs([&] { sink += peer::encode(envelope).value().size(); });
+    cost.decodeUs_ = cpuUs([&] { sink += peer::decode(text).has_value() ? 1 : 0; });
+    if (sink == 0)
+        std::abort();
+    print("message-bytes", name, hosts, cost.bytes_);
+    print("message-us", name, hosts, cost.encodeUs_ + cost.decodeUs_);
+    return cost;
+}
+
+/// Rates of one role in calm.
+struct Role {
+    double messages_ = 0;
+    double bytes_ = 0;
+    double cpuUs_ = 0; ///< Per second.
+
+    void send(double perSecond, const Cost& cost)
+    {
+        messages_ += perSecond;
+        bytes_ += perSecond * cost.bytes_;
+        cpuUs_ += perSecond * cost.encodeUs_;
+    }
+
+    void receive(double perSecond, const Cost& cost)
+    {
+        messages_ += perSecond;
+        bytes_ += perSecond * cost.bytes_;
+        cpuUs_ += perSecond * cost.decodeUs_;
+    }
+
+    void add(double perSecond, double us) { cpuUs_ += perSecond * us; }
+};
+
+void printRole(const char* name, size_t hosts, const Role& role)
+{
+    print("role-messages", name, hosts, role.messages_);
+    print("role-bytes", name, hosts, role.bytes_);
+    print("role-cpu", name, hosts, role.cpuUs_ / 1e4); // Percent of a core.
+}
+
+struct Messages {
+    Cost beat_;
+    Cost headGet_;
+    Cost headSame_;
+    Cost headChange_;
+    Cost pull_;
+    Cost grant_;
+    Cost stats_;
+    Cost share_;
+    Cost candidate_;
+    Cost ack_;
+    Cost probe_;
+    Cost evidence_;
+    Cost summary_;
+    double encodeHeadUs_ = 0;
+    double decodeHeadUs_ = 0;
+    double decodeChangeUs_ = 0;
+    double rowBytes_ = 0;
+};
+
+control::Head joined(const control::Head& head)
+{
+    control::Member member = head.members_[head.members_.size() / 2];
+    ++member.incarnation_;
+    return control::withMember(head, member, {}).value();
+}
+
+Messages measureMessages(const control::Head& head)
+{
+    const size_t hosts = head.members_.size();
+    size_t sink = 0;
+    Messages out;
+    const std::string row = control::encodeHead(head);
+    control::Head next = joined(head);
+    next.nonce_ = std::string(32, 'c');
+    const std::string change = control::encodeHeadChange(head, next);
+    out.rowBytes_ = static_cast<double>(row.size());
+    out.encodeHeadUs_ = cpuUs([&] { sink += control::encodeHead(head).size(); });
+    out.decodeHeadUs_ = cpuUs([&] { sink += control::decodeHead(row).value().members_.size(); });
+    out.decodeChangeUs_
+        = cpuUs([&] { sink += control::decodeHeadChange(head, change).value().members_.size(); });
+    print("state-bytes", "head row", hosts, out.rowBytes_);
+    print("state-bytes", "head change by a join", hosts, static_cast<double>(change.size()));
+    print("state-us", "head row: encode", hosts, out.encodeHeadUs_);
+    print("state-us", "head row: decode", hosts, out.decodeHeadUs_);
+    print("state-us", "head change: decode and apply", hosts, out.decodeChangeUs_);
+    print("state-memory", "head", hosts, heapOf([&] { return control::Head(head); }));
+
+    const std::string& host = head.members_.front().host_;
+    const control::Candidate candidate { 123456, head.nonce_, head.digest_ };
+    const rollout::RouteStats route { { 10, 0, 1000, 3 }, { 10, 0, 1000, 30 }, 5.0 };
+    const control::DomainSummary quiet { host, "domain-1000", 6, 6, {} };
+    out.beat_ = costOf(
+        "heartbeat", hosts, peer::Heartbeat { incarnation, "10.100.3.219:7200", true, false, 123456, quiet });
+    out.headGet_ = costOf("headGet", hosts, peer::HeadGet { 123456 });
+    out.headSame_ = costOf("head, unchanged", hosts, peer::HeadRow { 123456, 200000, true, "" });
+    out.headChange_ = costOf("head, change", hosts, peer::HeadRow { 123457, 200000, true, change });
+    costOf("head, full row", hosts, peer::HeadRow { 123457, 200000, true, row });
+    out.candidate_ = costOf("candidate with change", hosts, peer::CandidateReport { candidate, change });
+    out.ack_ = costOf("ack", hosts, peer::Ack { incarnation });
+    out.probe_ = costOf("probe", hosts, peer::Probe {});
+    out.evidence_ = costOf("evidence", hosts, control::Evidence { host, incarnation, 123456, false, {} });
+    out.summary_ = costOf("summary", hosts,
+        control::Summary { host, "domain-1000", 123456, { { "", 35 } }, 34, 1, std::chrono::seconds(1), {} });
+    out.pull_ = costOf("tokenPull", hosts,
+        limits::PullRequest {
+            "municipality-12", host, incarnation, 63456, limits::ShareKind::Main, 900, 899, 1, 100 });
+    out.grant_ = costOf("tokenGrant", hosts,
+        limits::Grant { "municipality-12", incarnation, 63456, limits::ShareKind::Main, 900,
+            limits::GrantStatus::Granted, 101, {} });
+    out.stats_ = costOf("moveStats, 4 routes", hosts,
+        peer::MoveStats { "orders-v2",
+            { host, incarnation, { { "a", route }, { "b", route }, { "c", route }, { "d", route } },
+                false } });
+    out.share_ = costOf("moveShare", hosts,
+        peer::MoveShare { "orders-v2", 2, 0.01, false, { "a", "b" }, { 5000, 9000, 5000, 9000 } });
+    // All hosts of a group are lost at once.
+    control::DomainSummary lost = quiet;
+    for (const std::string& gone : control::observedBy(head, {}, head.members_.back().host_))
+        lost.suspicions_.push_back({ gone, incarnation });
+    costOf("heartbeat, all suspected", hosts,
+        peer::Heartbeat { incarnation, "10.100.3.219:7200", true, false, 123456, lost });
+    if (sink == 0)
+        std::abort();
+    return out;
+}
+
+/// Cost of membership on a host that observes `observed`.
+struct Ticks {
+    double summariseUs_ = 0;
+    double removalsUs_ = 0;
+    double beatUs_ = 0;
+};
+
+Ticks measureTicks(const control::Head& head, const std::string& observer)
+{
+    const control::MembershipOptions options;
+    const std::vector<std::string> observed = control::observedBy(head, options, observer);
+    const TimePoint now = TimePoint {} + std::chrono::seconds(100);
+    const auto fill = [&] {
+        control::HeartbeatTable table;
+        control::recordTick(table, options, now);
+        for (const std::string& host : observed)
+            control::recordHeartbeat(table, options, host, incarnation + 5000, host + ":7200", now);
+        return table;
+    };
+    control::HeartbeatTable table = fill();
+    control::SuspicionLog log;
+    for (const std::string& host : observed)
+        log[host] = { now, { host, "domain-1000", 6, 6, {} } };
+    size_t sink = 0;
+    Ticks out;
+    out.summariseUs_
+        = cpuUs([&] { sink += control::summariseDomain(table, options, head, observer, now).members_; });
+    out.removalsUs_ = cpuUs([&] { sink += control::removals(log, options, head, now).size(); });
+    out.beatUs_ = observed.empty() ? 0 : cpuUs([&] {
+        sink += static_cast<size_t>(control::recordHeartbeat(
+            table, options, observed.front(), incarnation + 5000, observed.front() + ":7200", now));
+    });
+    print("state-us", "membership: summary of an observer", head.members_.size(), out.summariseUs_);
+    print("state-us", "membership: removals", head.members_.size(), out.removalsUs_);
+    print("state-us", "membership: peers of a host", head.members_.size(),
+        cpuUs([&] { sink += control::peersOf(head, options, observer).size(); }));
+    print("state-memory", "heartbeats of an observer", head.members_.size(), heapOf(fill));
+    if (sink == 0)
+        std::abort();
+    return out;
+}
+
+void measureRoles(const control::Head& head, const Messages& m)
+{
+    const control::MembershipOptions options;
+    const size_t hosts = head.members_.size();
+    const auto count = static_cast<double>(hosts);
+    const bool mesh = hosts <= options.fullMeshLimit_;
+    std::string busiest = head.members_.front().host_;
+    size_t most = 0;
+    std::map<std::string, size_t> domainSize;
+    std::map<std::string, std::vector<std::string>> relays;
+    for (const control::Member& member : head.members_) {
+        ++domainSize[member.failureDomain_];
+        const size_t observed = control::observedBy(head, options, member.host_).size();
+        if (observed > most) {
+            most = observed;
+            busiest = member.host_;
+        }
+    }
+    for (const auto& [domain, size] : domainSize)
+        relays[domain] = control::relaysOf(head, options, domain);
+    const Ticks ticks = measureTicks(head, busiest);
+
+    std::map<std::string, Role> worst;
+    std::map<std::string, size_t> connections;
+    for (const control::Member& member : head.members_) {
+        const auto& own = relays.at(member.failureDomain_);
+        const bool isRelay = std::find(own.begin(), own.end(), member.host_) != own.end();
+        const auto observed = static_cast<double>(control::observedBy(head, options, member.host_).size());
+        const size_t peers = mesh ? hosts - 1 : control::peersOf(head, options, member.host_).size();
+        Role role;
+        if (mesh) {
+            role.send(beatsPerSecond * (count - 1), m.beat_);
+            role.receive(beatsPerSecond * (count - 1), m.beat_);
+        } else {
+            role.send(
+                beatsPerSecond * static_cast<double>(control::watchersOf(head, options, member.host_).size()),
+                m.beat_);
+            role.receive(beatsPerSecond * observed, m.beat_);
+        }
+        role.add(beatsPerSecond * (mesh ? count - 1 : observed), ticks.beatUs_);
+        role.bytes_ += static_cast<double>(peers) * pingBytesPerSecond;
+        const bool reads = mesh || isRelay;
+        if (reads) {
+            role.bytes_ += readsPerSecond * unchangedReadBytes + changesPerSecond * m.rowBytes_;
+            role.add(changesPerSecond, m.decodeHeadUs_);
+        } else {
+            role.send(readsPerSecond, m.headGet_);
+            role.receive(readsPerSecond, m.headSame_);
+            role.receive(changesPerSecond, m.headChange_);
+            role.add(changesPerSecond, m.decodeChangeUs_);
+        }
+        if (!mesh && isRelay) {
+            const double clients = static_cast<double>(domainSize.at(member.failureDomain_) - own.size())
+                / static_cast<double>(own.size());
+            role.receive(readsPerSecond * clients, m.headGet_);
+            role.send(readsPerSecond * clients, m.headSame_);
+            role.send(changesPerSecond * clients, m.headChange_);
+        }
+        // The control loop summarises with each heartbeat and looks for removals on each tick of 50 ms.
+        role.add(beatsPerSecond, observed > 0 ? ticks.summariseUs_ : 0);
+        role.add(20, observed > 0 ? ticks.removalsUs_ : 0);
+        const char* name = isRelay ? "relay" : observed > 0 ? "observer" : "plain host";
+        if (mesh)
+            name = "plain host";
+        Role& entry = worst[name];
+        if (role.bytes_ > entry.bytes_)
+            entry = role;
+        connections[name] = std::max(connections[name], peers);
+    }
+    for (const auto& [name, role] : worst) {
+        printRole(name.c_str(), hosts, role);
+        print("role-connections", name, hosts, static_cast<double>(connections.at(name)));
+    }
+
+    // On top of the host's own role:
+    Role owner; // Of one workspace: its three other preferred hosts pull.
+    owner.receive(3 * tokenPullsPerSecond, m.pull_);
+    owner.send(3 * tokenPullsPerSecond, m.grant_);
+    printRole("+ bucket owner, per workspace", hosts, owner);
+    Role move;
+    move.receive(moveReportsPerSecond * (count - 1), m.stats_);
+    move.send(moveReportsPerSecond * (count - 1), m.share_);
+    printRole("+ move owner, while a move runs", hosts, move);
+    Role writer; // One host that writes all changes of a day: announces and reports each to its peers.
+    const double peers = mesh ? count - 1 : 45;
+    writer.send(changesPerSecond * peers, m.candidate_);
+    writer.send(changesPerSecond * peers, m.headChange_);
+    writer.receive(2 * changesPerSecond * peers, m.ack_);
+    writer.add(changesPerSecond, 2 * m.encodeHeadUs_ + m.decodeHeadUs_);
+    writer.bytes_ += changesPerSecond * 2 * m.rowBytes_;
+    printRole("+ head writer of all changes", hosts, writer);
+    // Store outage: every host needs evidence within 1.9 s, so it probes once a second.
+    Role outage;
+    const double probed = mesh ? count - 1 : std::ceil(count / domains);
+    outage.send(probed, m.probe_);
+    outage.receive(probed, m.evidence_);
+    if (mesh) {
+        outage.receive(probed, m.probe_);
+        outage.send(probed, m.evidence_);
+    } else {
+        outage.receive(2 * domains, m.summary_);
+        outage.send(2 * domains, m.summary_);
+        outage.send(12.0 * domains, m.summary_); // Forwards the other domains' summaries to its hosts.
+    }
+    printRole(mesh ? "+ any host in a store outage" : "+ relay in a store outage", hosts, outage);
+}
+
+model::ObjectSet plannedSet()
+{
+    model::ObjectSet set;
+    for (size_t i = 0; i < regions; ++i)
+        set.regions_.push_back({ numbered("region-", i) });
+    for (size_t i = 0; i < domains; ++i)
+        set.failureDomains_.push_back({ numbered("domain-", i), numbered("region-", i % regions) });
+    for (size_t i = 0; i < 90; ++i)
+        set.sites_.push_back({ numbered("site-", i), numbered("domain-", i % domains), 1 });
+    set.services_ = { { "photos", "v1" } };
+    for (size_t i = 0; i < workspaces; ++i)
+        set.workspaces_.push_back({ numbered("workspace-", i), numbered("region-", i), 100, 100, 1 });
+    for (uint32_t i = 0; i < 140000; ++i)
+        set.clientBlocks_.push_back({ i << 14, 18, static_cast<uint16_t>(i % regions) });
+    return set;
+}
+
+void measureTables(
+    const control::Head& head, const model::ObjectSet& set, const steering::SteeringState& steering)
+{
+    const size_t hosts = head.members_.size();
+    size_t sink = 0;
+    std::vector<limits::PlacementHost> places;
+    std::vector<routing::SlotHost> slotHosts;
+    for (const control::Member& m : head.members_) {
+        places.push_back({ m.host_, m.region_, m.failureDomain_ });
+        slotHosts.push_back({ m.host_, m.incarnation_, m.region_ });
+    }
+    print("state-us", "placement of one workspace", hosts, cpuUs([&] {
+        sink += limits::placeWorkspace("municipality-12", "region-1000", places).preferred_.size();
+    }));
+    // Today there are four upstreams with three slots for each host.
+    std::vector<routing::SlotUpstream> upstreams;
+    for (size_t i = 0; i < 4 * hosts; ++i)
+        upstreams.push_back({ numbered("upstream-", i), numbered("service-", i % 3),
+            head.members_[i % hosts].region_, 3, 400, std::chrono::seconds(5) });
+    const routing::Placement placement { { 1, 1 }, upstreams, routing::slotHomes(slotHosts, upstreams) };
+    print("state-us", "slot homes of all upstreams", hosts,
+        cpuUs([&] { sink += routing::slotHomes(slotHosts, upstreams).size(); }));
+    print("state-memory", "slot homes of all upstreams", hosts,
+        heapOf([&] { return routing::slotHomes(slotHosts, upstreams); }));
+    print("state-memory", "slot table of a host", hosts, heapOf([&] {
+        routing::SlotTable table { .host_ = head.members_.front().host_, .incarnation_ = incarnation };
+        routing::learnPlacement(table, TimePoint {} + std::chrono::seconds(100), placement, true);
+        return table;
+    }));
+    print("state-memory", "token share with three pullers", hosts, heapOf([&] {
+        const TimePoint now = TimePoint {} + std::chrono::seconds(100);
+        limits::ShareHolder share = limits::acquireShare({ 100, 100 }, 1, now, {});
+        for (size_t i = 0; i < 3; ++i)
+            limits::answerPull(share,
+                { "w", head.members_[i].host_, incarnation, 1, limits::ShareKind::Main, 1, 1, 1, 5 },
+                now + std::chrono::seconds(2), {});
+        return share;
+    }));
+    const rollout::RouteStats route { { 10, 0, 1000, 3 }, { 10, 0, 1000, 30 }, 5.0 };
+    rollout::Controller controller;
+    const auto report = [&](rollout::Controller& to) {
+        for (const control::Member& m : head.members_)
+            rollout::addReport(to,
+                { m.host_, m.incarnation_, { { "a", route }, { "b", route }, { "c", route }, { "d", route } },
+                    false });
+    };
+    print("state-memory", "reports at a move owner", hosts, heapOf([&] {
+        rollout::Controller out;
+        report(out);
+        return out;
+    }));
+    print("state-us", "move owner: reports of all hosts", hosts, cpuUs([&] {
+        report(controller);
+        ++sink;
+    }));
+    steering::LookupTable table = steering::buildLookupTable(set, head, {}, steering.current_, {});
+    print("state-memory", "lookup table", hosts,
+        heapOf([&] { return steering::buildLookupTable(set, head, {}, steering.current_, {}); }));
+    print("state-us", "lookup table: refresh hosts", hosts, cpuUs([&] {
+        steering::refreshHosts(table, set, head, {});
+        ++sink;
+    }));
+    uint32_t address = 1;
+    print("state-us", "lookup", hosts, cpuUs([&] {
+        address = address * 1664525 + 1013904223;
+        sink += steering::lookup(table, "photos", "workspace-1003", address, address).value().hosts_.size();
+    }));
+    if (sink == 0)
+        std::abort();
+}
+
+void measureConfiguration(const model::ObjectSet& set)
+{
+    constexpr size_t hosts = 810;
+    const std::string text = model::canonicalText(set);
+    print("state-bytes", "configuration of 140,000 client blocks", hosts, static_cast<double>(text.size()));
+    print("state-us", "configuration: parse and check", hosts, cpuUs([&] {
+        if (model::parseSet({ { "objects.ini", text } }).set_.clientBlocks_.size() != 140000)
+            std::abort();
+    }));
+    print("state-memory", "configuration, parsed", hosts, heapOf([&] {
+        return model::parseSet({ { "objects.ini", text } });
+    }));
+    print("state-us", "assignment of 140,000 client blocks", hosts, cpuUs([&] {
+        if (steering::startSteering(set, {}).current_.size() != 140000)
+            std::abort();
+    }));
+    print("state-memory", "assignment of 140,000 client blocks", hosts,
+        heapOf([&] { return steering::startSteering(set, {}); }));
+}
+
+} // namespace
+
+int main()
+{
+    const model::ObjectSet set = plannedSet();
+    const steering::SteeringState steering = steering::startSteering(set, {});
+    for (const size_t hosts : { 10, 50, 60, 100, 200, 400, 810 }) {
+        const control::Head head = fleetOf(hosts);
+        measureRoles(head, measureMessages(head));
+        measureTables(head, set, steering);
+    }
+    measureConfiguration(set);
+    return 0;
+}
--- a/support/bench.d/bench-message.cc
+++ b/support/bench.d/bench-message.cc
@@ -28,7 +28,7 @@
         TokenPull { workspace, "amman-h01", 1u << 30, 70, turmericwing::limits::ShareKind::Main, 900, 899, 1, 100 },
         TokenGrant { workspace, 1u << 30, 70, turmericwing::limits::ShareKind::Main, 900,
             turmericwing::limits::GrantStatus::Granted, 101, {} },
-        TokenReturn { workspace, "amman-h01", 1u << 30, turmericwing::limits::ShareKind::Main, 900, 12 },
+        TokenReturn { "amman-h02", workspace, "amman-h01", 1u << 30, turmericwing::limits::ShareKind::Main, 900, 12 },
         SlotBorrow { loan, "orders-12", second }, SlotLoan { loan, { "orders-12", 2 }, second },
         SlotReturn { loan, { "orders-12", 2 } }, SlotRelease { { "orders-12", 2 }, 70 },
         MoveStats { "orders-v2",
