Test that a lone host and a whole failure domain leave the view

The observer now starts its watch at the first summary, so the test makes a summary with every heartbeat, as the host does.

--- a/test/control/membership-test.cc
+++ b/test/control/membership-test.cc
@@ -160,6 +160,37 @@
     }
 }
 
+TEST_CASE("a host alone in its domain and a domain that fails as a whole are removed")
+{
+    // Guards against dead members that keep their shares for ever because only one domain observes them.
+    for (const auto& [count, dead] : { std::pair<size_t, std::string> { 7, "d3" }, { 16, "d2" } }) {
+        Head head = viewOf(count, 4);
+        const auto inDomain = [dead = dead](const Member& m) { return m.failureDomain_ == dead; };
+        for (int round = 0; round < 2; ++round) {
+            SuspicionLog log;
+            for (const Member& observer : head.members_) {
+                HeartbeatTable table;
+                recordTick(table, {}, at(0));
+                for (int ms = 100; ms <= 4000; ms += 100) {
+                    recordTick(table, {}, at(ms));
+                    for (const Member& m : head.members_) {
+                        if (!inDomain(m) && ms % 500 == 0)
+                            recordHeartbeat(table, {}, m.host_, m.incarnation_, m.peerAddress_, at(ms));
+                    }
+                    if (ms % 500 == 0)
+                        static_cast<void>(summariseDomain(table, {}, head, observer.host_, at(ms)));
+                }
+                if (!inDomain(observer))
+                    log[observer.host_]
+                        = { at(4000), summariseDomain(table, {}, head, observer.host_, at(4000)) };
+            }
+            head = withoutMembers(head, removals(log, {}, head, at(4000)));
+        }
+        CHECK(std::none_of(head.members_.begin(), head.members_.end(), inDomain));
+        CHECK(head.members_.size() == count - count / 4);
+    }
+}
+
 TEST_CASE("a paused observer suspects nobody, nor does anyone suspect a short pause")
 {
     // Guards against a process that resumes with unread heartbeats and removes its peers.
