--- a/src/host/tokens.cc
+++ b/src/host/tokens.cc
@@ -237,42 +237,32 @@
 
 void Tokens::tick()
 {
-    std::vector<std::pair<std::string, limits::TokenReturn>> notices;
+    std::vector<limits::TokenReturn> notices;
     for (Shard& shard : shards_) {
         std::lock_guard lock(shard.mutex_);
         const TimePoint now = monotonicNow();
         for (auto& [name, workspace] : shard.workspaces_) {
             refresh(workspace, now);
-            addressReturns(workspace, limits::takeUsedUp(workspace.pulled_), notices);
-        }
-    }
-    for (const auto& [host, tokens] : notices)
-        outbox_.giveBack_(host, tokens);
-}
-
-void Tokens::addressReturns(const Workspace& workspace, std::vector<limits::TokenReturn> returns,
-    std::vector<std::pair<std::string, limits::TokenReturn>>& out)
-{
-    // Holders ignore returns of grants that they did not make, so a floor's return goes to all floor holders.
-    for (limits::TokenReturn& tokens : returns) {
-        for (const limits::PullTarget& target : workspace.targets_) {
-            if (target.kind_ == tokens.kind_)
-                out.emplace_back(target.host_, tokens);
+            const auto used = limits::takeUsedUp(workspace.pulled_);
+            notices.insert(notices.end(), used.begin(), used.end());
         }
     }
+    for (const limits::TokenReturn& tokens : notices)
+        outbox_.giveBack_(tokens.holder_, tokens);
 }
 
 void Tokens::returnAll()
 {
-    std::vector<std::pair<std::string, limits::TokenReturn>> returns;
+    std::vector<limits::TokenReturn> returns;
     for (Shard& shard : shards_) {
         std::lock_guard lock(shard.mutex_);
-        for (auto& [name, workspace] : shard.workspaces_)
-            addressReturns(
-                workspace, limits::returnTokens(workspace.pulled_, monotonicNow(), options_), returns);
+        for (auto& [name, workspace] : shard.workspaces_) {
+            const auto unspent = limits::returnTokens(workspace.pulled_, monotonicNow(), options_);
+            returns.insert(returns.end(), unspent.begin(), unspent.end());
+        }
     }
-    for (const auto& [host, tokens] : returns)
-        outbox_.giveBack_(host, tokens);
+    for (const limits::TokenReturn& tokens : returns)
+        outbox_.giveBack_(tokens.holder_, tokens);
 }
 
 } // namespace turmericwing::host
--- a/test/scenario/explore.lua
+++ b/test/scenario/explore.lua
@@ -1,6 +1,7 @@
 -- Explorer: explore.lua SEED COUNT. Runs COUNT seeded schedules of faults, checks all invariants after each
 -- step, and prints the shortest schedule that still breaks one. Started by support/explore.
 dofile("test/scenario/common.lua")
+io.stdout:setvbuf("line")
 local first, count = tonumber(arg[1]), tonumber(arg[2])
 
 --- A generator of its own (xorshift), because math.random differs between releases of Lua.
