--- a/support/standin/loadgen-main.cc
+++ b/support/standin/loadgen-main.cc
@@ -26,6 +26,7 @@
 DEFINE_uint64(seed, 1, "seed of the arrival times");
 DEFINE_uint32(threads, 256, "requests in flight at most, up to 512");
 DEFINE_uint32(attempts, 4, "attempts of one request at most");
+DEFINE_string(over_rate, "", "workspaces that the plan drives above their rate, separated by commas");
 DEFINE_string(json, "", "file for the results as JSON");
 
 namespace turmericwing::standin {
@@ -152,11 +153,18 @@
         std::vector<double> latencyMs_; ///< Of answered requests, from the planned time.
     };
 
+    struct Second {
+        uint64_t sent_ = 0;
+        uint64_t refused_ = 0;
+        uint64_t unknown_ = 0;
+    };
+
     /// Results of all threads.
     struct Results {
         std::mutex mutex_;
         std::map<std::pair<std::string, std::string>, Tally> tallies_; ///< By workspace and route.
         std::map<std::string, Told> told_;
+        std::map<int64_t, Second> seconds_; ///< By second of the plan, without workspaces above their rate.
         std::map<std::string, uint64_t> attempts_; ///< By reason, "" when answered.
         std::map<std::string, uint64_t> brokenByHost_;
         uint64_t incomplete_ = 0;
@@ -171,6 +179,7 @@
         std::string path_;
         std::string body_;
         std::string key_;
+        Duration at_; ///< Planned time after the start of the run.
         TimePoint planned_;
         Told told_;
         Exchange last_ { .outcome_ = Outcome::NotRun, .reason_ = "no-lookup" };
@@ -178,10 +187,11 @@
 
     class Worker {
     public:
-        Worker(Lookups& lookups, Clients& clients, Results& results)
+        Worker(Lookups& lookups, Clients& clients, Results& results, const std::vector<std::string>& overRate)
             : lookups_(lookups)
             , clients_(clients)
             , results_(results)
+            , overRate_(overRate.begin(), overRate.end())
         {
         }
 
@@ -251,6 +261,12 @@
             Tally& tally = results_.tallies_[{
                 job.line_.workspace_, job.line_.method_ + " /" + job.line_.service_ + job.line_.path_ }];
             ++tally.sent_;
+            if (!overRate_.contains(job.line_.workspace_)) {
+                Second& second = results_.seconds_[static_cast<int64_t>(seconds(job.at_))];
+                ++second.sent_;
+                second.refused_ += last.outcome_ != Outcome::Answered && !job.told_.mayHaveRun_;
+                second.unknown_ += last.outcome_ != Outcome::Answered && job.told_.mayHaveRun_;
+            }
             if (last.outcome_ == Outcome::Answered) {
                 ++(last.status_ == 200 ? tally.answered_ : tally.errors_);
                 tally.latencyMs_.push_back(
@@ -265,6 +281,7 @@
         Lookups& lookups_;
         Clients& clients_;
         Results& results_;
+        const std::set<std::string> overRate_;
     };
 
     /// Sums of the upstream stand-ins' counters; empty when one does not answer.
@@ -302,12 +319,12 @@
         std::vector<std::thread> threads;
         for (uint32_t i = 0; i < FLAGS_threads; ++i)
             threads.emplace_back([&] {
-                Worker worker(lookups, clients, results);
+                Worker worker(lookups, clients, results, splitList(FLAGS_over_rate));
                 for (size_t n = next++; n < arrivals.size(); n = next++) {
                     const PlanLine& line = plan[arrivals[n].line_];
                     const std::string name = runId + "-" + std::to_string(n);
-                    Job job { line, line.path_ + "/" + name, {}, name, start + arrivals[n].at_,
-                        { .once_ = line.once_ } };
+                    Job job { line, line.path_ + "/" + name, {}, name, arrivals[n].at_,
+                        start + arrivals[n].at_, { .once_ = line.once_ } };
                     while (job.body_.size() < line.bodyBytes_)
                         job.body_ += sha256Hex(name + std::to_string(job.body_.size()));
                     job.body_.resize(line.bodyBytes_);
@@ -374,10 +391,25 @@
             { "falseNotRun", verdict.falseNotRun_ }, { "answeredNotRun", verdict.answeredNotRun_ },
             { "overSlots", grown("overSlots") }, { "authorizationSeen", grown("authorizationSeen") },
             { "incompleteResponses", results.incomplete_ }, { "swappedResponses", results.swapped_ } };
-        return { { "rows", rows }, { "total", toJson(total) }, { "checks", checks },
-            { "examples", verdict.examples_ }, { "executed", grown("executed") },
-            { "attempts", results.attempts_ }, { "brokenByHost", results.brokenByHost_ },
-            { "replayed", results.replayed_ }, { "latestStartMs", results.latestStartMs_ } };
+        Json perSecond = Json::array();
+        Second within;
+        std::printf("\nsecond: refused/unknown of sent, workspaces within their rate\n");
+        for (const auto& [number, second] : results.seconds_) {
+            std::printf("%ld: %lu/%lu of %lu%s", number, second.refused_, second.unknown_, second.sent_,
+                number % 5 == 4 ? "\n" : "   ");
+            perSecond.push_back({ { "second", number }, { "sent", second.sent_ },
+                { "refused", second.refused_ }, { "unknown", second.unknown_ } });
+            within.sent_ += second.sent_;
+            within.refused_ += second.refused_;
+        }
+        std::printf("\n");
+        const double refusedShare
+            = static_cast<double>(within.refused_) / static_cast<double>(std::max<uint64_t>(within.sent_, 1));
+        return { { "refusedWithinRate", refusedShare }, { "perSecond", perSecond }, { "rows", rows },
+            { "total", toJson(total) }, { "checks", checks }, { "examples", verdict.examples_ },
+            { "executed", grown("executed") }, { "attempts", results.attempts_ },
+            { "brokenByHost", results.brokenByHost_ }, { "replayed", results.replayed_ },
+            { "latestStartMs", results.latestStartMs_ } };
     }
 
     int runLoadgen()
@@ -411,7 +443,8 @@
             std::cout << name << " " << value << "\n";
             passed = passed && value == 0;
         }
-        for (const char* name : { "executed", "replayed", "attempts", "brokenByHost", "latestStartMs" })
+        for (const char* name :
+            { "refusedWithinRate", "executed", "replayed", "attempts", "brokenByHost", "latestStartMs" })
             std::cout << name << " " << json[name] << "\n";
         for (const Json& example : json["examples"])
             std::cout << "  " << example.get<std::string>() << "\n";
