Add an HTTP load program for benchmarks

Cause: path overhead, lookups through HTTP and cold start have targets but no measurement. Change: support/bench.d/bench-http runs bounded load on loopback.

--- /dev/null
+++ b/support/bench.d/bench-http.cc
@@ -0,0 +1,173 @@
+// Load over HTTP on loopback, for support/bench. Each mode prints one line of figures.
+//   overhead  requests at a fixed rate, in turns of one second to the upstream and through the host
+//   lookups   lookups in a closed loop
+//   ready     waits until /readyz of the operator port responds with 200; prints ms since --sinceNs
+#include <gflags/gflags.h>
+#include <httplib.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <thread>
+#include <vector>
+
+DEFINE_string(host, "", "caller address (overhead, lookups) or operator address (ready), ip:port");
+DEFINE_string(upstream, "", "address of the upstream");
+DEFINE_string(key, "", "key of the workspace");
+DEFINE_string(service, "bench", "service, also the first segment of the path");
+DEFINE_string(query, "", "further parameters of each lookup, for example &client=10.1.2.3");
+DEFINE_int32(rate, 1000, "requests/s");
+DEFINE_int32(threads, 16, "connections");
+DEFINE_int32(turns, 10, "turns of one second for each side, after one that does not count");
+DEFINE_uint64(sinceNs, 0, "wall clock time in ns from which the start counts");
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+httplib::Client connect(const std::string& address)
+{
+    httplib::Client client("http://" + address);
+    client.set_keep_alive(true);
+    client.set_tcp_nodelay(true);
+    client.set_read_timeout(5);
+    return client;
+}
+
+struct Samples {
+    std::vector<double> ms_;
+    size_t failed_ = 0;
+};
+
+/// One second of requests of one connection at its part of the rate. A request that could not start on time,
+/// because the response before it was late, counts from the time at which it was due.
+void runTurn(httplib::Client& client, const std::string& path, const httplib::Headers& headers,
+    Clock::time_point first, Samples& samples)
+{
+    const auto interval = std::chrono::nanoseconds(1'000'000'000LL * FLAGS_threads / FLAGS_rate);
+    auto previousEnd = first;
+    for (auto due = first; due < first + std::chrono::seconds(1); due += interval) {
+        std::this_thread::sleep_until(due);
+        const auto start = previousEnd > due ? due : Clock::now();
+        const auto response = client.Get(path, headers);
+        previousEnd = Clock::now();
+        if (response && response->status == 200)
+            samples.ms_.push_back(std::chrono::duration<double, std::milli>(previousEnd - start).count());
+        else
+            ++samples.failed_;
+    }
+}
+
+double percentile(std::vector<double>& sorted, double share)
+{
+    if (sorted.empty())
+        return -1;
+    return sorted[std::min(
+        sorted.size() - 1, static_cast<size_t>(share * static_cast<double>(sorted.size())))];
+}
+
+int overhead()
+{
+    const size_t threads = static_cast<size_t>(FLAGS_threads);
+    std::vector<Samples> direct(threads);
+    std::vector<Samples> through(threads);
+    const auto begin = Clock::now() + std::chrono::milliseconds(100);
+    std::vector<std::thread> workers;
+    for (size_t i = 0; i < threads; ++i) {
+        workers.emplace_back([&, i] {
+            auto upstream = connect(FLAGS_upstream);
+            auto host = connect(FLAGS_host);
+            const httplib::Headers plain { { "Turmericwing-Request-Id", "bench" },
+                { "Turmericwing-Deadline-Ms", "2000" } };
+            const httplib::Headers keyed { { "Authorization", "Bearer " + FLAGS_key } };
+            const auto shift
+                = std::chrono::nanoseconds(1'000'000'000LL * static_cast<int64_t>(i) / FLAGS_rate);
+            Samples warmUp;
+            for (int turn = -1; turn < FLAGS_turns; ++turn) {
+                const auto start = begin + std::chrono::seconds(2 * (turn + 1)) + shift;
+                runTurn(upstream, "/read", plain, start, turn < 0 ? warmUp : direct[i]);
+                runTurn(host, "/" + FLAGS_service + "/read", keyed, start + std::chrono::seconds(1),
+                    turn < 0 ? warmUp : through[i]);
+            }
+        });
+    }
+    for (std::thread& worker : workers)
+        worker.join();
+    const auto merge = [](const std::vector<Samples>& parts) {
+        Samples all;
+        for (const Samples& part : parts) {
+            all.ms_.insert(all.ms_.end(), part.ms_.begin(), part.ms_.end());
+            all.failed_ += part.failed_;
+        }
+        std::sort(all.ms_.begin(), all.ms_.end());
+        return all;
+    };
+    Samples a = merge(direct);
+    Samples b = merge(through);
+    std::printf("%.3f %.3f %.3f %.3f %.3f %.3f %zu %zu %zu %zu\n", percentile(a.ms_, 0.5),
+        percentile(b.ms_, 0.5), percentile(b.ms_, 0.5) - percentile(a.ms_, 0.5), percentile(a.ms_, 0.99),
+        percentile(b.ms_, 0.99), percentile(b.ms_, 0.99) - percentile(a.ms_, 0.99), a.ms_.size(),
+        b.ms_.size(), a.failed_, b.failed_);
+    return a.failed_ + b.failed_ == 0 ? 0 : 1;
+}
+
+int lookups()
+{
+    std::atomic<size_t> done { 0 };
+    std::atomic<size_t> failed { 0 };
+    const auto begin = Clock::now();
+    const auto end = begin + std::chrono::seconds(FLAGS_turns);
+    std::vector<std::thread> workers;
+    for (int i = 0; i < FLAGS_threads; ++i) {
+        workers.emplace_back([&] {
+            auto client = connect(FLAGS_host);
+            const std::string path = "/v1/lookup?service=" + FLAGS_service + FLAGS_query;
+            while (Clock::now() < end) {
+                const auto response = client.Get(path);
+                ++(response && response->status == 200 ? done : failed);
+            }
+        });
+    }
+    for (std::thread& worker : workers)
+        worker.join();
+    const double seconds = std::chrono::duration<double>(Clock::now() - begin).count();
+    std::printf("%.0f %zu\n", static_cast<double>(done) / seconds, failed.load());
+    return failed == 0 ? 0 : 1;
+}
+
+int ready()
+{
+    auto client = connect(FLAGS_host);
+    client.set_connection_timeout(1);
+    for (const auto giveUp = Clock::now() + std::chrono::seconds(20); Clock::now() < giveUp;) {
+        const auto response = client.Get("/readyz");
+        if (response && response->status == 200) {
+            const auto now = std::chrono::duration_cast<std::chrono::nanoseconds>(
+                std::chrono::system_clock::now().time_since_epoch());
+            std::printf(
+                "%.0f\n", static_cast<double>(now.count() - static_cast<int64_t>(FLAGS_sinceNs)) / 1e6);
+            return 0;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    std::puts("-1");
+    return 1;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("bench-http overhead|lookups|ready [flags]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::string mode = argc == 2 ? argv[1] : "";
+    if (mode == "overhead")
+        return overhead();
+    if (mode == "lookups")
+        return lookups();
+    if (mode == "ready")
+        return ready();
+    std::fputs("usage: bench-http overhead|lookups|ready [flags]\n", stderr);
+    return 2;
+}
