--- a/support/bench.d/bench-http.cc
+++ b/support/bench.d/bench-http.cc
@@ -67,8 +67,29 @@
         sorted.size() - 1, static_cast<size_t>(share * static_cast<double>(sorted.size())))];
 }
 
+/// A host that has just started waits for its shares. False if no request is answered within 30 s.
+bool waitUntilServed(const httplib::Headers& headers)
+{
+    auto host = connect(FLAGS_host);
+    const auto giveUp = Clock::now() + std::chrono::seconds(30);
+    while (Clock::now() < giveUp) {
+        const auto response = host.Get("/" + FLAGS_service + "/read", headers);
+        if (response && response->status == 200) {
+            std::this_thread::sleep_for(std::chrono::seconds(2)); // Token buckets start empty.
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    return false;
+}
+
 int overhead()
 {
+    const httplib::Headers keyed { { "Authorization", "Bearer " + FLAGS_key } };
+    if (!waitUntilServed(keyed)) {
+        std::puts("-1 -1 -1 -1 -1 -1 0 0 0 0");
+        return 1;
+    }
     const size_t threads = static_cast<size_t>(FLAGS_threads);
     std::vector<Samples> direct(threads);
     std::vector<Samples> through(threads);
@@ -80,7 +101,6 @@
             auto host = connect(FLAGS_host);
             const httplib::Headers plain { { "Turmericwing-Request-Id", "bench" },
                 { "Turmericwing-Deadline-Ms", "2000" } };
-            const httplib::Headers keyed { { "Authorization", "Bearer " + FLAGS_key } };
             const auto shift
                 = std::chrono::nanoseconds(1'000'000'000LL * static_cast<int64_t>(i) / FLAGS_rate);
             Samples warmUp;
