--- a/test/peer/message-test.cc
+++ b/test/peer/message-test.cc
@@ -32,7 +32,7 @@
     { 0, 4,
         TokenGrant {
             "w1", 9, 5, limits::ShareKind::Floor, 12, limits::GrantStatus::Empty, 0, Duration(500) } },
-    { 0, 0, TokenReturn { "w1", "h1", 9, limits::ShareKind::Main, 12, 3 } },
+    { 0, 0, TokenReturn { {}, "w1", "h1", 9, limits::ShareKind::Main, 12, 3 } },
     { 5, 0, SlotBorrow { { "h1", 9, 4 }, "u1", Duration(2000) } },
     { 0, 5, SlotLoan { { "h1", 9, 4 }, { "u1", 2 }, Duration(2000) } },
     { 0, 0, SlotReturn { { "h1", 9, 4 }, { "u1", 2 } } },
