Look up by client blocks, watch upstreams, stop a wait of 250 ms

Cause: non-idempotent requests waited 250 ms for a slot, because a slot was asked for 250 ms longer than the longest timeout that the placement allows; lookups ignored client addresses; load reports, drain ends and leaving list entries had no reader; a host drained through another host did not stop; an unconfirmed change was reported as accepted. Change: the placement's longest time includes the margin; lookups use the steering library; UpstreamWatch polls load and list; the controller acts on its own leaving entry and reports unconfirmed changes as unknown.

--- a/include/turmericwing/host/controller.h
+++ b/include/turmericwing/host/controller.h
@@ -48,7 +48,7 @@
     control::Member self_;
     platform::Platform platform_;
     std::function<void(const Snapshot&)> onSnapshot_; ///< Called after the shared snapshot was replaced.
-    std::function<void()> onReplaced_; ///< Another process has joined under this host's name.
+    std::function<void()> onLeave_; ///< This process was replaced by another one, or told to leave.
     std::function<void(const control::Head&)> onHead_; ///< A newer head was learned; called under a lock.
     /// Sends a request to another host; `done` is called exactly once, on another thread.
     std::function<void(const std::string& host, peer::Message, Duration timeout,
--- a/include/turmericwing/host/dispatch.h
+++ b/include/turmericwing/host/dispatch.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -77,6 +78,12 @@
     double latency_ = 0; ///< Seconds.
 };
 
+/// From an upstream's load endpoint, which may lag or mislead.
+struct UpstreamReport {
+    double usable_ = 1; ///< Part of its slots that it can use, in [0, 1].
+    bool draining_ = false;
+};
+
 struct DispatchState;
 
 class Dispatch {
@@ -106,8 +113,11 @@
     /// Whether another attempt may be made, given how the last one ended. Spends from the retry budget.
     bool mayRetry(const std::string& service, const routing::FailedAttempt&);
 
-    /// Part of its slots that an upstream says it can use, from its load endpoint.
-    void reportLoad(const std::string& service, const std::string& upstream, double usable);
+    /// Takes what an upstream says of itself.
+    void report(const std::string& service, const std::string& upstream, const UpstreamReport&);
+
+    /// Upstreams that the platform's list shows as leaving; all others are not.
+    void setLeaving(const std::set<std::string>& upstreams);
 
     std::optional<routing::Loan> lend(const routing::BorrowRequest&);
     void acceptLoan(const std::string& lender, const routing::Loan&);
--- a/src/host/controller.cc
+++ b/src/host/controller.cc
@@ -126,7 +126,7 @@
     std::vector<std::string> reportTargets(const control::Head& base) const;
     void sendReports(const control::Head& base, const peer::Message&, bool outcome);
     Result<void> collectAcks(const control::Head& base, const control::Head& next);
-    void confirmOutcome(const control::Head& next);
+    bool confirmOutcome(const control::Head& next);
     Result<control::Head> attemptChange(const std::string& who, const std::string& what, const HeadEdit&);
     Result<std::pair<uint64_t, std::string>> newestConfiguration();
     peer::Message learnRow(const peer::HeadRow&, TimePoint now);
@@ -229,6 +229,10 @@
     std::erase_if(unprepared_, [&](const auto& entry) { return entry.second.version_ <= head.version_; });
     if (options_.onHead_)
         options_.onHead_(head);
+    const control::Member* own = detail::findMember(head, options_.self_.host_);
+    if (own && own->incarnation_ == options_.self_.incarnation_
+        && own->state_ == control::MemberState::Leaving && !shared_.draining())
+        executor_.post(options_.onLeave_);
     if (head.digest_.empty())
         control::recordPrepared(lease_, head.revision_);
     else
@@ -400,7 +404,7 @@
         joining_ = true;
         logEvent(LogLevel::Error, "replaced",
             { { "detail", "another process has joined under this host's name with a newer incarnation" } });
-        executor_.post(options_.onReplaced_);
+        executor_.post(options_.onLeave_);
         return;
     }
     joining_ = true;
@@ -434,7 +438,10 @@
         if (written)
             written = writeHead(options_.platform_.table_, base, next);
         if (written) {
-            confirmOutcome(next);
+            if (!confirmOutcome(next))
+                return makeError(ErrorCode::Unknown,
+                    "the change is written, but too few hosts have confirmed it; it takes effect when they "
+                    "do");
             return next;
         }
         last = written.error();
@@ -687,7 +694,7 @@
     }
 }
 
-void Controller::State::confirmOutcome(const control::Head& next)
+bool Controller::State::confirmOutcome(const control::Head& next)
 {
     const TimePoint deadline = monotonicNow() + detail::acceptTimeout;
     std::unique_lock lock(mutex_);
@@ -705,11 +712,13 @@
         lock.lock();
         acknowledged_.wait_for(lock, detail::reportInterval, accepted);
     }
-    if (!accepted())
+    const bool confirmed = accepted();
+    if (!confirmed)
         logEvent(LogLevel::Warning, "change-not-confirmed",
             { { "version", std::to_string(next.version_) },
                 { "detail", "too few members have acknowledged it" } });
     proposal_.reset();
+    return confirmed;
 }
 
 peer::Message Controller::State::learnRow(const peer::HeadRow& row, TimePoint now)
--- a/src/host/dispatch.cc
+++ b/src/host/dispatch.cc
@@ -73,14 +73,15 @@
         return domain ? domain->region_ : std::string();
     }
 
-    Duration longestTimeout(const model::ObjectSet& set, const std::string& service)
+    /// Longest time for which a request of the service can hold a slot.
+    Duration longestSlotTime(const model::ObjectSet& set, const std::string& service)
     {
         uint32_t longest = 0;
         for (const model::Route& route : set.routes_) {
             if (route.service_ == service)
                 longest = std::max(longest, route.timeoutMs_);
         }
-        return std::chrono::milliseconds(longest);
+        return std::chrono::milliseconds(longest) + stopMargin;
     }
 
     routing::Placement makePlacement(
@@ -91,7 +92,7 @@
         std::vector<routing::SlotHost> hosts;
         for (const control::Member& member : head.members_)
             hosts.push_back({ member.host_, member.incarnation_, member.region_ });
-        const Duration longest = longestTimeout(set, service);
+        const Duration longest = longestSlotTime(set, service);
         for (const model::Upstream& upstream : set.upstreams_) {
             if (upstream.service_ == service)
                 placement.upstreams_.push_back({ upstream.name_, service, regionOf(set, upstream),
@@ -511,14 +512,32 @@
     return routing::takeRetry(shard->retries_, {}, monotonicNow(), failed);
 }
 
-void Dispatch::reportLoad(const std::string& service, const std::string& upstream, double usable)
+void Dispatch::report(const std::string& service, const std::string& upstream, const UpstreamReport& report)
 {
     detail::ServiceShard* shard = state_->find(service);
     if (!shard)
         return;
     std::lock_guard lock(shard->mutex_);
-    if (shard->choice_.upstreams_.count(upstream) > 0)
-        routing::reportLoad(shard->choice_, monotonicNow(), upstream, usable);
+    const auto known = shard->choice_.upstreams_.find(upstream);
+    if (known == shard->choice_.upstreams_.end())
+        return;
+    const TimePoint now = monotonicNow();
+    routing::reportLoad(shard->choice_, now, upstream, report.usable_);
+    auto drain = known->second.drain_;
+    drain.response_ = report.draining_;
+    routing::setDrain(shard->choice_, now, upstream, drain);
+}
+
+void Dispatch::setLeaving(const std::set<std::string>& upstreams)
+{
+    for (detail::ServiceShard* shard : state_->all()) {
+        std::lock_guard lock(shard->mutex_);
+        for (const auto& [name, upstream] : shard->upstreams_) {
+            auto drain = shard->choice_.upstreams_.at(name).drain_;
+            drain.list_ = upstreams.count(name) > 0;
+            routing::setDrain(shard->choice_, monotonicNow(), name, drain);
+        }
+    }
 }
 
 std::optional<routing::Loan> Dispatch::lend(const routing::BorrowRequest& request)
--- a/src/host/host.cc
+++ b/src/host/host.cc
@@ -8,6 +8,7 @@
 #include "turmericwing/host/operatorapi.h"
 #include "turmericwing/host/path.h"
 #include "turmericwing/host/peers.h"
+#include "turmericwing/host/upstreamwatch.h"
 #include "turmericwing/platform/http.h"
 
 #include <algorithm>
@@ -77,8 +78,9 @@
                                   tokens_.apply(snapshot);
                                   dispatch_.apply(snapshot);
                                   moves_.apply(snapshot);
+                                  lookups_.apply(snapshot);
                               },
-                          .onReplaced_ = [this] { drain(); },
+                          .onLeave_ = [this] { drain(); },
                           .onHead_ = [this](const control::Head& head) { peers_.setMembers(head); },
                           .request_ =
                               [this](const std::string& to, peer::Message message, Duration timeout,
@@ -86,11 +88,12 @@
                                   peers_.request(to, std::move(message), timeout, std::move(done));
                               } },
               shared_, executor_)
+        , watch_(settings_.region_, shared_, platform_.platform().hosts_, dispatch_, executor_)
         , path_ { shared_, tokens_, dispatch_, moves_, claims_, quarantines_, upstreams_, metrics_, trace_,
             inFlight_ }
         , operators_ { settings_, shared_, controller_, dispatch_, metrics_, trace_,
             platform_.platform().table_, [this] { refreshGauges(); }, [this] { drain(); },
-            [this](const LocalRequest& request) { return handleLookup(shared_, metrics_, request); } }
+            [this](const LocalRequest& request) { return lookups_.handle(metrics_, request); } }
     {
     }
 
@@ -121,6 +124,7 @@
     SharedState shared_;
     Metrics metrics_;
     TraceLog trace_;
+    Lookups lookups_;
     std::atomic<int> inFlight_ { 0 };
     Executor executor_;
     platform::HttpPlatform platform_;
@@ -133,6 +137,7 @@
     ClaimStore claims_;
     UpstreamPool upstreams_;
     Controller controller_;
+    UpstreamWatch watch_;
     PathParts path_;
     OperatorParts operators_;
     std::unique_ptr<Server> callerServer_;
@@ -247,6 +252,10 @@
     const auto failed = peers_.tick({ control.leaseValid_, shared_.draining(), control.known_ }, now);
     controller_.removeFailed(failed, peers_.heard(now));
     moves_.tick(control.storeContact_);
+    auto unusable = peers_.unusable();
+    if (shared_.draining())
+        unusable.insert(settings_.name_);
+    lookups_.tick(unusable, now);
 }
 
 void Host::State::refreshGauges()
@@ -324,9 +333,8 @@
         .tlsCertificate_ = settings.tlsCertificate_,
         .tlsPrivateKey_ = settings.tlsPrivateKey_ };
     options.callers_ = [&state](const CallerRequest& request) { return handleRequest(state.path_, request); };
-    options.local_ = [&state](const LocalRequest& request) {
-        return handleLookup(state.shared_, state.metrics_, request);
-    };
+    options.local_
+        = [&state](const LocalRequest& request) { return state.lookups_.handle(state.metrics_, request); };
     options.isLocal_ = detail::isLocalPath;
     options.closing_ = [&state] { return state.shared_.draining(); };
     state.callerServer_ = std::make_unique<Server>(options);
@@ -339,6 +347,7 @@
     BOOST_OUTCOME_TRY(state.operatorServer_->start());
     BOOST_OUTCOME_TRY(state.callerServer_->start());
     state.controller_.start();
+    state.watch_.start();
     state.housekeeping_ = std::thread([&state] {
         std::unique_lock lock(state.mutex_);
         while (!state.stopping_) {
@@ -376,6 +385,7 @@
     }
     state.wake_.notify_all();
     state.housekeeping_.join();
+    state.watch_.stop();
     state.controller_.stop();
     state.peers_.stop();
     state.executor_.shutdown();
--- a/src/host/lookup.cc
+++ b/src/host/lookup.cc
@@ -1,39 +1,14 @@
-// Lookup over the current view.
+// Lookups on a live host.
 #include "turmericwing/host/lookup.h"
 
-#include "turmericwing/limits/placement.h"
-
 #include <nlohmann/json.hpp>
 
-#include <algorithm>
-
 namespace turmericwing::host {
 
 namespace detail {
 
-    /// Preferred hosts of the workspace first, then its home region, then the rest.
-    std::vector<control::Member> orderedMembers(const Snapshot& snapshot, const model::Workspace& workspace)
-    {
-        std::vector<limits::PlacementHost> hosts;
-        for (const control::Member& member : snapshot.head_.members_)
-            hosts.push_back({ member.host_, member.region_, member.failureDomain_ });
-        const auto placement = limits::placeWorkspace(workspace.name_, workspace.region_, hosts);
-        const auto rank = [&](const control::Member& member) {
-            const auto found
-                = std::find(placement.preferred_.begin(), placement.preferred_.end(), member.host_);
-            if (found != placement.preferred_.end())
-                return found - placement.preferred_.begin();
-            return static_cast<std::ptrdiff_t>(member.region_ == workspace.region_ ? 100 : 200);
-        };
-        std::vector<control::Member> members;
-        for (const control::Member& member : snapshot.head_.members_) {
-            if (member.state_ == control::MemberState::Live)
-                members.push_back(member);
-        }
-        std::stable_sort(members.begin(), members.end(),
-            [&](const control::Member& a, const control::Member& b) { return rank(a) < rank(b); });
-        return members;
-    }
+    const steering::AssignOptions assignOptions {};
+    const steering::LookupOptions lookupOptions { .ttl_ = lookupTimeToLive };
 
     LocalResponse lookupError(int status, const char* title, const std::string& text)
     {
@@ -43,32 +18,95 @@
             "application/problem+json", {} };
     }
 
+    /// A site is up when its failure domain has a live member.
+    std::vector<bool> observedSites(const model::ObjectSet& set, const control::Head& head)
+    {
+        std::set<std::string> domains;
+        for (const control::Member& member : head.members_) {
+            if (member.state_ == control::MemberState::Live)
+                domains.insert(member.failureDomain_);
+        }
+        std::vector<bool> up;
+        for (const model::Site& site : set.sites_)
+            up.push_back(domains.count(site.failureDomain_) > 0);
+        return up;
+    }
+
+    LocalResponse lookupResponse(const steering::LookupAnswer& answer)
+    {
+        nlohmann::json hosts = nlohmann::json::array();
+        for (const steering::HostEntry* host : answer.hosts_)
+            hosts.push_back({ { "host", host->host_ }, { "address", host->address_ } });
+        const auto ttl = std::chrono::duration_cast<std::chrono::seconds>(answer.ttl_).count();
+        LocalResponse response { 200, nlohmann::json { { "hosts", hosts }, { "ttl", ttl } }.dump(),
+            "application/json", {} };
+        response.headers_.emplace_back("Cache-Control", "max-age=" + std::to_string(ttl));
+        return response;
+    }
+
 } // namespace detail
 
-LocalResponse handleLookup(const SharedState& state, Metrics& metrics, const LocalRequest& request)
+std::shared_ptr<const steering::LookupTable> Lookups::table() const
+{
+    std::lock_guard lock(mutex_);
+    return table_;
+}
+
+void Lookups::rebuild()
+{
+    table_ = std::make_shared<const steering::LookupTable>(
+        steering::buildLookupTable(*set_, head_, detail::lookupOptions, steering_.current_, unusable_));
+}
+
+void Lookups::apply(const Snapshot& snapshot)
+{
+    std::lock_guard lock(mutex_);
+    if (!set_)
+        steering_ = steering::startSteering(*snapshot.set_, detail::assignOptions);
+    else if (set_ != snapshot.set_)
+        steering_ = steering::changeConfiguration(steering_, *set_, *snapshot.set_, detail::assignOptions);
+    set_ = snapshot.set_;
+    head_ = snapshot.head_;
+    for (const Version& newer : snapshot.newer_) {
+        if (!newer.candidate_)
+            head_ = newer.head_;
+    }
+    rebuild();
+}
+
+void Lookups::tick(const std::set<std::string>& unusable, TimePoint now)
+{
+    std::lock_guard lock(mutex_);
+    if (!set_)
+        return;
+    const size_t moved = steering::advanceSteering(
+        steering_, *set_, detail::assignOptions, detail::observedSites(*set_, head_), now);
+    if (moved == 0 && unusable == unusable_)
+        return;
+    unusable_ = unusable;
+    rebuild();
+}
+
+LocalResponse Lookups::handle(Metrics& metrics, const LocalRequest& request)
 {
     metrics.countLookup();
-    const auto snapshot = state.snapshot();
-    if (!snapshot)
+    const auto table = this->table();
+    if (!table)
         return detail::lookupError(503, "not-ready", "the host has no configuration yet");
-    const std::string service = request.parameter_("service");
-    if (!model::find(snapshot->set_->services_, service))
-        return detail::lookupError(404, "no-such-service", "no service '" + service + "'");
-    model::Workspace anyone;
-    const std::string name = request.parameter_("workspace");
-    if (const model::Workspace* workspace = model::find(snapshot->set_->workspaces_, name))
-        anyone = *workspace;
-    else if (!name.empty())
-        return detail::lookupError(404, "no-such-workspace", "no workspace '" + name + "'");
-    nlohmann::json hosts = nlohmann::json::array();
-    for (const control::Member& member : detail::orderedMembers(*snapshot, anyone))
-        hosts.push_back(
-            { { "host", member.host_ }, { "address", member.callerAddress_ }, { "region", member.region_ } });
-    const auto ttl = std::chrono::duration_cast<std::chrono::seconds>(lookupTimeToLive).count();
-    LocalResponse response { 200, nlohmann::json { { "hosts", hosts }, { "ttl", ttl } }.dump(),
-        "application/json", {} };
-    response.headers_.emplace_back("Cache-Control", "max-age=" + std::to_string(ttl));
-    return response;
+    uint32_t client = 0;
+    if (const std::string text = request.parameter_("client"); !text.empty()) {
+        const auto parsed = steering::parseAddress(text);
+        if (!parsed)
+            return detail::lookupError(400, "bad-request", "client: " + parsed.error().message_);
+        client = parsed.value();
+    }
+    const auto answer = steering::lookup(
+        *table, request.parameter_("service"), request.parameter_("workspace"), client, ++rotation_);
+    if (answer)
+        return detail::lookupResponse(answer.value());
+    const bool unknown = answer.error().code_ == ErrorCode::NotFound;
+    return detail::lookupError(
+        unknown ? 404 : 503, unknown ? "not-found" : "no-host", answer.error().message_);
 }
 
 } // namespace turmericwing::host
--- a/src/steering/lookup.cc
+++ b/src/steering/lookup.cc
@@ -1,7 +1,7 @@
 // Lookup of hosts for callers.
 #include "turmericwing/steering/lookup.h"
 
-#include "turmericwing/base/hash.h"
+#include "turmericwing/limits/placement.h"
 
 #include <algorithm>
 #include <array>
@@ -102,31 +102,19 @@
 std::vector<std::string> preferredHosts(const control::Head& head, const LookupOptions& options,
     const std::string& workspace, const std::string& region)
 {
-    std::vector<std::pair<uint64_t, const control::Member*>> ranked;
+    std::vector<limits::PlacementHost> hosts;
     const auto collect = [&](bool anyRegion) {
         for (const control::Member& member : head.members_) {
             if (member.state_ == control::MemberState::Live && (anyRegion || member.region_ == region))
-                ranked.emplace_back(rendezvousWeight(workspace, member.host_), &member);
+                hosts.push_back({ member.host_, member.region_, member.failureDomain_ });
         }
     };
     collect(false);
-    if (ranked.empty())
+    if (hosts.empty())
         collect(true);
-    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
-        return a.first != b.first ? a.first > b.first : a.second->host_ < b.second->host_;
-    });
-    if (options.twoDomains_ && ranked.size() > 1) {
-        // The best host of another failure domain takes the second place.
-        const auto other = std::find_if(ranked.begin() + 1, ranked.end(), [&](const auto& entry) {
-            return entry.second->failureDomain_ != ranked[0].second->failureDomain_;
-        });
-        if (other != ranked.end())
-            std::rotate(ranked.begin() + 1, other, other + 1);
-    }
-    std::vector<std::string> out;
-    for (size_t i = 0; i < ranked.size() && i < options.preferred_; ++i)
-        out.push_back(ranked[i].second->host_);
-    return out;
+    return limits::placeWorkspace(workspace, region, hosts,
+        { .preferredHosts_ = options.preferred_, .spreadDomains_ = options.twoDomains_ })
+        .preferred_;
 }
 
 void refreshHosts(LookupTable& table, const model::ObjectSet& set, const control::Head& head,
