--- a/src/host/server.cc
+++ b/src/host/server.cc
@@ -263,6 +263,9 @@
         return makeError(ErrorCode::Unavailable,
             "cannot listen on " + options.address_.ip_ + ":" + std::to_string(options.address_.port_));
     state.thread_ = std::thread([&server] { server.listen_after_bind(); });
+    // The library ignores a stop before it has started to accept, and stop() would then wait for ever.
+    while (!server.is_running())
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
     return boost::outcome_v2::success();
 }
 
--- a/test/host/host-test.cc
+++ b/test/host/host-test.cc
@@ -588,6 +588,7 @@
     std::atomic<int> cut = 0;
     std::atomic<int> whole = 0;
     const auto count = [&](bool good) { ++(good ? whole : cut); };
+    const uint64_t downloads = bed().stats("big").executed_;
     callers.emplace_back([&] {
         const auto slow = host.caller().Post("/slow/write", withKey, "body", "text/plain");
         count(slow && slow->status == 200);
@@ -601,7 +602,8 @@
         });
         count(download && download->status == 200 && received > 20U << 20);
     });
-    CHECK(eventually([] { return bed().stats("slow").executed_ == 1 && bed().stats("big").executed_ >= 2; }));
+    CHECK(eventually(
+        [&] { return bed().stats("slow").executed_ == 1 && bed().stats("big").executed_ > downloads; }));
     std::atomic<bool> lookupsExpired = false;
     for (int i = 0; i < 4; ++i)
         callers.emplace_back([&] {
