--- a/src/host/controller.cc
+++ b/src/host/controller.cc
@@ -194,7 +194,12 @@
 void Controller::State::readOnce()
 {
     const TimePoint sentAt = monotonicNow();
-    const auto head = readHead(options_.platform_.table_);
+    control::Head known;
+    {
+        std::lock_guard lock(mutex_);
+        known = known_;
+    }
+    const auto head = readHead(options_.platform_.table_, &known);
     const TimePoint now = monotonicNow();
     std::lock_guard lock(mutex_);
     if (!head) {
@@ -344,7 +349,7 @@
         if (found == candidates_.end())
             continue;
         versions.push_back(hash64(candidate.nonce_));
-        newer.push_back({ found->second, sets_.at(found->second.digest_) });
+        newer.push_back({ found->second, sets_.at(found->second.digest_), true });
     }
     const bool regained = effective.admitKeyed_ && !leaseWasValid_;
     leaseWasValid_ = effective.admitKeyed_;
