Make the rig take a new token when a request goes to another host

It was a fault of the rig: a request that a killed host had admitted was admitted by the next host without a token. Change: the token is forgotten when a host takes the request.

--- a/test/scenario/rig-requests.cc
+++ b/test/scenario/rig-requests.cc
@@ -99,6 +99,7 @@
 void Rig::limit(Host& h, const RequestPtr& r)
 {
     WorkspaceState& workspace = h.workspaces_[r->workspace_];
+    r->tokenFrom_ = 0; // A host that was killed may have had one for it.
     r->tokenBy_ = std::min<TimePoint>(r->deadline_, now_ + detail::tokenWait);
     if (setup_.policy_ == Policy::Project)
         limits::noteDemand(workspace.pulled_, local(h), {});
