--- a/test/routing/choice-test.cc
+++ b/test/routing/choice-test.cc
@@ -98,8 +98,11 @@
         CHECK(effectiveBound(table, upstream, start + 3s, 10) == 10);
         reportLoad(table, start, "u0", 7);
         CHECK(effectiveBound(table, upstream, start, 10) == 10);
-        reportLoad(table, start, "u0", -1);
-        CHECK(effectiveBound(table, upstream, start, 10) >= 2);
+        for (const double usable : { 0.0, -1.0 }) {
+            reportLoad(table, start, "u0", usable);
+            CHECK(effectiveBound(table, upstream, start, 10) >= 2);
+            CHECK((effectiveBound(table, upstream, start, 10) < 7) == (life > 0s));
+        }
     }
     uint32_t sum = 0;
     for (int i = 0; i < 1000; ++i) {
