--- a/support/bench.d/bench-capacity.cc
+++ b/support/bench.d/bench-capacity.cc
@@ -9,6 +9,7 @@
 #include "turmericwing/limits/grants.h"
 #include "turmericwing/limits/placement.h"
 #include "turmericwing/model/parse.h"
+#include "turmericwing/model/patch.h"
 #include "turmericwing/peer/message.h"
 #include "turmericwing/rollout/controller.h"
 #include "turmericwing/routing/slots.h"
@@ -515,6 +516,21 @@
     print("state-memory", "configuration, parsed", hosts, heapOf([&] {
         return model::parseSet({ { "objects.ini", text } });
     }));
+    model::ObjectSet next = set;
+    next.workspaces_.front().rate_ += 1;
+    next.clientBlocks_.erase(next.clientBlocks_.begin() + 70000);
+    const std::string nextText = model::canonicalText(next);
+    const std::string patch = model::makePatch(text, nextText);
+    print(
+        "state-bytes", "configuration patch, two objects changed", hosts, static_cast<double>(patch.size()));
+    print("state-us", "configuration patch: make", hosts, cpuUs([&] {
+        if (model::makePatch(text, nextText).empty())
+            std::abort();
+    }));
+    print("state-us", "configuration patch: apply", hosts, cpuUs([&] {
+        if (model::applyPatch(text, patch).value().size() != nextText.size())
+            std::abort();
+    }));
     print("state-us", "assignment of 140,000 client blocks", hosts, cpuUs([&] {
         if (steering::startSteering(set, {}).current_.size() != 140000)
             std::abort();
