--- a/src/peer/message.cc
+++ b/src/peer/message.cc
@@ -138,6 +138,7 @@
         v("d", m.retryAfter_);
     }
 
+    // The holder is the receiver and needs no field.
     template <typename V, Is<TokenReturn> T> void visit(V& v, T& m)
     {
         v("w", m.workspace_);
--- a/test/scenario/rig-requests.cc
+++ b/test/scenario/rig-requests.cc
@@ -118,7 +118,7 @@
             if (r->tokenFrom_ == 0 && limits::spendFromShare(share, local(h), {}))
                 r->tokenFrom_ = kind == limits::ShareKind::Main ? 2 : 3;
         }
-        if (r->tokenFrom_ == 0 && limits::spendToken(workspace.pulled_, local(h)))
+        if (r->tokenFrom_ == 0 && limits::spendToken(workspace.pulled_, local(h), {}))
             r->tokenFrom_ = 1;
         if (r->tokenFrom_ == 0)
             return false;
