--- a/support/bench.d/bench-capacity.cc
+++ b/support/bench.d/bench-capacity.cc
@@ -61,12 +61,18 @@
 constexpr double beatsPerSecond = 2;
 constexpr double readsPerSecond = 2.5;
 constexpr double tokenPullsPerSecond = 5; // One batch covers 200 ms of demand (GrantOptions::batchSpan_).
-constexpr double moveReportsPerSecond = 2; // A share lasts for 1 s from the sending of a report.
+constexpr double moveReportsPerSecond = 2.5; // host/moves.cc ticks every 400 ms.
 // 530 publications; 58 restarts with a leaving mark and a join; 2 failures with a removal and a join.
 constexpr double changesPerSecond = (530 + 2 * 58 + 2 * 2) / 86400.0;
 // Each end of a connection sends two pings and two pongs a second, with headers of 2 or 6 bytes.
 constexpr double pingBytesPerSecond = 32;
-constexpr double unchangedReadBytes = 280; // Headers of a conditional read and of its 304 response.
+// Fitted to support/capacity-fleet at 10, 40 and 60 hosts: CPU of an idle host without peers in % of a core,
+// and microseconds for each WebSocket frame sent or received, with system calls.
+constexpr double idlePercent = 0.7;
+constexpr double frameUs = 28;
+constexpr double pingFramesPerSecond = 8;
+constexpr double unchangedReadBytes
+    = 230; // Conditional read and 304, with headers; 219 measured for a short version.
 
 void print(const char* kind, const std::string& name, size_t hosts, double value)
 {
@@ -159,6 +165,7 @@
     double messages_ = 0;
     double bytes_ = 0;
     double cpuUs_ = 0; ///< Per second.
+    double connections_ = 0; ///< 0 for a part that comes on top of a host's role.
 
     void send(double perSecond, const Cost& cost)
     {
@@ -182,6 +189,11 @@
     print("role-messages", name, hosts, role.messages_);
     print("role-bytes", name, hosts, role.bytes_);
     print("role-cpu", name, hosts, role.cpuUs_ / 1e4); // Percent of a core.
+    if (role.connections_ > 0)
+        print("role-process", name, hosts,
+            idlePercent + (role.messages_ + pingFramesPerSecond * role.connections_) * frameUs / 1e4);
+    else
+        print("role-process", name, hosts, role.messages_ * frameUs / 1e4);
 }
 
 struct Messages {
@@ -353,7 +365,8 @@
             role.receive(beatsPerSecond * observed, m.beat_);
         }
         role.add(beatsPerSecond * (mesh ? count - 1 : observed), ticks.beatUs_);
-        role.bytes_ += static_cast<double>(peers) * pingBytesPerSecond;
+        role.connections_ = static_cast<double>(peers);
+        role.bytes_ += role.connections_ * pingBytesPerSecond;
         const bool reads = mesh || isRelay;
         if (reads) {
             role.bytes_ += readsPerSecond * unchangedReadBytes + changesPerSecond * m.rowBytes_;
@@ -403,9 +416,9 @@
     writer.add(changesPerSecond, 2 * m.encodeHeadUs_ + m.decodeHeadUs_);
     writer.bytes_ += changesPerSecond * 2 * m.rowBytes_;
     printRole("+ head writer of all changes", hosts, writer);
-    // Store outage: every host needs evidence within 1.9 s, so it probes once a second.
+    // Store outage: hosts of a mesh probe every 400 ms (host/controller.cc), relays would once a second.
     Role outage;
-    const double probed = mesh ? count - 1 : std::ceil(count / domains);
+    const double probed = mesh ? 2.5 * (count - 1) : std::ceil(count / domains);
     outage.send(probed, m.probe_);
     outage.receive(probed, m.evidence_);
     if (mesh) {
