--- a/support/bench.d/bench-message.cc
+++ b/support/bench.d/bench-message.cc
@@ -25,17 +25,21 @@
         CandidateReport { candidate, std::string(2000, 'x') }, Ack { 1u << 30 }, HeadGet { 123456 },
         HeadRow { 123456, 200000, true, "" }, BlobGet { digest, 1 << 19 },
         Blob { digest, 1 << 19, 1 << 22, std::vector<uint8_t>(1 << 19) },
-        TokenPull { workspace, "amman-h01", 1u << 30, 70, turmericwing::limits::ShareKind::Main, 900, 899, 1, 100 },
+        TokenPull {
+            workspace, "amman-h01", 1u << 30, 70, turmericwing::limits::ShareKind::Main, 900, 899, 1, 100 },
         TokenGrant { workspace, 1u << 30, 70, turmericwing::limits::ShareKind::Main, 900,
             turmericwing::limits::GrantStatus::Granted, 101, {} },
-        TokenReturn { "amman-h02", workspace, "amman-h01", 1u << 30, turmericwing::limits::ShareKind::Main, 900, 12 },
+        TokenReturn {
+            "amman-h02", workspace, "amman-h01", 1u << 30, turmericwing::limits::ShareKind::Main, 900, 12 },
         SlotBorrow { loan, "orders-12", second }, SlotLoan { loan, { "orders-12", 2 }, second },
         SlotReturn { loan, { "orders-12", 2 } }, SlotRelease { { "orders-12", 2 }, 70 },
         MoveStats { "orders-v2",
-            { "amman-h01", 1u << 30, { { "a", route }, { "b", route }, { "c", route }, { "d", route } }, false } },
+            { "amman-h01", 1u << 30, { { "a", route }, { "b", route }, { "c", route }, { "d", route } },
+                false } },
         MoveShare { "orders-v2", 2, 0.01, false, { "a", "b" }, { 5000, 9000, 5000, 9000 } },
         MoveTrip { "orders-v2", "errors" },
-        Crash { { "amman-h01", 1u << 30, 3 }, "orders-12", { 1796377825488 }, { { { 1, 2 }, { 1796377825400 } } } },
+        Crash { { "amman-h01", 1u << 30, 3 }, "orders-12", { 1796377825488 },
+            { { { 1, 2 }, { 1796377825400 } } } },
         Quarantine { { 1, 2 }, { 1796377825488 } }, Refusal { 3, "old epoch" } };
     constexpr int rounds = 2000;
     std::printf("%-12s %8s %10s %10s\n", "type", "bytes", "encode us", "decode us");
