--- a/src/host/dispatch.cc
+++ b/src/host/dispatch.cc
@@ -15,6 +15,7 @@
 
     /// A first attempt leaves a third of the time to a retry, in case its connection is silent.
     constexpr double firstAttemptShare = 2.0 / 3;
+    constexpr auto drainReportLag = std::chrono::seconds(10);
     constexpr auto releaseInterval = std::chrono::seconds(1);
 
     /// A slot stays taken for this long after its request's deadline: the upstream counts the deadline from
@@ -54,6 +55,7 @@
         std::map<uint64_t, ActiveAttempt> attempts_; ///< By Assignment::ticket_.
         std::map<std::string, limits::Admission> admission_; ///< By side.
         std::map<uint64_t, Waiter> waiters_; ///< By admission request.
+        std::map<std::string, TimePoint> drainSeen_; ///< Last refusal of an upstream that drains.
         uint64_t nextTicket_ = 1;
         Random random_ = makeRandom();
         std::set<std::string> drained_;
@@ -492,6 +494,7 @@
         if (result.end_ == AttemptEnd::Draining) {
             auto drain = known->second.drain_;
             drain.response_ = true;
+            shard->drainSeen_[attempt.upstream_] = now;
             routing::setDrain(shard->choice_, now, attempt.upstream_, drain);
         }
     }
@@ -528,7 +531,9 @@
     const TimePoint now = monotonicNow();
     routing::reportLoad(shard->choice_, now, upstream, report.usable_);
     auto drain = known->second.drain_;
-    drain.response_ = report.draining_;
+    // A report may lag behind a refusal, so it ends a drain only some time after the last one.
+    const bool recentRefusal = now < shard->drainSeen_[upstream] + detail::drainReportLag;
+    drain.response_ = report.draining_ || (drain.response_ && recentRefusal);
     routing::setDrain(shard->choice_, now, upstream, drain);
 }
 
