--- a/support/bench.d/bench-capacity.cc
+++ b/support/bench.d/bench-capacity.cc
@@ -9,6 +9,7 @@
 #include "turmericwing/limits/grants.h"
 #include "turmericwing/limits/placement.h"
 #include "turmericwing/model/parse.h"
+#include "turmericwing/model/patch.h"
 #include "turmericwing/peer/message.h"
 #include "turmericwing/rollout/controller.h"
 #include "turmericwing/routing/slots.h"
@@ -24,6 +25,7 @@
 #include <new>
 #include <set>
 #include <string>
+#include <variant>
 
 #include <malloc.h>
 
@@ -59,12 +61,18 @@
 constexpr double beatsPerSecond = 2;
 constexpr double readsPerSecond = 2.5;
 constexpr double tokenPullsPerSecond = 5; // One batch covers 200 ms of demand (GrantOptions::batchSpan_).
-constexpr double moveReportsPerSecond = 2; // A share lasts for 1 s from the sending of a report.
+constexpr double moveReportsPerSecond = 2.5; // host/moves.cc ticks every 400 ms.
 // 530 publications; 58 restarts with a leaving mark and a join; 2 failures with a removal and a join.
 constexpr double changesPerSecond = (530 + 2 * 58 + 2 * 2) / 86400.0;
 // Each end of a connection sends two pings and two pongs a second, with headers of 2 or 6 bytes.
 constexpr double pingBytesPerSecond = 32;
-constexpr double unchangedReadBytes = 280; // Headers of a conditional read and of its 304 response.
+// Fitted to support/capacity-fleet at 10, 40 and 60 hosts: CPU of an idle host without peers in % of a core,
+// and microseconds for each WebSocket frame sent or received, with system calls.
+constexpr double idlePercent = 0.7;
+constexpr double frameUs = 28;
+constexpr double pingFramesPerSecond = 8;
+constexpr double unchangedReadBytes
+    = 230; // Conditional read and 304, with headers; 219 measured for a short version.
 
 void print(const char* kind, const std::string& name, size_t hosts, double value)
 {
@@ -136,7 +144,9 @@
 
 Cost costOf(const char* name, size_t hosts, const peer::Message& message)
 {
-    const peer::Envelope envelope { .id_ = 100000, .replyTo_ = 0, .message_ = message };
+    // Heartbeats are one-way messages; the others are requests or responses and carry a number.
+    const bool oneWay = std::holds_alternative<peer::Heartbeat>(message);
+    const peer::Envelope envelope { .id_ = oneWay ? 0U : 100000U, .replyTo_ = 0, .message_ = message };
     const std::string text = peer::encode(envelope).value();
     size_t sink = 0;
     Cost cost;
@@ -155,6 +165,7 @@
     double messages_ = 0;
     double bytes_ = 0;
     double cpuUs_ = 0; ///< Per second.
+    double connections_ = 0; ///< 0 for a part that comes on top of a host's role.
 
     void send(double perSecond, const Cost& cost)
     {
@@ -178,6 +189,11 @@
     print("role-messages", name, hosts, role.messages_);
     print("role-bytes", name, hosts, role.bytes_);
     print("role-cpu", name, hosts, role.cpuUs_ / 1e4); // Percent of a core.
+    if (role.connections_ > 0)
+        print("role-process", name, hosts,
+            idlePercent + (role.messages_ + pingFramesPerSecond * role.connections_) * frameUs / 1e4);
+    else
+        print("role-process", name, hosts, role.messages_ * frameUs / 1e4);
 }
 
 struct Messages {
@@ -349,7 +365,8 @@
             role.receive(beatsPerSecond * observed, m.beat_);
         }
         role.add(beatsPerSecond * (mesh ? count - 1 : observed), ticks.beatUs_);
-        role.bytes_ += static_cast<double>(peers) * pingBytesPerSecond;
+        role.connections_ = static_cast<double>(peers);
+        role.bytes_ += role.connections_ * pingBytesPerSecond;
         const bool reads = mesh || isRelay;
         if (reads) {
             role.bytes_ += readsPerSecond * unchangedReadBytes + changesPerSecond * m.rowBytes_;
@@ -399,9 +416,9 @@
     writer.add(changesPerSecond, 2 * m.encodeHeadUs_ + m.decodeHeadUs_);
     writer.bytes_ += changesPerSecond * 2 * m.rowBytes_;
     printRole("+ head writer of all changes", hosts, writer);
-    // Store outage: every host needs evidence within 1.9 s, so it probes once a second.
+    // Store outage: hosts of a mesh probe every 400 ms (host/controller.cc), relays would once a second.
     Role outage;
-    const double probed = mesh ? count - 1 : std::ceil(count / domains);
+    const double probed = mesh ? 2.5 * (count - 1) : std::ceil(count / domains);
     outage.send(probed, m.probe_);
     outage.receive(probed, m.evidence_);
     if (mesh) {
@@ -515,6 +532,21 @@
     print("state-memory", "configuration, parsed", hosts, heapOf([&] {
         return model::parseSet({ { "objects.ini", text } });
     }));
+    model::ObjectSet next = set;
+    next.workspaces_.front().rate_ += 1;
+    next.clientBlocks_.erase(next.clientBlocks_.begin() + 70000);
+    const std::string nextText = model::canonicalText(next);
+    const std::string patch = model::makePatch(text, nextText);
+    print(
+        "state-bytes", "configuration patch, two objects changed", hosts, static_cast<double>(patch.size()));
+    print("state-us", "configuration patch: make", hosts, cpuUs([&] {
+        if (model::makePatch(text, nextText).empty())
+            std::abort();
+    }));
+    print("state-us", "configuration patch: apply", hosts, cpuUs([&] {
+        if (model::applyPatch(text, patch).value().size() != nextText.size())
+            std::abort();
+    }));
     print("state-us", "assignment of 140,000 client blocks", hosts, cpuUs([&] {
         if (steering::startSteering(set, {}).current_.size() != 140000)
             std::abort();
@@ -529,7 +561,7 @@
 {
     const model::ObjectSet set = plannedSet();
     const steering::SteeringState steering = steering::startSteering(set, {});
-    for (const size_t hosts : { 10, 50, 60, 100, 200, 400, 810 }) {
+    for (const size_t hosts : { 10, 40, 50, 60, 100, 200, 400, 810 }) {
         const control::Head head = fleetOf(hosts);
         measureRoles(head, measureMessages(head));
         measureTables(head, set, steering);
