--- a/test/host/snapshot-test.cc
+++ b/test/host/snapshot-test.cc
@@ -83,9 +83,11 @@
     model::ObjectSet set = baseSet();
     set.upstreams_.push_back({ .name_ = "u1" });
     set.moves_.push_back({ .name_ = "m1" });
+    set.moves_.push_back({ .name_ = "m4" });
     model::ObjectSet newer = set;
     newer.upstreams_[0].drain_ = true;
-    newer.moves_[0].state_ = model::MoveState::Held;
+    newer.moves_[0].state_ = model::MoveState::RolledBack;
+    newer.moves_[1].state_ = model::MoveState::Held; // Keeps its share, so it does not stop.
     Version head = version(2, newer);
     head.head_.drainedUpstreams_ = { "u2" };
     head.head_.moves_.push_back({ .name_ = "m2", .phase_ = control::MovePhase::RolledBack });
