--- a/src/host/path.cc
+++ b/src/host/path.cc
@@ -17,7 +17,7 @@
 namespace detail {
 
     /// Bodies up to this size are read before the first attempt, so that they can be sent again.
-    constexpr uint64_t bufferedBodyBytes = 64 * 1024;
+    constexpr uint64_t bufferedBodyBytes = uint64_t { 64 } * 1024;
     constexpr size_t maximumIdempotencyKeyBytes = 255;
 
     constexpr const char* timeoutHeader = "Turmericwing-Timeout-Ms";
--- a/src/host/settings.cc
+++ b/src/host/settings.cc
@@ -126,7 +126,7 @@
     std::string takeSecret(Document& document, const std::string& key)
     {
         const std::string path = takePath(document, key, true);
-        const std::string secret = trim(readFile(path).value_or(""));
+        std::string secret = trim(readFile(path).value_or(""));
         if (!path.empty() && secret.size() < minimumSecretBytes)
             addFault(document, 0, key, "the secret must have at least 16 bytes");
         return secret;
--- a/src/host/upstream.cc
+++ b/src/host/upstream.cc
@@ -12,7 +12,7 @@
 
 namespace detail {
 
-    constexpr size_t bufferBytes = 256 * 1024;
+    constexpr size_t bufferBytes = size_t { 256 } * 1024;
 
     /// A connection that was idle for longer may have been dropped by something on the way without notice.
     constexpr auto maximumIdle = std::chrono::seconds(2);
--- a/src/host/upstreamwatch.cc
+++ b/src/host/upstreamwatch.cc
@@ -16,14 +16,14 @@
 namespace detail {
 
     constexpr double meanPollSeconds = 1;
-    constexpr auto probeTimeoutMs = 500;
+    constexpr time_t probeTimeoutUs = 500'000;
 
     /// What an upstream says of itself; nothing when it does not answer, which only ejection acts on.
     std::optional<UpstreamReport> probeUpstream(const model::Upstream& upstream)
     {
         httplib::Client client("http://" + upstream.address_);
-        client.set_connection_timeout(0, probeTimeoutMs * 1000);
-        client.set_read_timeout(0, probeTimeoutMs * 1000);
+        client.set_connection_timeout(0, probeTimeoutUs);
+        client.set_read_timeout(0, probeTimeoutUs);
         const httplib::Result result = client.Get("/load");
         if (!result || result->status != 200)
             return std::nullopt;
--- a/support/bench.d/bench-http.cc
+++ b/support/bench.d/bench-http.cc
@@ -138,11 +138,13 @@
     std::atomic<size_t> failed { 0 };
     const auto begin = Clock::now();
     const auto end = begin + std::chrono::seconds(FLAGS_turns);
+    std::string path = "/v1/lookup?service=";
+    path.append(FLAGS_service).append(FLAGS_query);
     std::vector<std::thread> workers;
+    workers.reserve(static_cast<size_t>(FLAGS_threads));
     for (int i = 0; i < FLAGS_threads; ++i) {
         workers.emplace_back([&] {
             auto client = connect(FLAGS_host);
-            const std::string path = "/v1/lookup?service=" + FLAGS_service + FLAGS_query;
             while (Clock::now() < end) {
                 const auto response = client.Get(path);
                 ++(response && response->status == 200 ? done : failed);
