Keep a restarted host's incarnation above its predecessor's

Cause: the incarnation was the wall clock, so a host restarted after a clock step backwards took itself for a replaced process and stopped (found by reading). It now starts above its entry in the head.

--- a/include/turmericwing/host/headstore.h
+++ b/include/turmericwing/host/headstore.h
@@ -39,6 +39,10 @@
 /// writer. Errors: Conflict (who won and what it changed), Unavailable, Unknown (in doubt).
 Result<void> writeHead(const platform::Table&, const control::Head& base, const control::Head& next);
 
+/// Incarnation of a process that starts now: the wall clock in ms, but above that of the host's entry in the
+/// head, so that a clock that was set back does not make the new process look older than the one before it.
+uint64_t newIncarnation(const platform::Table&, const std::string& host, WallTime now);
+
 /// The newest entries, newest first. Errors: Unavailable.
 Result<std::vector<AuditEntry>> readAudit(const platform::Table&, uint64_t newestVersion, size_t limit);
 
--- a/src/host/headstore.cc
+++ b/src/host/headstore.cc
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -121,6 +122,17 @@
         ErrorCode::Unknown, "the response to the write was lost; the change may have taken effect");
 }
 
+uint64_t newIncarnation(const platform::Table& table, const std::string& host, WallTime now)
+{
+    auto incarnation = static_cast<uint64_t>(now.ms_);
+    const auto head = readHead(table);
+    for (const control::Member& member : head ? head.value().members_ : std::vector<control::Member>()) {
+        if (member.host_ == host)
+            incarnation = std::max(incarnation, member.incarnation_ + 1);
+    }
+    return incarnation;
+}
+
 Result<std::vector<AuditEntry>> readAudit(const platform::Table& table, uint64_t newestVersion, size_t limit)
 {
     std::vector<AuditEntry> entries;
--- a/src/host/host.cc
+++ b/src/host/host.cc
@@ -39,9 +39,9 @@
 struct Host::State {
     explicit State(Settings settings)
         : settings_(std::move(settings))
-        , incarnation_(static_cast<uint64_t>(wallNow().ms_))
-        , executor_(detail::maximumThreads)
         , platform_({ .address_ = detail::text(settings_.platformAddress_) })
+        , incarnation_(newIncarnation(platform_.platform().table_, settings_.name_, wallNow()))
+        , executor_(detail::maximumThreads)
         , peers_({ .self_ = detail::memberOf(settings_, incarnation_),
               .secret_ = settings_.peerSecret_,
               .handlers_
@@ -120,6 +120,7 @@
     Server& makeServer(ServerOptions);
 
     const Settings settings_;
+    platform::HttpPlatform platform_;
     const uint64_t incarnation_;
     SharedState shared_;
     Metrics metrics_;
@@ -127,7 +128,6 @@
     Lookups lookups_;
     std::atomic<int> inFlight_ { 0 };
     Executor executor_;
-    platform::HttpPlatform platform_;
     Peers peers_;
     Tokens tokens_;
     Dispatch dispatch_;
