--- a/include/turmericwing/host/snapshot.h
+++ b/include/turmericwing/host/snapshot.h
@@ -69,11 +69,16 @@
     bool draining() const { return draining_.load(); }
     void setDraining() { draining_.store(true); }
 
+    /// False in the last phase of a drain: new requests are refused as not run.
+    bool admitting() const { return admitting_.load(); }
+    void stopAdmitting() { admitting_.store(false); }
+
 private:
     mutable std::mutex mutex_;
     std::shared_ptr<const Snapshot> snapshot_;
     std::atomic<int64_t> leaseEnd_ { 0 };
     std::atomic<bool> draining_ { false };
+    std::atomic<bool> admitting_ { true };
 };
 
 } // namespace turmericwing::host
--- a/src/host/host.cc
+++ b/src/host/host.cc
@@ -1,6 +1,7 @@
 // Wiring of a host.
 #include "turmericwing/host/host.h"
 
+#include "turmericwing/control/drain.h"
 #include "turmericwing/host/claimstore.h"
 #include "turmericwing/host/controller.h"
 #include "turmericwing/host/log.h"
@@ -19,8 +20,8 @@
 
     constexpr size_t maximumThreads = 1024;
 
-    /// Lookup answers live this long; a leaving host serves until they have expired everywhere.
-    constexpr auto drainNotice = lookupTimeToLive + std::chrono::seconds(1);
+    constexpr auto drainPoll = std::chrono::milliseconds(10);
+    constexpr auto releaseNotice = std::chrono::milliseconds(200);
     constexpr auto housekeepingInterval = std::chrono::milliseconds(50);
     constexpr auto pullTimeout = std::chrono::milliseconds(400);
 
@@ -117,6 +118,8 @@
     void watchMembers();
     void refreshGauges();
     void leaveView();
+    bool writeLeaving(bool remove);
+    Duration longestTimeout() const;
     Server& makeServer(ServerOptions);
 
     const Settings settings_;
@@ -293,36 +296,55 @@
     }
 }
 
-void Host::State::leaveView()
+bool Host::State::writeLeaving(bool remove)
 {
-    const auto edited = [this](bool remove) {
-        return [this, remove](control::Head& head) -> Result<void> {
-            for (control::Member& member : head.members_) {
-                if (member.host_ != settings_.name_ || member.incarnation_ != incarnation_)
-                    continue;
-                member.state_ = control::MemberState::Leaving;
-                ++head.epoch_;
-                if (remove)
-                    std::erase_if(
-                        head.members_, [&](const auto& other) { return other.host_ == settings_.name_; });
-                return boost::outcome_v2::success();
-            }
-            return makeError(ErrorCode::NotFound, "this host is not in the view");
-        };
+    const std::string& self = settings_.name_;
+    const auto edit = [&](control::Head& head) -> Result<void> {
+        BOOST_OUTCOME_TRY(leaving, control::withLeaving(head, self, incarnation_));
+        head = remove ? control::withoutMembers(head, { self }) : leaving;
+        return boost::outcome_v2::success();
     };
-    const std::string who = settings_.name_;
-    if (!controller_.changeHead(who, "host " + who + " is leaving", edited(false)))
-        logEvent(LogLevel::Warning, "leave-not-written",
-            { { "detail", "other hosts learn of it by heartbeats" } });
-    std::this_thread::sleep_for(detail::drainNotice);
-    while (inFlight_.load() > 0)
-        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    const auto written
+        = controller_.changeHead(self, "host " + self + (remove ? " has left" : " is leaving"), edit);
+    // Without an entry in the view there is nothing to announce.
+    return written || written.error().code_ == ErrorCode::NotFound;
+}
+
+Duration Host::State::longestTimeout() const
+{
+    const auto snapshot = shared_.snapshot();
+    uint32_t longest = 0;
+    for (const model::Route& route : snapshot ? snapshot->set_->routes_ : std::vector<model::Route>())
+        longest = std::max(longest, route.timeoutMs_);
+    return std::chrono::milliseconds(longest);
+}
+
+void Host::State::leaveView()
+{
+    const control::DrainOptions options { .lookupTtl_ = lookupTimeToLive,
+        .longestTimeout_ = longestTimeout() };
+    control::Drain drain;
+    control::DrainInputs inputs;
+    control::beginDrain(drain, options, monotonicNow());
+    for (;;) {
+        inputs.inFlight_ = static_cast<size_t>(std::max(0, inFlight_.load()));
+        const auto actions = control::advanceDrain(drain, options, inputs, monotonicNow());
+        if (actions.exit_)
+            break;
+        if (!actions.admit_)
+            shared_.stopAdmitting();
+        if (actions.announce_ && drain.phase_ == control::DrainPhase::Leaving)
+            inputs.announced_ = writeLeaving(false);
+        std::this_thread::sleep_for(detail::drainPoll);
+    }
     callerServer_->stop();
     claims_.stop();
     tokens_.returnAll();
-    if (!controller_.changeHead(who, "host " + who + " has left", edited(true)))
+    if (!writeLeaving(true))
         logEvent(LogLevel::Warning, "leave-not-written",
             { { "detail", "other hosts remove this host when silent" } });
+    // The control loop has dropped this host's slots; the next homes are told before the process ends.
+    std::this_thread::sleep_for(detail::releaseNotice);
 }
 
 Result<void> Host::start()
--- a/src/host/path.cc
+++ b/src/host/path.cc
@@ -195,6 +195,8 @@
 
     std::optional<Ended> findTarget(Context& context)
     {
+        if (!context.parts_.state_.admitting())
+            return Ended { Reason::Draining, "the host is stopping; use another host" };
         context.snapshot_ = context.parts_.state_.snapshot();
         if (!context.snapshot_)
             return Ended { Reason::NotReady, "the host has no configuration yet" };
