Call shared pieces in place of written-again ones

The read-through found four: the row of a table read was decoded twice in the platform client, admission marked waiters in two copies of one loop, the operator port had its own copy of control::withLeaving, and host.cc declared a function that does not exist. Behaviour is unchanged.

--- a/src/host/dispatch.cc
+++ b/src/host/dispatch.cc
@@ -403,16 +403,15 @@
 void DispatchState::pump(
     detail::ServiceShard& shard, const std::string& side, const limits::AdmissionChanges& changes)
 {
-    for (const uint64_t id : changes.start_)
-        shard.waiters_[id].started_ = true;
-    for (const uint64_t id : changes.refuse_)
-        shard.waiters_[id].refused_ = true;
-    const auto more = limits::pollAdmission(
-        shard.admission_[side], concurrency(shard, side), monotonicNow(), admissionOptions_);
-    for (const uint64_t id : more.start_)
-        shard.waiters_[id].started_ = true;
-    for (const uint64_t id : more.refuse_)
-        shard.waiters_[id].refused_ = true;
+    const auto mark = [&](const limits::AdmissionChanges& decided) {
+        for (const uint64_t id : decided.start_)
+            shard.waiters_[id].started_ = true;
+        for (const uint64_t id : decided.refuse_)
+            shard.waiters_[id].refused_ = true;
+    };
+    mark(changes);
+    mark(limits::pollAdmission(
+        shard.admission_[side], concurrency(shard, side), monotonicNow(), admissionOptions_));
     shard.changed_.notify_all();
 }
 
--- a/src/host/host.cc
+++ b/src/host/host.cc
@@ -120,7 +120,6 @@
     void leaveView();
     bool writeLeaving(bool remove);
     Duration longestTimeout() const;
-    Server& makeServer(ServerOptions);
 
     const Settings settings_;
     platform::HttpPlatform platform_;
--- a/src/host/operatorapi.cc
+++ b/src/host/operatorapi.cc
@@ -3,6 +3,7 @@
 #include "turmericwing/host/operatorapi.h"
 
 #include "turmericwing/base/hash.h"
+#include "turmericwing/control/membership.h"
 #include "turmericwing/limits/placement.h"
 
 #include <nlohmann/json.hpp>
@@ -266,14 +267,13 @@
         }
         return headResponse(parts,
             parts.controller_.changeHead(who, "drain host " + name, [&](control::Head& head) -> Result<void> {
-                for (control::Member& member : head.members_) {
-                    if (member.host_ == name) {
-                        member.state_ = control::MemberState::Leaving;
-                        ++head.epoch_;
-                        return boost::outcome_v2::success();
-                    }
-                }
-                return makeError(ErrorCode::NotFound, "no host '" + name + "' in the view");
+                const auto member = std::find_if(head.members_.begin(), head.members_.end(),
+                    [&](const control::Member& other) { return other.host_ == name; });
+                if (member == head.members_.end())
+                    return makeError(ErrorCode::NotFound, "no host '" + name + "' in the view");
+                BOOST_OUTCOME_TRY(leaving, control::withLeaving(head, name, member->incarnation_));
+                head = leaving;
+                return boost::outcome_v2::success();
             }));
     }
 
--- a/src/platform/http.cc
+++ b/src/platform/http.cc
@@ -231,12 +231,7 @@
     Result<std::optional<Row>> get(const std::string& key)
     {
         BOOST_OUTCOME_TRY(response, read("/table/" + detail::percentEncode(key)));
-        if (response.status == 404)
-            return std::optional<Row>();
-        if (response.status != 200)
-            return unexpected(response);
-        BOOST_OUTCOME_TRY(version, detail::parseVersion(response.get_header_value("ETag")));
-        return std::optional<Row>(Row { key, response.body, version });
+        return rowOf(key, response);
     }
 
     Result<std::optional<Row>> getUnless(const std::string& key, uint64_t knownVersion)
@@ -246,6 +241,11 @@
             response, read("/table/" + detail::percentEncode(key), { { "If-None-Match", tag } }));
         if (response.status == 304)
             return std::optional<Row>(Row { key, {}, knownVersion });
+        return rowOf(key, response);
+    }
+
+    Result<std::optional<Row>> rowOf(const std::string& key, const httplib::Response& response)
+    {
         if (response.status == 404)
             return std::optional<Row>();
         if (response.status != 200)
