--- a/include/turmericwing/host/claimstore.h
+++ b/include/turmericwing/host/claimstore.h
@@ -3,7 +3,7 @@
 
 #include "turmericwing/base/time.h"
 #include "turmericwing/host/problem.h"
-#include "turmericwing/platform/platform.h"
+#include "turmericwing/store/store.h"
 
 #include <memory>
 #include <optional>
@@ -45,7 +45,7 @@
 
 class ClaimStore {
 public:
-    ClaimStore(std::string host, uint64_t incarnation, platform::Table, const class SharedState&);
+    ClaimStore(std::string host, uint64_t incarnation, store::Table, const class SharedState&);
     ~ClaimStore();
 
     /// Claims a request before its first byte goes to an upstream.
--- a/include/turmericwing/host/controller.h
+++ b/include/turmericwing/host/controller.h
@@ -10,7 +10,7 @@
 #include "turmericwing/host/snapshot.h"
 #include "turmericwing/model/parse.h"
 #include "turmericwing/peer/message.h"
-#include "turmericwing/platform/platform.h"
+#include "turmericwing/store/store.h"
 
 #include <condition_variable>
 #include <functional>
@@ -46,7 +46,7 @@
 
 struct ControllerOptions {
     control::Member self_;
-    platform::Platform platform_;
+    store::Platform platform_;
     std::function<void(const Snapshot&)> onSnapshot_; ///< Called after the shared snapshot was replaced.
     std::function<void()> onLeave_; ///< This process was replaced by another one, or told to leave.
     std::function<void(const control::Head&)> onHead_; ///< A newer head was learned; called under a lock.
--- a/include/turmericwing/host/headstore.h
+++ b/include/turmericwing/host/headstore.h
@@ -4,7 +4,7 @@
 
 #include "turmericwing/base/random.h"
 #include "turmericwing/control/head.h"
-#include "turmericwing/platform/platform.h"
+#include "turmericwing/store/store.h"
 
 #include <functional>
 #include <optional>
@@ -28,7 +28,7 @@
 
 /// Reads the head; an absent row is a head with version 0. A caller that passes the head that it knows gets a
 /// copy of it when the row has that version, and the row is not transferred. Errors: Unavailable, Invalid.
-Result<control::Head> readHead(const platform::Table&, const control::Head* known = nullptr);
+Result<control::Head> readHead(const store::Table&, const control::Head* known = nullptr);
 
 /// Completes an edited head: version, nonce, time, who and what.
 control::Head nextHead(const control::Head& base, control::Head edited, const std::string& who,
@@ -37,13 +37,13 @@
 /// Writes `next`, which nextHead made from the version before it, together with its audit row. A lost
 /// response is told apart from a lost race by the audit row of that version, which holds the nonce of its
 /// writer. Errors: Conflict (who won and what it changed), Unavailable, Unknown (in doubt).
-Result<void> writeHead(const platform::Table&, const control::Head& base, const control::Head& next);
+Result<void> writeHead(const store::Table&, const control::Head& base, const control::Head& next);
 
 /// Incarnation of a process that starts now: the wall clock in ms, but above that of the host's entry in the
 /// head, so that a clock that was set back does not make the new process look older than the one before it.
-uint64_t newIncarnation(const platform::Table&, const std::string& host, WallTime now);
+uint64_t newIncarnation(const store::Table&, const std::string& host, WallTime now);
 
 /// The newest entries, newest first. Errors: Unavailable.
-Result<std::vector<AuditEntry>> readAudit(const platform::Table&, uint64_t newestVersion, size_t limit);
+Result<std::vector<AuditEntry>> readAudit(const store::Table&, uint64_t newestVersion, size_t limit);
 
 } // namespace turmericwing::host
--- a/include/turmericwing/host/log.h
+++ b/include/turmericwing/host/log.h
@@ -15,6 +15,13 @@
 /// Sets up the log for the process. `host` stands on every line.
 void startLog(const std::string& host, LogLevel minimum);
 
+/// As startLog, for event loops: lines collect in memory until flushLog writes them. When the reader of
+/// standard output falls behind, lines are dropped and counted instead of waited for.
+void startBufferedLog(const std::string& host, LogLevel minimum);
+
+/// Writes collected lines without blocking. Lines that were dropped are reported by a line of their own.
+void flushLog();
+
 /// Writes one line. Values are quoted where needed. Never pass keys, tokens or bodies.
 void logEvent(LogLevel, const char* event, std::initializer_list<LogField> fields = {});
 
--- a/include/turmericwing/host/operatorapi.h
+++ b/include/turmericwing/host/operatorapi.h
@@ -21,7 +21,7 @@
     Dispatch& dispatch_;
     Metrics& metrics_;
     TraceLog& trace_;
-    platform::Table table_;
+    store::Table table_;
     std::function<void()> refreshGauges_; ///< Before metrics are written.
     std::function<void()> drainSelf_;
     std::function<LocalResponse(const LocalRequest&)> lookup_;
--- a/include/turmericwing/host/settings.h
+++ b/include/turmericwing/host/settings.h
@@ -1,6 +1,7 @@
 // Settings of one host, read from an INI file. Secrets are read from the files that the settings name.
 #pragma once
 
+#include "turmericwing/base/address.h"
 #include "turmericwing/base/result.h"
 
 #include <cstdint>
@@ -9,15 +10,8 @@
 
 namespace turmericwing::host {
 
-/// "ip:port" split into its parts.
-struct Address {
-    std::string ip_;
-    uint16_t port_ = 0;
-    friend auto operator<=>(const Address&, const Address&) = default;
-};
-
-/// Errors: Invalid when the text is not "a.b.c.d:port" with a port from 1 to 65535.
-Result<Address> parseAddress(const std::string& text);
+using turmericwing::Address;
+using turmericwing::parseAddress;
 
 enum class Role { Read, Change };
 
--- a/include/turmericwing/host/upstreamwatch.h
+++ b/include/turmericwing/host/upstreamwatch.h
@@ -4,7 +4,7 @@
 #include "turmericwing/host/dispatch.h"
 #include "turmericwing/host/executor.h"
 #include "turmericwing/host/snapshot.h"
-#include "turmericwing/platform/platform.h"
+#include "turmericwing/store/store.h"
 
 #include <condition_variable>
 #include <mutex>
@@ -15,7 +15,7 @@
 
 class UpstreamWatch {
 public:
-    UpstreamWatch(std::string region, const SharedState&, platform::HostList, Dispatch&, Executor&);
+    UpstreamWatch(std::string region, const SharedState&, store::HostList, Dispatch&, Executor&);
     ~UpstreamWatch();
 
     void start();
@@ -28,7 +28,7 @@
 
     const std::string region_;
     const SharedState& state_;
-    const platform::HostList list_;
+    const store::HostList list_;
     Dispatch& dispatch_;
     Executor& executor_;
     std::mutex mutex_;
--- a/include/turmericwing/platform/http.h
+++ b/include/turmericwing/store/http.h
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "turmericwing/base/time.h"
-#include "turmericwing/platform/platform.h"
+#include "turmericwing/store/store.h"
 
 #include <memory>
 
-namespace turmericwing::platform {
+namespace turmericwing::store {
 
 struct HttpOptions {
     std::string address_; ///< "ip:port" of the platform.
@@ -47,4 +47,4 @@
     std::shared_ptr<State> state_;
 };
 
-} // namespace turmericwing::platform
+} // namespace turmericwing::store
--- a/include/turmericwing/platform/memory.h
+++ b/include/turmericwing/store/memory.h
@@ -3,11 +3,11 @@
 
 #include "turmericwing/base/random.h"
 #include "turmericwing/base/time.h"
-#include "turmericwing/platform/platform.h"
+#include "turmericwing/store/store.h"
 
 #include <memory>
 
-namespace turmericwing::platform {
+namespace turmericwing::store {
 
 /// Faults of one client's view of the platform.
 struct Faults {
@@ -56,4 +56,4 @@
     std::shared_ptr<State> state_;
 };
 
-} // namespace turmericwing::platform
+} // namespace turmericwing::store
--- a/include/turmericwing/platform/platform.h
+++ b/include/turmericwing/store/store.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace turmericwing::platform {
+namespace turmericwing::store {
 
 /// A table row. Versions of one key rise by 1 with each write and start at 1.
 struct Row {
@@ -83,4 +83,4 @@
 /// empty. A head of 810 members is then not sent 2.5 times a second to each reader.
 Result<std::optional<Row>> getUnless(const Table&, const std::string& key, uint64_t knownVersion);
 
-} // namespace turmericwing::platform
+} // namespace turmericwing::store
--- a/src/host/claimstore.cc
+++ b/src/host/claimstore.cc
@@ -23,12 +23,12 @@
     /// Time for writes that no request waits for: outcomes and releases.
     constexpr auto laterTime = std::chrono::seconds(10);
 
-    claims::CurrentRow currentRow(const platform::Row& row) { return { row.value_, row.version_ }; }
+    claims::CurrentRow currentRow(const store::Row& row) { return { row.value_, row.version_ }; }
 
 } // namespace detail
 
 struct ClaimState {
-    ClaimState(std::string host, uint64_t incarnation, platform::Table table, const SharedState& shared)
+    ClaimState(std::string host, uint64_t incarnation, store::Table table, const SharedState& shared)
         : host_(std::move(host))
         , incarnation_(incarnation)
         , table_(std::move(table))
@@ -52,7 +52,7 @@
 
     const std::string host_;
     const uint64_t incarnation_;
-    const platform::Table table_;
+    const store::Table table_;
     const SharedState& shared_;
     const claims::ClaimOptions claimOptions_;
     const claims::BatchOptions batchOptions_;
@@ -115,7 +115,7 @@
 
 void ClaimState::send(const claims::Batch& batch)
 {
-    std::vector<platform::ConditionalWrite> writes;
+    std::vector<store::ConditionalWrite> writes;
     for (const claims::PendingWrite& write : batch.writes_)
         writes.push_back({ write.key_, write.value_, write.expectedVersion_ });
     const auto answered = table_.writeBatch_(writes);
@@ -126,7 +126,7 @@
                 : claims::batchLost(batcher_, batch.number_, batchOptions_));
     } else {
         std::vector<claims::TableOutcome> outcomes;
-        for (const platform::WriteOutcome& outcome : answered.value()) {
+        for (const store::WriteOutcome& outcome : answered.value()) {
             claims::TableOutcome row { outcome.applied_, std::nullopt };
             if (outcome.current_)
                 row.current_ = detail::currentRow(*outcome.current_);
@@ -182,8 +182,7 @@
     wake_.notify_one();
 }
 
-ClaimStore::ClaimStore(
-    std::string host, uint64_t incarnation, platform::Table table, const SharedState& shared)
+ClaimStore::ClaimStore(std::string host, uint64_t incarnation, store::Table table, const SharedState& shared)
     : state_(std::make_unique<ClaimState>(std::move(host), incarnation, std::move(table), shared))
 {
 }
--- a/src/host/headstore.cc
+++ b/src/host/headstore.cc
@@ -54,7 +54,7 @@
     }
 
     /// Whether the version of `next` carries its nonce. Empty when the version has not been written.
-    Result<std::optional<bool>> wasWritten(const platform::Table& table, const control::Head& next)
+    Result<std::optional<bool>> wasWritten(const store::Table& table, const control::Head& next)
     {
         BOOST_OUTCOME_TRY(row, table.get_(auditKey(next.version_)));
         if (!row)
@@ -65,11 +65,11 @@
 
 } // namespace detail
 
-Result<control::Head> readHead(const platform::Table& table, const control::Head* known)
+Result<control::Head> readHead(const store::Table& table, const control::Head* known)
 {
     const uint64_t knownVersion = known ? known->version_ : 0;
     BOOST_OUTCOME_TRY(row,
-        knownVersion > 0 ? platform::getUnless(table, control::headKey, knownVersion)
+        knownVersion > 0 ? store::getUnless(table, control::headKey, knownVersion)
                          : table.get_(control::headKey));
     if (!row)
         return control::Head {};
@@ -92,11 +92,11 @@
     return edited;
 }
 
-Result<void> writeHead(const platform::Table& table, const control::Head& base, const control::Head& next)
+Result<void> writeHead(const store::Table& table, const control::Head& base, const control::Head& next)
 {
     const AuditEntry audit { next.version_, base.revision_, next.revision_, next.writtenAt_, next.publisher_,
         next.change_, next.nonce_, "accepted" };
-    const std::vector<platform::ConditionalWrite> writes {
+    const std::vector<store::ConditionalWrite> writes {
         { control::headKey, control::encodeHead(next), base.version_ },
         { detail::auditKey(next.version_), detail::encodeAudit(audit), 0 },
     };
@@ -122,7 +122,7 @@
         ErrorCode::Unknown, "the response to the write was lost; the change may have taken effect");
 }
 
-uint64_t newIncarnation(const platform::Table& table, const std::string& host, WallTime now)
+uint64_t newIncarnation(const store::Table& table, const std::string& host, WallTime now)
 {
     auto incarnation = static_cast<uint64_t>(now.ms_);
     const auto head = readHead(table);
@@ -133,7 +133,7 @@
     return incarnation;
 }
 
-Result<std::vector<AuditEntry>> readAudit(const platform::Table& table, uint64_t newestVersion, size_t limit)
+Result<std::vector<AuditEntry>> readAudit(const store::Table& table, uint64_t newestVersion, size_t limit)
 {
     std::vector<AuditEntry> entries;
     for (uint64_t version = newestVersion; version > 0 && entries.size() < limit; --version) {
--- a/src/host/host.cc
+++ b/src/host/host.cc
@@ -10,7 +10,7 @@
 #include "turmericwing/host/path.h"
 #include "turmericwing/host/peers.h"
 #include "turmericwing/host/upstreamwatch.h"
-#include "turmericwing/platform/http.h"
+#include "turmericwing/store/http.h"
 
 #include <algorithm>
 
@@ -122,7 +122,7 @@
     Duration longestTimeout() const;
 
     const Settings settings_;
-    platform::HttpPlatform platform_;
+    store::HttpPlatform platform_;
     const uint64_t incarnation_;
     SharedState shared_;
     Metrics metrics_;
--- a/src/host/log.cc
+++ b/src/host/log.cc
@@ -3,6 +3,10 @@
 
 #include <easylogging++.h>
 
+#include <cerrno>
+#include <fcntl.h>
+#include <unistd.h>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace turmericwing::host {
@@ -11,6 +15,30 @@
 
     LogLevel minimumLevel = LogLevel::Info;
 
+    constexpr size_t largestBacklog = 256 * 1024; ///< Bytes of lines that wait for standard output.
+
+    /// Lines of a buffered log. Used on the event loop only.
+    struct Backlog {
+        std::string lines_;
+        uint64_t dropped_ = 0;
+    };
+
+    Backlog backlog;
+
+    /// Collects lines in place of writing each to standard output.
+    class BufferedDispatch : public el::LogDispatchCallback {
+    protected:
+        void handle(const el::LogDispatchData* data) override
+        {
+            const el::LogMessage* message = data->logMessage();
+            const std::string line = message->logger()->logBuilder()->build(message, true);
+            if (backlog.lines_.size() + line.size() > largestBacklog)
+                ++backlog.dropped_;
+            else
+                backlog.lines_ += line;
+        }
+    };
+
     std::string quoted(const std::string& value)
     {
         if (!value.empty() && value.find_first_of(" \"=\n\r\t\\") == std::string::npos)
@@ -38,6 +66,35 @@
     el::Loggers::reconfigureAllLoggers(configuration);
 }
 
+void startBufferedLog(const std::string& host, LogLevel minimum)
+{
+    startLog(host, minimum);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+        "DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<detail::BufferedDispatch>("BufferedDispatch");
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+        fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+void flushLog()
+{
+    std::string& lines = detail::backlog.lines_;
+    while (!lines.empty()) {
+        const ssize_t written = ::write(STDOUT_FILENO, lines.data(), lines.size());
+        if (written < 0 && errno == EINTR)
+            continue;
+        if (written <= 0)
+            break;
+        lines.erase(0, static_cast<size_t>(written));
+    }
+    if (!lines.empty() || detail::backlog.dropped_ == 0)
+        return;
+    const std::string dropped = std::to_string(detail::backlog.dropped_);
+    detail::backlog.dropped_ = 0;
+    logEvent(LogLevel::Warning, "log-lines-dropped", { { "lines", dropped } });
+}
+
 void logEvent(LogLevel level, const char* event, std::initializer_list<LogField> fields)
 {
     if (level < detail::minimumLevel)
--- a/src/host/upstreamwatch.cc
+++ b/src/host/upstreamwatch.cc
@@ -38,7 +38,7 @@
 
 } // namespace detail
 
-UpstreamWatch::UpstreamWatch(std::string region, const SharedState& state, platform::HostList list,
+UpstreamWatch::UpstreamWatch(std::string region, const SharedState& state, store::HostList list,
     Dispatch& dispatch, Executor& executor)
     : region_(std::move(region))
     , state_(state)
@@ -102,8 +102,8 @@
     if (!entries)
         return;
     std::set<std::string> leaving;
-    for (const platform::HostEntry& entry : entries.value()) {
-        if (entry.state_ == platform::HostState::Leaving)
+    for (const store::HostEntry& entry : entries.value()) {
+        if (entry.state_ == store::HostState::Leaving)
             leaving.insert(entry.name_);
     }
     dispatch_.setLeaving(leaving);
--- a/src/platform/http.cc
+++ b/src/store/http.cc
@@ -1,5 +1,5 @@
 // HTTP client of the platform: connection pool, classification of failures, JSON bodies.
-#include "turmericwing/platform/http.h"
+#include "turmericwing/store/http.h"
 
 #include "turmericwing/base/hash.h"
 
@@ -12,7 +12,7 @@
 #include <csignal>
 #include <mutex>
 
-namespace turmericwing::platform {
+namespace turmericwing::store {
 
 namespace detail {
 
@@ -395,4 +395,4 @@
     return { state_->reads_, state_->writes_, state_->failures_, state_->connections_ };
 }
 
-} // namespace turmericwing::platform
+} // namespace turmericwing::store
--- a/src/platform/memory.cc
+++ b/src/store/memory.cc
@@ -1,5 +1,5 @@
 // In-memory platform.
-#include "turmericwing/platform/memory.h"
+#include "turmericwing/store/memory.h"
 
 #include "turmericwing/base/hash.h"
 
@@ -7,7 +7,7 @@
 #include <mutex>
 #include <thread>
 
-namespace turmericwing::platform {
+namespace turmericwing::store {
 
 using Hosts = std::map<std::string, HostEntry>;
 
@@ -215,4 +215,4 @@
     return state_->counters_;
 }
 
-} // namespace turmericwing::platform
+} // namespace turmericwing::store
--- a/src/platform/platform.cc
+++ b/src/store/store.cc
@@ -1,7 +1,7 @@
 // Conditional write that survives a lost response.
-#include "turmericwing/platform/platform.h"
+#include "turmericwing/store/store.h"
 
-namespace turmericwing::platform {
+namespace turmericwing::store {
 
 namespace detail {
 
@@ -72,4 +72,4 @@
     return table.getUnless_ ? table.getUnless_(key, knownVersion) : table.get_(key);
 }
 
-} // namespace turmericwing::platform
+} // namespace turmericwing::store
--- a/support/standin/platform-main.cc
+++ b/support/standin/platform-main.cc
@@ -22,7 +22,7 @@
     sigaddset(&signals, SIGTERM);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
-    platform::MemoryPlatform memory({ .seed_ = FLAGS_seed });
+    store::MemoryPlatform memory({ .seed_ = FLAGS_seed });
     std::vector<std::unique_ptr<standin::PlatformServer>> servers;
     for (int i = 0; i < FLAGS_ports; ++i) {
         const int port = FLAGS_port + i;
--- a/support/standin/platform-server.cc
+++ b/support/standin/platform-server.cc
@@ -30,12 +30,12 @@
         reply(response, status, { { "error", toString(error.code_) }, { "message", error.message_ } });
     }
 
-    Json rowJson(const platform::Row& row)
+    Json rowJson(const store::Row& row)
     {
         return { { "key", row.key_ }, { "value", row.value_ }, { "version", row.version_ } };
     }
 
-    Json optionalRowJson(const std::optional<platform::Row>& row) { return row ? rowJson(*row) : Json(); }
+    Json optionalRowJson(const std::optional<store::Row>& row) { return row ? rowJson(*row) : Json(); }
 
     std::string etag(uint64_t version) { return '"' + std::to_string(version) + '"'; }
 
@@ -64,7 +64,7 @@
 
 using namespace detail;
 
-PlatformServer::PlatformServer(platform::MemoryPlatform memory, std::string client)
+PlatformServer::PlatformServer(store::MemoryPlatform memory, std::string client)
     : memory_(std::move(memory))
     , client_(std::move(client))
     , platform_(memory_.platform(client_))
@@ -125,7 +125,7 @@
         reply(response, 200, { { "version", *version + 1 } });
     });
     server_.Post("/table", jsonHandler([this](const Request&, Response& response, const Json& body) {
-        std::vector<platform::ConditionalWrite> writes;
+        std::vector<store::ConditionalWrite> writes;
         for (const auto& item : body.at("writes"))
             writes.push_back({ item.at("key"), item.at("value"), item.at("version").get<uint64_t>() });
         const bool atomic = body.at("atomic").get<bool>();
@@ -165,7 +165,7 @@
         Json list = Json::array();
         for (const auto& host : hosts.value())
             list.push_back({ { "name", host.name_ }, { "address", host.address_ },
-                { "state", host.state_ == platform::HostState::Leaving ? "leaving" : "live" } });
+                { "state", host.state_ == store::HostState::Leaving ? "leaving" : "live" } });
         reply(response, 200, list);
     });
     server_.Put(
@@ -176,7 +176,7 @@
             if (state != "live" && state != "leaving")
                 return reply(response, 400, { { "error", "invalid" }, { "message", "unknown state" } });
             memory_.putHost({ request.matches[1], body.at("address"),
-                state == "leaving" ? platform::HostState::Leaving : platform::HostState::Live });
+                state == "leaving" ? store::HostState::Leaving : store::HostState::Live });
             reply(response, 200, Json::object());
         }));
     server_.Delete("/hosts/([^/]+)", [this](const Request& request, Response& response) {
@@ -190,7 +190,7 @@
     server_.Post("/faults", jsonHandler([this](const Request&, Response& response, const Json& body) {
         using std::chrono::milliseconds;
         const std::string client = body.value("all", false) ? "" : client_;
-        platform::Faults faults = memory_.faults(client);
+        store::Faults faults = memory_.faults(client);
         faults.outage_ = body.value("outage", faults.outage_);
         faults.lostResponse_ = body.value("lostResponse", faults.lostResponse_);
         if (body.contains("delayMs"))
--- a/support/standin/platform-server.h
+++ b/support/standin/platform-server.h
@@ -3,7 +3,7 @@
 
 #include "server.h"
 
-#include "turmericwing/platform/memory.h"
+#include "turmericwing/store/memory.h"
 
 namespace turmericwing::standin {
 
@@ -11,7 +11,7 @@
 /// say `"all": true`.
 class PlatformServer {
 public:
-    PlatformServer(platform::MemoryPlatform, std::string client);
+    PlatformServer(store::MemoryPlatform, std::string client);
 
     /// Port 0 picks a free one. Returns the port, 0 on failure.
     int start(const std::string& ip, int port) { return server_.start(ip, port); }
@@ -25,9 +25,9 @@
     void routeObjectsAndHosts();
     void routeControl();
 
-    platform::MemoryPlatform memory_;
+    store::MemoryPlatform memory_;
     std::string client_;
-    platform::Platform platform_;
+    store::Platform platform_;
     std::atomic<TimePoint> silentSince_ { TimePoint::min() };
     Server server_;
 };
--- a/test/host/bed.h
+++ b/test/host/bed.h
@@ -163,7 +163,7 @@
     }
     ~RunningHost() { stop(); }
 
-    void startPlatform(const platform::MemoryPlatform& memory)
+    void startPlatform(const store::MemoryPlatform& memory)
     {
         platform_ = std::make_unique<standin::PlatformServer>(memory, settings_.name_);
         platform_->start("127.0.0.1", settings_.platformAddress_.port_);
--- a/test/host/headstore-test.cc
+++ b/test/host/headstore-test.cc
@@ -1,7 +1,7 @@
 // Tests of head and audit rows.
 #include "turmericwing/host/headstore.h"
 
-#include "turmericwing/platform/memory.h"
+#include "turmericwing/store/memory.h"
 
 #include <doctest/doctest.h>
 
@@ -23,8 +23,8 @@
 TEST_CASE("a write whose response is lost is told apart from a lost race")
 {
     // Guards against a writer that takes its own success for another writer's, or the reverse.
-    platform::MemoryPlatform memory;
-    const platform::Table table = memory.platform().table_;
+    store::MemoryPlatform memory;
+    const store::Table table = memory.platform().table_;
     Random random(1);
     const control::Head first = withMember({}, 1, random);
     memory.setFaults({ .lostResponse_ = 1 });
@@ -41,8 +41,8 @@
 TEST_CASE("a clock that was set back does not lower a host's incarnation")
 {
     // Guards against a restarted host that takes itself for a replaced one and stops.
-    platform::MemoryPlatform memory;
-    const platform::Table table = memory.platform().table_;
+    store::MemoryPlatform memory;
+    const store::Table table = memory.platform().table_;
     Random random(1);
     CHECK(newIncarnation(table, "h1", { 500 }) == 500);
     REQUIRE(writeHead(table, {}, withMember({}, 1000, random)));
--- a/test/host/host-test.cc
+++ b/test/host/host-test.cc
@@ -82,7 +82,7 @@
 /// Three hosts (the third with TLS) and one service for each kind of upstream, so that what a test does to
 /// one service concerns no other test.
 struct Bed {
-    platform::MemoryPlatform memory_;
+    store::MemoryPlatform memory_;
     standin::UpstreamGroup upstreams_;
     RawUpstream raw_ { rawResponse };
     std::map<std::string, size_t> index_; ///< First upstream of a service.
--- a/test/platform/http-test.cc
+++ b/test/store/http-test.cc
@@ -1,12 +1,12 @@
 // Tests of the HTTP client against the platform stand-in.
-#include "turmericwing/platform/http.h"
+#include "turmericwing/store/http.h"
 
 #include "platform-server.h"
 
 #include <doctest/doctest.h>
 
 using namespace turmericwing;
-using namespace turmericwing::platform;
+using namespace turmericwing::store;
 
 namespace {
 
--- a/test/platform/memory-test.cc
+++ b/test/store/memory-test.cc
@@ -1,10 +1,10 @@
 // Tests of the in-memory platform and its faults.
-#include "turmericwing/platform/memory.h"
+#include "turmericwing/store/memory.h"
 
 #include <doctest/doctest.h>
 
 using namespace turmericwing;
-using namespace turmericwing::platform;
+using namespace turmericwing::store;
 
 TEST_CASE("conditional writes apply one by one or all together")
 {
--- a/test/platform/platform-test.cc
+++ b/test/store/store-test.cc
@@ -1,10 +1,10 @@
 // Tests of writeOnce.
-#include "turmericwing/platform/memory.h"
+#include "turmericwing/store/memory.h"
 
 #include <doctest/doctest.h>
 
 using namespace turmericwing;
-using namespace turmericwing::platform;
+using namespace turmericwing::store;
 
 namespace {
 
