--- a/cmake/turmericwing.cmake
+++ b/cmake/turmericwing.cmake
@@ -4,7 +4,9 @@
 target_include_directories(turmericwing_options INTERFACE ${CMAKE_SOURCE_DIR}/include)
 # Designated initialisers leave out members on purpose.
 target_compile_options(turmericwing_options INTERFACE
-    -Wall -Wextra -Wpedantic -Wshadow -Wzero-as-null-pointer-constant -Werror -Wno-missing-field-initializers)
+    -Wall -Wextra -Wpedantic -Wshadow -Wzero-as-null-pointer-constant -Werror -Wno-missing-field-initializers
+    # g++ 12 reports overlapping copies inside std::string concatenations that cannot overlap (GCC bug 105651).
+    -Wno-restrict)
 if(TURMERICWING_SANITIZE)
     target_compile_options(turmericwing_options INTERFACE
         -fsanitize=${TURMERICWING_SANITIZE} -fno-sanitize-recover=all -fno-omit-frame-pointer)
@@ -20,6 +22,9 @@
 
 # tw_test(NAME SOURCES x-test.cc DEPS turmericwing_x): one doctest program, registered with CTest.
 function(tw_test name)
+    if(TURMERICWING_GATEWAY_ONLY)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
     add_executable(${name}-test ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/test/doctest-main.cc)
     target_link_libraries(${name}-test PRIVATE turmericwing_options ${ARG_DEPS})
--- /dev/null
+++ b/include/turmericwing/gateway/settings.h
@@ -0,0 +1,44 @@
+// Settings of a gateway process, read from an INI file.
+#pragma once
+
+#include "turmericwing/base/address.h"
+#include "turmericwing/base/time.h"
+
+#include <map>
+#include <string>
+
+namespace turmericwing::gateway {
+
+/// Bounds that the users set for the whole fleet.
+struct Bounds {
+    double retryRatio_ = 0.2; ///< Repeated sends per request, over all hosts.
+    double retrySlack_ = 60; ///< Repeated sends beyond that, over all hosts, per window.
+    Duration drainTime_ = std::chrono::milliseconds(2500); ///< To stop sending to a leaving upstream.
+    Duration stopTime_ = std::chrono::seconds(6); ///< From SIGTERM to SIGKILL.
+    Duration lookupLife_ = std::chrono::seconds(5); ///< Longest life of a lookup answer.
+    friend auto operator<=>(const Bounds&, const Bounds&) = default;
+};
+
+struct Settings {
+    std::string name_;
+    std::string region_;
+    std::string failureDomain_;
+    Address callerAddress_;
+    Address readinessAddress_;
+    Address lookupAddress_;
+    Address peerAddress_;
+    Address metricsAddress_;
+    Address storeAddress_;
+    std::map<std::string, std::string> regionOf_; ///< By failure domain.
+    Bounds bounds_;
+    friend bool operator==(const Settings&, const Settings&) = default;
+};
+
+/// Reads and checks a settings file. Unknown fields are ignored, because newer deployments may add some.
+/// Errors: Invalid, with every fault, one a line.
+Result<Settings> loadSettings(const std::string& path);
+
+/// "1500ms" or "2.5s". Errors: Invalid.
+Result<Duration> parseDuration(const std::string& text);
+
+} // namespace turmericwing::gateway
--- /dev/null
+++ b/include/turmericwing/routing/pick.h
@@ -0,0 +1,157 @@
+// Choice of the upstream for one request by the expected time to its answer.
+//
+// Upstreams answer sooner for objects that they have handled lately. Rendezvous hashing gives each object the
+// same few upstreams on every host without any exchange, first in the caller's region; a request leaves them
+// only when their queue costs more than a cold object elsewhere. The load of an upstream is what this host
+// and its peers have in flight there.
+#pragma once
+
+#include "turmericwing/base/random.h"
+#include "turmericwing/base/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmericwing::routing {
+
+struct PickOptions {
+    /// Part of the full work that is left for an object's first, second and third upstream of a region.
+    double warmWork_[3] = { 0.35, 0.5, 0.8 };
+    double slownessWeight_ = 0.2; ///< Weight of a new sample of an upstream's slowness.
+    Duration slownessHalfLife_ = std::chrono::seconds(3); ///< So that a slow upstream is tried again.
+    double failureWeight_ = 0.15; ///< Weight of a new answer in an upstream's failure rate.
+    Duration firstPause_ = std::chrono::milliseconds(400); ///< After a failed connection; doubles.
+    Duration longestPause_ = std::chrono::seconds(4);
+    Duration fullPause_ = std::chrono::milliseconds(60); ///< After the upstream said that it is full.
+    /// Requests per slot that may be in flight before an upstream counts as full.
+    double occupancy_ = 1.34;
+    bool affinity_ = true; ///< False ignores the object. Only for tests, as a baseline.
+};
+
+/// What a host knows of one upstream.
+struct Target {
+    std::string id_;
+    uint64_t hash_ = 0; ///< Of id_, for rendezvous hashing.
+    std::string region_;
+    std::string failureDomain_;
+    std::string version_;
+    uint32_t slots_ = 1;
+    bool usable_ = true; ///< False once it leaves, or its entry is gone.
+    uint32_t inFlight_ = 0; ///< Of this host.
+    uint32_t peerInFlight_ = 0; ///< Of the other hosts, as last heard.
+    TimePoint coldUntil_ {}; ///< Admission while cold is up to the caller.
+    TimePoint pausedUntil_ {};
+    uint32_t failuresInRow_ = 0;
+    double slowness_ = 1; ///< Observed time as a multiple of the expected one; at least 0.5.
+    TimePoint slownessAt_ {};
+    double failureRate_ = 0; ///< Of answers, in [0, 1].
+};
+
+struct PickRequest {
+    std::string region_; ///< Of this host.
+    std::optional<uint64_t> object_; ///< Hash of the object that the request concerns.
+    const std::vector<std::string>* homeRegions_ = nullptr; ///< Empty or absent: any region.
+    const std::vector<std::string>* except_ = nullptr; ///< Ids that were tried already.
+    double work_ = 0.4; ///< Seconds that an idle upstream needs for an object that it does not know.
+};
+
+struct Pick {
+    size_t index_ = 0;
+    double expected_ = 0; ///< Seconds to the answer.
+    bool warm_ = false; ///< The object belongs to the upstream.
+};
+
+/// Why no upstream was found.
+enum class PickFailure { None, NoneUsable, AllFull };
+
+struct PickResult {
+    std::optional<Pick> pick_;
+    PickFailure failure_ = PickFailure::None;
+};
+
+/// `allowed` is called for each target that could be picked, for conditions of the caller such as version,
+/// evacuation and admission to cold upstreams; it must have no effect. `roundTrip` gives the seconds to a
+/// target and back.
+template <typename Allowed, typename RoundTripTo>
+PickResult pickTarget(const std::vector<Target>&, const PickOptions&, const PickRequest&, TimePoint now,
+    const Allowed&, const RoundTripTo&);
+
+/// An answer arrived after `observed` seconds where `expected` were expected. `failed` counts an answer that
+/// the upstream itself marks as a failure.
+void recordAnswer(Target&, const PickOptions&, TimePoint now, double observed, double expected, bool failed);
+
+/// The upstream could not be reached, or broke off.
+void recordBreak(Target&, const PickOptions&, TimePoint now);
+
+/// The upstream refused because it is full.
+void recordFull(Target&, const PickOptions&, TimePoint now);
+
+/// Slowness decayed towards 1 since its last sample.
+double currentSlowness(const Target&, const PickOptions&, TimePoint now);
+
+/// Requests in flight at the upstream, over all hosts.
+inline uint32_t load(const Target& target) { return target.inFlight_ + target.peerInFlight_; }
+
+/// Largest load at which another request is sent.
+uint32_t capacity(const Target&, const PickOptions&);
+
+namespace detail {
+
+    /// The up to three upstreams of one region with the highest weights for an object.
+    struct Preferred {
+        const std::string* region_ = nullptr;
+        const Target* targets_[3] = {};
+        uint64_t weights_[3] = {};
+    };
+
+    /// Factor of the work for the object at this target, given the preferred ones of its region.
+    double workFactor(const std::vector<Preferred>&, const Target&, const PickOptions&);
+
+    void prefer(std::vector<Preferred>&, const Target&, uint64_t object);
+
+    bool contains(const std::vector<std::string>* list, const std::string& text);
+
+    double expectedTime(const Target&, const PickOptions&, const PickRequest&, TimePoint now,
+        double roundTrip, double factor);
+
+} // namespace detail
+
+template <typename Allowed, typename RoundTripTo>
+PickResult pickTarget(const std::vector<Target>& targets, const PickOptions& options,
+    const PickRequest& request, TimePoint now, const Allowed& allowed, const RoundTripTo& roundTrip)
+{
+    const bool sticky = request.object_ && options.affinity_;
+    std::vector<detail::Preferred> preferred;
+    if (sticky) {
+        for (const Target& target : targets) {
+            if (target.usable_)
+                detail::prefer(preferred, target, *request.object_);
+        }
+    }
+    PickResult result;
+    bool anyUsable = false;
+    for (size_t i = 0; i < targets.size(); ++i) {
+        const Target& target = targets[i];
+        if (!target.usable_ || detail::contains(request.except_, target.id_))
+            continue;
+        const bool home = !request.homeRegions_ || request.homeRegions_->empty()
+            || detail::contains(request.homeRegions_, target.region_);
+        if (!home)
+            continue;
+        anyUsable = true;
+        if (now < target.pausedUntil_ || load(target) >= capacity(target, options) || !allowed(target))
+            continue;
+        const double factor = sticky ? detail::workFactor(preferred, target, options) : 1;
+        const double expected
+            = detail::expectedTime(target, options, request, now, roundTrip(target), factor);
+        if (!result.pick_ || expected < result.pick_->expected_)
+            result.pick_ = Pick { i, expected, factor < 1 };
+    }
+    if (!result.pick_)
+        result.failure_ = anyUsable ? PickFailure::AllFull : PickFailure::NoneUsable;
+    return result;
+}
+
+} // namespace turmericwing::routing
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,21 +1,40 @@
-// turmericwingd: the host program.
+// turmericwingd: the host program, with two fronts: the product's own, and the gateway of the users'
+// platform.
+#include "gateway-front.h"
+
+#ifndef TURMERICWING_GATEWAY_ONLY
 #include "turmericwing/host/host.h"
 #include "turmericwing/host/log.h"
+#endif
 
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <pthread.h>
 #include <thread>
 
-DEFINE_string(settings, "", "path of the host's settings file (INI)");
+DEFINE_string(settings, "", "path of the host's settings file (INI); default: TURMERICWING_SETTINGS");
+DEFINE_string(front, "host", "what to run: host (the product's own interface) or gateway (the platform's)");
 
 namespace {
 
+constexpr int exitUsage = 2;
+
+std::string settingsPath()
+{
+    const char* path = std::getenv("TURMERICWING_SETTINGS");
+    return FLAGS_settings.empty() && path ? path : FLAGS_settings;
+}
+
+} // namespace
+
+#ifndef TURMERICWING_GATEWAY_ONLY
+namespace {
+
 constexpr int exitOk = 0;
 constexpr int exitSettings = 1;
-constexpr int exitUsage = 2;
 constexpr int exitCannotListen = 3;
 
 turmericwing::host::LogLevel logLevel(const std::string& name)
@@ -40,20 +59,9 @@
 
 } // namespace
 
-int main(int argc, char** argv)
+int runHost(const std::string& path)
 {
-    gflags::SetVersionString(TURMERICWING_VERSION);
-    gflags::SetUsageMessage("runs one turmericwing host\n\n"
-                            "  turmericwingd --settings host.ini\n\n"
-                            "Exit codes: 0 stopped gracefully, 1 faulty settings, 2 wrong usage, "
-                            "3 an address cannot be bound.\n"
-                            "SIGTERM and SIGINT start a graceful stop.");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_settings.empty() || argc > 1) {
-        std::cerr << "usage: turmericwingd --settings FILE (see --help)\n";
-        return exitUsage;
-    }
-    auto settings = turmericwing::host::loadSettings(FLAGS_settings);
+    auto settings = turmericwing::host::loadSettings(path);
     if (!settings) {
         std::cerr << settings.error().message_ << "\n";
         return exitSettings;
@@ -78,3 +86,28 @@
     std::cout.flush();
     std::_Exit(exitOk);
 }
+#endif
+
+int main(int argc, char** argv)
+{
+    gflags::SetVersionString(TURMERICWING_VERSION);
+    gflags::SetUsageMessage("runs one turmericwing host\n\n"
+                            "  turmericwingd --settings host.ini [--front=host|gateway]\n\n"
+                            "Exit codes: 0 stopped gracefully, 1 faulty settings, 2 wrong usage, "
+                            "3 an address cannot be bound.\n"
+                            "SIGTERM and SIGINT start a graceful stop.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::string path = settingsPath();
+    if (path.empty() || argc > 1) {
+        std::cerr << "usage: turmericwingd --settings FILE (see --help)\n";
+        return exitUsage;
+    }
+    if (FLAGS_front == "gateway")
+        return runGateway(path);
+#ifndef TURMERICWING_GATEWAY_ONLY
+    if (FLAGS_front == "host")
+        return runHost(path);
+#endif
+    std::cerr << "--front: '" << FLAGS_front << "' is not built into this program\n";
+    return exitUsage;
+}
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,569 @@
+// The gateway process.
+#include "turmericwing/gateway/gateway.h"
+
+#include "peers.h"
+#include "rolloutwriter.h"
+
+#include "turmericwing/gateway/dispatcher.h"
+#include "turmericwing/gateway/listener.h"
+#include "turmericwing/gateway/state.h"
+#include "turmericwing/gateway/upstreams.h"
+#include "turmericwing/gateway/watch.h"
+#include "turmericwing/host/log.h"
+#include "turmericwing/host/metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <filesystem>
+
+namespace turmericwing::gateway {
+
+using host::logEvent;
+using host::LogLevel;
+
+namespace detail {
+
+    constexpr const char* hostsTable = "hosts"; ///< Peer address by name.
+    constexpr Duration reportInterval = std::chrono::milliseconds(100);
+    /// A larger fleet reports less often, so that a host receives at most this many reports a second.
+    constexpr size_t reportsPerSecond = 200;
+    constexpr Duration housekeepingInterval = std::chrono::seconds(1);
+    constexpr Duration registrationPause = std::chrono::milliseconds(500); ///< After a failed registration.
+    constexpr Duration lookupLife = std::chrono::seconds(3); ///< Of an answer to a lookup.
+    /// Parts of the time from SIGTERM to SIGKILL.
+    constexpr double acceptPart = 0.5; ///< Callers learn in this time to use other hosts.
+    constexpr Duration exitMargin = std::chrono::milliseconds(400); ///< Before SIGKILL.
+
+    std::filesystem::file_time_type changeTime(const std::string& path)
+    {
+        std::error_code error;
+        const auto time = std::filesystem::last_write_time(path, error);
+        return error ? std::filesystem::file_time_type() : time;
+    }
+
+    Response plain(unsigned status, std::string body = {}, const char* type = "text/plain")
+    {
+        return { .status_ = status, .headers_ = { { "Content-Type", type } }, .body_ = std::move(body) };
+    }
+
+} // namespace detail
+
+struct Gateway::Core : std::enable_shared_from_this<Core> {
+    Core(boost::asio::io_context& loop, GatewayOptions options)
+        : loop_(loop)
+        , settingsPath_(std::move(options.settingsPath_))
+        , store_(std::move(options.store_))
+        , state_(makeState(options))
+        , upstreams_(loop)
+        , dispatcher_(loop, state_, upstreams_, metrics_)
+        , peers_(loop, [this](const std::string& bytes) { onReport(bytes); })
+        , rollouts_(state_, store_)
+        , tick_(loop)
+        , housekeeping_(loop)
+        , registration_(loop)
+        , stop_(loop)
+        , settingsChanged_(detail::changeTime(settingsPath_))
+    {
+    }
+
+    static State makeState(GatewayOptions& options);
+
+    boost::asio::io_context& loop_;
+    const std::string settingsPath_;
+    TableStore store_;
+    State state_;
+    host::Metrics metrics_;
+    UpstreamClient upstreams_;
+    Dispatcher dispatcher_;
+    detail::PeerSocket peers_;
+    detail::RolloutWriter rollouts_;
+    std::unique_ptr<Listener> callers_;
+    std::vector<std::unique_ptr<Listener>> services_; ///< Readiness, lookups, metrics.
+    std::vector<std::unique_ptr<TableWatch>> watches_;
+    boost::asio::steady_timer tick_;
+    boost::asio::steady_timer housekeeping_;
+    boost::asio::steady_timer registration_;
+    boost::asio::steady_timer stop_;
+    std::filesystem::file_time_type settingsChanged_;
+    uint64_t reportSerial_ = 0;
+    TimePoint nextReport_ {};
+    TimePoint stopAcceptingAt_ {};
+    TimePoint exitBy_ {};
+    bool accepting_ = true;
+    std::set<std::string> lostWatches_;
+
+    Result<void> start();
+    Result<void> listen(const Address&, RequestHandler);
+    void follow(const std::string& table, std::function<void(const TableRead&, bool whole)>);
+    void takeStoreTime(const TableRead&);
+    void onStore(const std::string& table, bool reached, const std::string& reason);
+    void onOrders(const TableRead&, bool whole);
+    void onOrder(const StoredRow&);
+    void onConfiguration(Configuration);
+    void onRollout(const OrderChange&, uint64_t rowVersion);
+    void onUpstreams(const TableRead&, bool whole);
+    void onUpstream(TimePoint now, const StoredRow&);
+    void onReport(const std::string& bytes);
+    void sendReports(TimePoint now);
+    void registerHost();
+    void readHosts();
+    void retryRegistration(const Error&);
+    void removeForgotten(TimePoint now);
+    void onTick();
+    void onHousekeeping();
+    void scheduleTick();
+    void scheduleHousekeeping();
+    void onLookup(const Request&, const std::shared_ptr<Exchange>&);
+    void drain();
+    void checkDrained(TimePoint now);
+    void reload();
+};
+
+State Gateway::Core::makeState(GatewayOptions& options)
+{
+    State state;
+    state.settings_ = std::move(options.settings_);
+    state.protocol_ = std::move(options.protocol_);
+    state.directory_.regionOf_ = state.settings_.regionOf_;
+    state.fleet_.self_ = state.settings_.name_;
+    state.quarantine_.options_.lifeMs_ = 60'000;
+    state.incarnation_ = state.random_();
+    return state;
+}
+
+Result<void> Gateway::Core::listen(const Address& address, RequestHandler handler)
+{
+    services_.push_back(
+        std::make_unique<Listener>(loop_, ListenerOptions { .address_ = address, .handler_ = handler }));
+    return services_.back()->start();
+}
+
+Result<void> Gateway::Core::start()
+{
+    const Settings& settings = state_.settings_;
+    callers_ = std::make_unique<Listener>(loop_,
+        ListenerOptions { .address_ = settings.callerAddress_,
+            .limits_
+            = [this] { return state_.catalog_ ? state_.catalog_->configuration().limits_ : CallerLimits(); },
+            .handler_ =
+                [this](Request&& request, const std::shared_ptr<Exchange>& exchange) {
+                    dispatcher_.handle(std::move(request), exchange);
+                } });
+    BOOST_OUTCOME_TRY(callers_->start());
+    BOOST_OUTCOME_TRY(listen(settings.readinessAddress_, [this](Request&& request, const auto& exchange) {
+        const bool known = request.target_ == state_.protocol_.readinessTarget_;
+        exchange->respond(detail::plain(!known ? 404 : isReady(state_) ? 200 : 503));
+    }));
+    BOOST_OUTCOME_TRY(listen(settings.lookupAddress_,
+        [this](Request&& request, const auto& exchange) { onLookup(request, exchange); }));
+    BOOST_OUTCOME_TRY(listen(settings.metricsAddress_, [this](Request&& request, const auto& exchange) {
+        exchange->respond(
+            request.target_ == "/metrics" ? detail::plain(200, metrics_.text()) : detail::plain(404));
+    }));
+    BOOST_OUTCOME_TRY(peers_.open(settings.peerAddress_));
+    follow(
+        state_.protocol_.ordersTable_, [this](const TableRead& read, bool whole) { onOrders(read, whole); });
+    follow(state_.protocol_.upstreamsTable_,
+        [this](const TableRead& read, bool whole) { onUpstreams(read, whole); });
+    registerHost();
+    rollouts_.read();
+    scheduleTick();
+    scheduleHousekeeping();
+    logEvent(LogLevel::Info, "start",
+        { { "callers", addressText(settings.callerAddress_) },
+            { "store", addressText(settings.storeAddress_) }, { "region", settings.region_ },
+            { "failure-domain", settings.failureDomain_ } });
+    return boost::outcome_v2::success();
+}
+
+void Gateway::Core::follow(
+    const std::string& table, std::function<void(const TableRead&, bool whole)> handler)
+{
+    WatchHandlers handlers { .replaced_ =
+                                 [this, handler](const TableRead& read) {
+                                     takeStoreTime(read);
+                                     handler(read, true);
+                                 },
+        .changed_ =
+            [this, handler](const TableRead& read) {
+                takeStoreTime(read);
+                handler(read, false);
+            },
+        .lost_ = [this, table](const Error& error) { onStore(table, false, error.message_); },
+        .regained_ = [this, table] { onStore(table, true, {}); } };
+    watches_.push_back(
+        std::make_unique<TableWatch>(loop_, store_, WatchOptions { .table_ = table }, std::move(handlers)));
+    watches_.back()->start();
+}
+
+void Gateway::Core::takeStoreTime(const TableRead& read)
+{
+    state_.reachesStore_ = lostWatches_.empty();
+    if (read.storeMs_ == 0)
+        return;
+    state_.storeMs_ = read.storeMs_;
+    state_.storeReadAt_ = monotonicNow();
+}
+
+void Gateway::Core::onStore(const std::string& table, bool reached, const std::string& reason)
+{
+    if (reached)
+        lostWatches_.erase(table);
+    else
+        lostWatches_.insert(table);
+    state_.reachesStore_ = lostWatches_.empty();
+    logEvent(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store-regained" : "store-lost",
+        { { "table", table }, { "reason", reason } });
+    if (table != state_.protocol_.upstreamsTable_)
+        return;
+    if (reached)
+        storeRegained(state_.directory_, monotonicNow());
+    else
+        storeLost(state_.directory_);
+}
+
+void Gateway::Core::onOrders(const TableRead& read, bool whole)
+{
+    if (whole) {
+        state_.directory_.evacuated_.clear();
+        state_.rollouts_.orders_.clear();
+    }
+    for (const StoredRow& row : read.rows_)
+        onOrder(row);
+}
+
+void Gateway::Core::onOrder(const StoredRow& row)
+{
+    auto decoded = state_.protocol_.order_(row);
+    if (!decoded) {
+        logEvent(LogLevel::Warning, "order-unreadable",
+            { { "key", row.key_ }, { "version", std::to_string(row.version_) },
+                { "reason", decoded.error().message_ } });
+        return;
+    }
+    OrderChange& change = decoded.value();
+    switch (change.kind_) {
+    case OrderChange::Kind::Configuration:
+        if (change.configuration_)
+            onConfiguration(std::move(*change.configuration_));
+        return;
+    case OrderChange::Kind::Rollout:
+        return onRollout(change, row.version_);
+    case OrderChange::Kind::Evacuation:
+        if (change.removed_)
+            state_.directory_.evacuated_.erase(change.subject_);
+        else
+            state_.directory_.evacuated_.insert(change.subject_);
+        logEvent(LogLevel::Info, change.removed_ ? "evacuation-ended" : "evacuation",
+            { { "failure-domain", change.subject_ }, { "version", std::to_string(row.version_) } });
+        return;
+    case OrderChange::Kind::Ignored:
+        return;
+    }
+}
+
+void Gateway::Core::onConfiguration(Configuration configuration)
+{
+    const uint64_t version = configuration.version_;
+    if (state_.catalog_ && state_.catalog_->configuration().version_ >= version)
+        return;
+    const std::string routes = std::to_string(configuration.routes_.size());
+    state_.catalog_ = std::make_shared<const Catalog>(std::move(configuration));
+    updateQuotas(state_.quotas_, monotonicNow(), state_.catalog_->configuration(), state_.fleet_);
+    logEvent(
+        LogLevel::Info, "configuration", { { "config", std::to_string(version) }, { "routes", routes } });
+}
+
+void Gateway::Core::onRollout(const OrderChange& change, uint64_t rowVersion)
+{
+    if (change.removed_ || !change.rollout_) {
+        state_.rollouts_.orders_.erase(change.subject_);
+        return;
+    }
+    const RolloutOrder& order = *change.rollout_;
+    state_.rollouts_.orders_[order.service_] = { order, rowVersion };
+    logEvent(LogLevel::Info, "rollout-ordered",
+        { { "service", order.service_ }, { "to", order.version_ },
+            { "version", std::to_string(rowVersion) } });
+}
+
+void Gateway::Core::onUpstreams(const TableRead& read, bool whole)
+{
+    const TimePoint now = monotonicNow();
+    std::set<std::string> ids;
+    for (const StoredRow& row : read.rows_) {
+        ids.insert(row.key_);
+        onUpstream(now, row);
+    }
+    if (whole)
+        keepOnly(state_.directory_, now, ids);
+    state_.directory_.loaded_ = true;
+    dispatcher_.serveWaiting();
+}
+
+void Gateway::Core::onUpstream(TimePoint now, const StoredRow& row)
+{
+    const std::string version = std::to_string(row.version_);
+    if (row.removed_) {
+        logEvent(LogLevel::Info, "upstream-removed", { { "upstream", row.key_ }, { "version", version } });
+        return dropEntry(state_.directory_, now, row.key_);
+    }
+    const auto entry = state_.protocol_.upstream_(row);
+    if (!entry) {
+        // An entry that cannot be read names no upstream to use.
+        logEvent(LogLevel::Warning, "upstream-unreadable",
+            { { "upstream", row.key_ }, { "version", version }, { "reason", entry.error().message_ } });
+        return dropEntry(state_.directory_, now, row.key_);
+    }
+    putEntry(state_.directory_, now, entry.value());
+    if (entry.value().leaving_)
+        upstreams_.forget(row.key_);
+    logEvent(LogLevel::Info, entry.value().leaving_ ? "upstream-leaving" : "upstream-ready",
+        { { "upstream", row.key_ }, { "service", entry.value().service_ },
+            { "address", addressText(entry.value().address_) }, { "version", version } });
+}
+
+void Gateway::Core::onReport(const std::string& bytes)
+{
+    const auto report = decodeReport(bytes);
+    if (!report) {
+        logEvent(LogLevel::Warning, "report-unreadable", { { "reason", report.error().message_ } });
+        return;
+    }
+    const TimePoint now = monotonicNow();
+    const auto known = state_.fleet_.peers_.find(report.value().name_);
+    const bool wasHeard = known != state_.fleet_.peers_.end() && isHeard(known->second, now);
+    if (!hear(state_.fleet_, now, report.value()))
+        return;
+    if (!wasHeard)
+        logEvent(LogLevel::Info, "peer-heard", { { "peer", report.value().name_ } });
+    for (const RampReport& ramp : report.value().ramps_) {
+        if (mergeRamp(state_.rollouts_, ramp.ramp_, ramp.order_, 0))
+            logRamp(ramp.ramp_, "peer");
+    }
+    for (const auto& crash : report.value().crashes_)
+        routing::addCrash(state_.quarantine_, wallNow(), crash);
+}
+
+void Gateway::Core::sendReports(TimePoint now)
+{
+    if (now < nextReport_)
+        return;
+    const size_t peers = state_.fleet_.peers_.size();
+    const Duration spread = std::chrono::microseconds(1'000'000 * peers / detail::reportsPerSecond);
+    nextReport_ = now + std::max(detail::reportInterval, spread) - std::chrono::milliseconds(5);
+    while (!state_.ownCrashes_.empty() && now >= state_.ownCrashes_.front().toldUntil_)
+        state_.ownCrashes_.pop_front();
+    const std::string bytes = encodeReport(makeReport(state_, now, ++reportSerial_));
+    for (const auto& [name, peer] : state_.fleet_.peers_)
+        peers_.send(peer.peerAddress_, bytes);
+}
+
+void Gateway::Core::registerHost()
+{
+    const StoredRow row { .table_ = detail::hostsTable,
+        .key_ = state_.settings_.name_,
+        .value_ = addressText(state_.settings_.peerAddress_) };
+    store_.transact_({ .writes_ = { row } }, [this](const Result<TableRead>& answer) {
+        if (!answer)
+            return retryRegistration(answer.error());
+        readHosts();
+    });
+}
+
+/// Registration before reading: of two hosts that start together, at least one finds the other.
+void Gateway::Core::readHosts()
+{
+    store_.read_(detail::hostsTable, [this](const Result<TableRead>& answer) {
+        if (!answer)
+            return retryRegistration(answer.error());
+        const TimePoint now = monotonicNow();
+        for (const StoredRow& row : answer.value().rows_) {
+            if (const auto address = parseAddress(row.value_))
+                registerPeer(state_.fleet_, now, row.key_, address.value());
+            else
+                logEvent(LogLevel::Warning, "host-unreadable",
+                    { { "key", row.key_ }, { "reason", address.error().message_ } });
+        }
+        logEvent(LogLevel::Info, "registered", { { "peers", std::to_string(state_.fleet_.peers_.size()) } });
+        nextReport_ = {};
+        sendReports(now);
+    });
+}
+
+void Gateway::Core::retryRegistration(const Error& error)
+{
+    logEvent(LogLevel::Warning, "registration-failed", { { "reason", error.message_ } });
+    if (state_.draining_)
+        return;
+    registration_.expires_after(detail::registrationPause);
+    registration_.async_wait([this](boost::system::error_code cancelled) {
+        if (!cancelled)
+            registerHost();
+    });
+}
+
+/// One host removes the rows of those that are long gone; they count for shares and get reports until then.
+void Gateway::Core::removeForgotten(TimePoint now)
+{
+    const auto names = forgottenPeers(state_.fleet_, now);
+    Transaction removal;
+    for (const std::string& name : names) {
+        logEvent(LogLevel::Info, "peer-forgotten", { { "peer", name } });
+        unregisterPeer(state_.fleet_, now, name);
+        removal.removals_.push_back({ detail::hostsTable, name });
+    }
+    if (removal.removals_.empty() || !state_.reachesStore_ || !isFirst(state_.fleet_, now))
+        return;
+    store_.transact_(removal, [](const Result<TableRead>& answer) {
+        if (!answer)
+            logEvent(LogLevel::Warning, "host-removal-failed", { { "reason", answer.error().message_ } });
+    });
+}
+
+void Gateway::Core::onLookup(const Request& request, const std::shared_ptr<Exchange>& exchange)
+{
+    const size_t question = request.target_.find('?');
+    if (request.target_.substr(0, question) != state_.protocol_.lookupTarget_)
+        return exchange->respond(detail::plain(404));
+    const std::string query
+        = question == std::string::npos ? std::string() : request.target_.substr(question + 1);
+    const auto addresses = lookupAddresses(state_, monotonicNow(), state_.protocol_.lookupQuery_(query));
+    metrics_.countLookup();
+    if (addresses.empty())
+        return exchange->respond(detail::plain(503));
+    const Duration life = std::min(detail::lookupLife, state_.settings_.bounds_.lookupLife_);
+    exchange->respond(
+        detail::plain(200, state_.protocol_.lookupAnswer_(addresses, life), "application/json"));
+}
+
+void Gateway::Core::onTick()
+{
+    const TimePoint now = monotonicNow();
+    for (const std::string& id : expireEntries(state_.directory_, now))
+        upstreams_.forget(id);
+    applyPeerLoads(state_, now);
+    if (state_.catalog_)
+        updateQuotas(state_.quotas_, now, state_.catalog_->configuration(), state_.fleet_);
+    for (const std::string& service : judgeRamps(state_.rollouts_, heardReports(state_.fleet_, now)))
+        logEvent(LogLevel::Warning, "rollout-bad", { { "service", service } });
+    rollouts_.act(now);
+    sendReports(now);
+    dispatcher_.serveWaiting();
+    if (state_.draining_)
+        checkDrained(now);
+    host::flushLog();
+}
+
+void Gateway::Core::onHousekeeping()
+{
+    const TimePoint now = monotonicNow();
+    upstreams_.closeExpired();
+    removeForgotten(now);
+    routing::expireQuarantine(state_.quarantine_, wallNow());
+    const auto changed = detail::changeTime(settingsPath_);
+    if (changed != settingsChanged_) {
+        settingsChanged_ = changed;
+        reload();
+    }
+    metrics_.setGauge("turmericwing_connections", "", "", static_cast<double>(callers_->connections()));
+    metrics_.setGauge("turmericwing_upstream_connections_opened", "", "",
+        static_cast<double>(upstreams_.connectionsOpened()));
+    metrics_.setGauge("turmericwing_requests_running", "", "", static_cast<double>(dispatcher_.running()));
+    metrics_.setGauge(
+        "turmericwing_peers_heard", "", "", static_cast<double>(heardReports(state_.fleet_, now).size()));
+    metrics_.setGauge("turmericwing_store_reached", "", "", state_.reachesStore_ ? 1 : 0);
+}
+
+void Gateway::Core::scheduleTick()
+{
+    tick_.expires_after(detail::reportInterval);
+    tick_.async_wait([this](boost::system::error_code cancelled) {
+        if (cancelled)
+            return;
+        scheduleTick();
+        onTick();
+    });
+}
+
+void Gateway::Core::scheduleHousekeeping()
+{
+    housekeeping_.expires_after(detail::housekeepingInterval);
+    housekeeping_.async_wait([this](boost::system::error_code cancelled) {
+        if (cancelled)
+            return;
+        scheduleHousekeeping();
+        onHousekeeping();
+    });
+}
+
+void Gateway::Core::drain()
+{
+    if (state_.draining_)
+        return;
+    const TimePoint now = monotonicNow();
+    const Duration stopTime = state_.settings_.bounds_.stopTime_;
+    state_.draining_ = true;
+    stopAcceptingAt_ = now + std::chrono::duration_cast<Duration>(stopTime * detail::acceptPart);
+    exitBy_ = now + stopTime - detail::exitMargin;
+    logEvent(LogLevel::Info, "drain", { { "running", std::to_string(dispatcher_.running()) } });
+    callers_->closeAfterAnswers();
+    nextReport_ = {};
+    sendReports(now);
+    store_.transact_({ .removals_ = { { detail::hostsTable, state_.settings_.name_ } } },
+        [](const Result<TableRead>& answer) {
+            if (!answer)
+                logEvent(
+                    LogLevel::Warning, "deregistration-failed", { { "reason", answer.error().message_ } });
+        });
+}
+
+void Gateway::Core::checkDrained(TimePoint now)
+{
+    if (accepting_ && now >= stopAcceptingAt_) {
+        accepting_ = false;
+        callers_->stop();
+    }
+    const bool finished = !accepting_ && dispatcher_.running() == 0 && callers_->connections() == 0;
+    if (!finished && now < exitBy_)
+        return;
+    logEvent(LogLevel::Info, "stop", { { "running", std::to_string(dispatcher_.running()) } });
+    host::flushLog();
+    loop_.stop();
+}
+
+void Gateway::Core::reload()
+{
+    auto loaded = loadSettings(settingsPath_);
+    if (!loaded) {
+        logEvent(LogLevel::Error, "reload-failed", { { "reason", loaded.error().message_ } });
+        return;
+    }
+    Settings& settings = loaded.value();
+    const bool rebind = settings.callerAddress_ != state_.settings_.callerAddress_
+        || settings.name_ != state_.settings_.name_
+        || settings.storeAddress_ != state_.settings_.storeAddress_;
+    if (rebind)
+        logEvent(LogLevel::Warning, "reload-partial",
+            { { "reason", "name, addresses and store take effect at the next start" } });
+    state_.settings_.bounds_ = settings.bounds_;
+    state_.settings_.regionOf_ = settings.regionOf_;
+    state_.directory_.regionOf_ = settings.regionOf_;
+    logEvent(LogLevel::Info, "reload", { { "path", settingsPath_ } });
+}
+
+Gateway::Gateway(boost::asio::io_context& loop, GatewayOptions options)
+    : core_(std::make_shared<Core>(loop, std::move(options)))
+{
+}
+
+Gateway::~Gateway() = default;
+
+Result<void> Gateway::start() { return core_->start(); }
+
+void Gateway::drain() { core_->drain(); }
+
+void Gateway::reload() { core_->reload(); }
+
+} // namespace turmericwing::gateway
--- /dev/null
+++ b/src/gateway/httpchannel.cc
@@ -0,0 +1,202 @@
+// Calls over one kept connection, on Boost.Beast.
+#include "turmericwing/gateway/httpchannel.h"
+
+#include "tcpoptions.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <deque>
+#include <optional>
+
+namespace turmericwing::gateway {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace detail {
+
+    constexpr uint64_t maximumAnswerBytes = uint64_t { 32 } << 20;
+
+    struct PendingCall {
+        HttpCall call_;
+        HttpChannel::Handler handler_;
+    };
+
+} // namespace detail
+
+struct HttpChannel::State : std::enable_shared_from_this<State> {
+    State(asio::io_context& loop, const Address& address)
+        : loop_(loop)
+        , address_(address)
+        , timer_(loop)
+        , socket_(loop)
+    {
+    }
+
+    asio::io_context& loop_;
+    const Address address_;
+    asio::steady_timer timer_;
+    tcp::socket socket_;
+    bool connected_ = false;
+    bool sent_ = false; ///< Bytes of the running call may have left.
+    uint64_t serial_ = 0; ///< Of the running call; handlers of earlier ones are ignored.
+    std::deque<detail::PendingCall> waiting_;
+    std::optional<detail::PendingCall> running_;
+    http::request<http::string_body> request_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    boost::beast::flat_buffer buffer_;
+
+    void startNext();
+    void connect();
+    void send();
+    void receive();
+    void finish(Result<HttpAnswer>);
+    void fail(const std::string& reason);
+    void close();
+
+    /// Wraps a handler so that it runs only while its call is the running one.
+    template <typename Step> auto step(Step next)
+    {
+        return [self = shared_from_this(), serial = serial_, next](error_code error, auto&&...) {
+            if (serial == self->serial_ && self->running_)
+                next(*self, error);
+        };
+    }
+};
+
+void HttpChannel::State::close()
+{
+    error_code ignored; // The socket is given up in any case.
+    socket_.close(ignored);
+    connected_ = false;
+    buffer_.clear();
+}
+
+void HttpChannel::State::startNext()
+{
+    if (running_ || waiting_.empty())
+        return;
+    running_ = std::move(waiting_.front());
+    waiting_.pop_front();
+    ++serial_;
+    sent_ = false;
+    timer_.expires_after(running_->call_.timeout_);
+    timer_.async_wait(step([](State& state, error_code error) {
+        if (!error)
+            state.fail("no answer in time");
+    }));
+    if (connected_)
+        send();
+    else
+        connect();
+}
+
+void HttpChannel::State::connect()
+{
+    error_code error;
+    const auto ip = asio::ip::make_address(address_.ip_, error);
+    if (error)
+        return fail("address: " + error.message());
+    socket_ = tcp::socket(loop_);
+    socket_.open(tcp::v4(), error);
+    if (error)
+        return fail("socket: " + error.message());
+    detail::setTcpOptions(socket_);
+    socket_.async_connect({ ip, address_.port_ }, step([](State& state, error_code result) {
+        if (result)
+            return state.fail("connect: " + result.message());
+        state.connected_ = true;
+        state.send();
+    }));
+}
+
+void HttpChannel::State::send()
+{
+    const HttpCall& call = running_->call_;
+    request_ = {};
+    request_.method_string(call.method_);
+    request_.target(call.target_);
+    request_.version(11);
+    request_.set(http::field::host, addressText(address_));
+    if (!call.body_.empty()) {
+        request_.set(http::field::content_type, "application/json");
+        request_.body() = call.body_;
+    }
+    request_.prepare_payload();
+    sent_ = true;
+    http::async_write(socket_, request_, step([](State& state, error_code error) {
+        if (error)
+            return state.fail("send: " + error.message());
+        state.receive();
+    }));
+}
+
+void HttpChannel::State::receive()
+{
+    parser_.emplace();
+    parser_->body_limit(detail::maximumAnswerBytes);
+    http::async_read(socket_, buffer_, *parser_, step([](State& state, error_code error) {
+        if (error)
+            return state.fail("receive: " + error.message());
+        auto message = state.parser_->release();
+        if (!message.keep_alive())
+            state.close();
+        state.finish(HttpAnswer { message.result_int(), std::move(message.body()) });
+    }));
+}
+
+void HttpChannel::State::fail(const std::string& reason)
+{
+    close();
+    const ErrorCode code = sent_ ? ErrorCode::Unknown : ErrorCode::Unavailable;
+    finish(makeError(code, addressText(address_) + ": " + reason));
+}
+
+void HttpChannel::State::finish(Result<HttpAnswer> answer)
+{
+    timer_.cancel();
+    const auto handler = std::move(running_->handler_);
+    running_.reset();
+    handler(std::move(answer));
+    // Handlers of a connection that was closed run first; they still refer to the parser.
+    asio::post(loop_, [self = shared_from_this()] { self->startNext(); });
+}
+
+HttpChannel::HttpChannel(asio::io_context& loop, const Address& address)
+    : state_(std::make_shared<State>(loop, address))
+{
+}
+
+HttpChannel::~HttpChannel()
+{
+    state_->running_.reset();
+    state_->waiting_.clear();
+    state_->close();
+    state_->timer_.cancel();
+}
+
+void HttpChannel::call(HttpCall call, Handler handler)
+{
+    state_->waiting_.push_back({ std::move(call), std::move(handler) });
+    state_->startNext();
+}
+
+void HttpChannel::reset()
+{
+    if (state_->running_)
+        state_->fail("connection reset by this host");
+    else
+        state_->close();
+}
+
+} // namespace turmericwing::gateway
--- /dev/null
+++ b/src/gateway/report.cc
@@ -0,0 +1,142 @@
+// CBOR form of a host's report: arrays in the order of the members, which keeps datagrams small.
+#include "turmericwing/gateway/report.h"
+
+#include "turmericwing/base/hash.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmericwing::gateway {
+
+using nlohmann::json;
+
+namespace detail {
+
+    constexpr size_t largestReport = 60'000; ///< Bytes; a UDP datagram holds no more.
+    constexpr size_t members = 14;
+
+    json encode(const rollout::RampCounts& counts)
+    {
+        return json::array({ counts.new_, counts.newFailed_, counts.newSlow_, counts.old_, counts.oldFailed_,
+            counts.oldSlow_ });
+    }
+
+    json encode(const RampReport& report)
+    {
+        const rollout::Ramp& ramp = report.ramp_;
+        return json::array({ ramp.service_, ramp.version_, ramp.startMs_, ramp.deadlineMs_,
+            static_cast<int>(ramp.state_), report.order_, report.bad_, encode(report.counts_) });
+    }
+
+    json encode(const routing::CrashReport& crash)
+    {
+        json suspects = json::array();
+        for (const auto& suspect : crash.suspects_) {
+            suspects.push_back(
+                json::array({ suspect.fingerprint_.high_, suspect.fingerprint_.low_, suspect.started_.ms_ }));
+        }
+        return json::array({ crash.id_.host_, crash.id_.incarnation_, crash.id_.serial_, crash.upstream_,
+            crash.at_.ms_, suspects });
+    }
+
+    rollout::RampCounts decodeCounts(const json& value)
+    {
+        return { value.at(0), value.at(1), value.at(2), value.at(3), value.at(4), value.at(5) };
+    }
+
+    RampReport decodeRamp(const json& value)
+    {
+        const int state = value.at(4);
+        if (state < 0 || state > static_cast<int>(rollout::RampState::Reverted))
+            throw std::out_of_range("state of a rollout");
+        return { .ramp_
+            = { value.at(0), value.at(1), value.at(2), value.at(3), static_cast<rollout::RampState>(state) },
+            .order_ = value.at(5),
+            .bad_ = value.at(6),
+            .counts_ = decodeCounts(value.at(7)) };
+    }
+
+    routing::CrashReport decodeCrash(const json& value)
+    {
+        routing::CrashReport crash { .id_ = { value.at(0), value.at(1), value.at(2) },
+            .upstream_ = value.at(3),
+            .at_ = { value.at(4).get<int64_t>() } };
+        for (const json& suspect : value.at(5)) {
+            crash.suspects_.push_back({ { suspect.at(0), suspect.at(1) }, { suspect.at(2).get<int64_t>() } });
+        }
+        return crash;
+    }
+
+    Result<Address> decodeAddress(const json& value) { return parseAddress(value.get<std::string>()); }
+
+    Result<HostReport> decodeMembers(const json& value)
+    {
+        HostReport report;
+        size_t next = 0;
+        report.name_ = value.at(next++);
+        report.incarnation_ = value.at(next++);
+        report.serial_ = value.at(next++);
+        BOOST_OUTCOME_TRY(callerAddress, decodeAddress(value.at(next++)));
+        BOOST_OUTCOME_TRY(peerAddress, decodeAddress(value.at(next++)));
+        report.callerAddress_ = std::move(callerAddress);
+        report.peerAddress_ = std::move(peerAddress);
+        report.region_ = value.at(next++);
+        report.failureDomain_ = value.at(next++);
+        report.ready_ = value.at(next++);
+        report.leaving_ = value.at(next++);
+        report.reachesStore_ = value.at(next++);
+        for (const json& entry : value.at(next++))
+            report.inFlight_.push_back({ entry.at(0), entry.at(1) });
+        for (const json& entry : value.at(next++))
+            report.demands_.push_back({ entry.at(0), entry.at(1) });
+        for (const json& entry : value.at(next++))
+            report.ramps_.push_back(decodeRamp(entry));
+        for (const json& entry : value.at(next++))
+            report.crashes_.push_back(decodeCrash(entry));
+        return report;
+    }
+
+} // namespace detail
+
+uint32_t shortHash(const std::string& text) { return static_cast<uint32_t>(hash64(text)); }
+
+std::string encodeReport(const HostReport& report)
+{
+    json inFlight = json::array();
+    for (const InFlight& entry : report.inFlight_)
+        inFlight.push_back(json::array({ entry.upstream_, entry.count_ }));
+    json demands = json::array();
+    for (const Demand& entry : report.demands_)
+        demands.push_back(json::array({ entry.workspace_, static_cast<float>(entry.rate_) }));
+    json ramps = json::array();
+    for (const RampReport& entry : report.ramps_)
+        ramps.push_back(detail::encode(entry));
+    json crashes = json::array();
+    for (const auto& entry : report.crashes_)
+        crashes.push_back(detail::encode(entry));
+    const json value
+        = json::array({ report.name_, report.incarnation_, report.serial_, addressText(report.callerAddress_),
+            addressText(report.peerAddress_), report.region_, report.failureDomain_, report.ready_,
+            report.leaving_, report.reachesStore_, inFlight, demands, ramps, crashes });
+    std::string bytes;
+    json::to_cbor(value, bytes);
+    return bytes;
+}
+
+Result<HostReport> decodeReport(const std::string& bytes)
+{
+    if (bytes.size() > detail::largestReport)
+        return makeError(ErrorCode::Invalid, "report is larger than a datagram");
+    try {
+        // The decoder throws on array sizes beyond memory, also when told to throw nothing.
+        const json value = json::from_cbor(bytes, true, false);
+        if (!value.is_array() || value.size() != detail::members)
+            return makeError(ErrorCode::Invalid, "report is not a CBOR array with all members");
+        return detail::decodeMembers(value);
+    } catch (const json::exception& fault) {
+        return makeError(ErrorCode::Invalid, std::string("report: ") + fault.what());
+    } catch (const std::out_of_range& fault) {
+        return makeError(ErrorCode::Invalid, std::string("report: unknown ") + fault.what());
+    }
+}
+
+} // namespace turmericwing::gateway
--- /dev/null
+++ b/src/gateway/rollouts.cc
@@ -0,0 +1,136 @@
+// Rollouts as one host knows them.
+#include "turmericwing/gateway/rollouts.h"
+
+#include <nlohmann/json.hpp>
+
+namespace turmericwing::gateway {
+
+using nlohmann::json;
+using rollout::RampState;
+
+VersionFilter drawVersion(const Rollouts& rollouts, const std::string& service, const std::string& base,
+    int64_t storeMs, Random& random)
+{
+    const auto known = rollouts.ramps_.find(service);
+    const auto order = rollouts.orders_.find(service);
+    if (known == rollouts.ramps_.end()) {
+        // Before its start, an order's version gets nothing.
+        if (order != rollouts.orders_.end())
+            return { .except_ = order->second.order_.version_ };
+        return { .only_ = base };
+    }
+    const rollout::Ramp& ramp = known->second.ramp_;
+    const bool newerOrder
+        = order != rollouts.orders_.end() && order->second.rowVersion_ > known->second.order_;
+    if (ramp.state_ == RampState::Complete)
+        return { .only_ = ramp.version_ };
+    if (ramp.state_ == RampState::Reverted || known->second.bad_) {
+        if (newerOrder && order->second.order_.version_ != ramp.version_)
+            return { .only_ = base };
+        return { .except_ = ramp.version_ };
+    }
+    if (uniform(random) < rampShare(ramp, storeMs))
+        return { .only_ = ramp.version_ };
+    return { .except_ = ramp.version_ };
+}
+
+bool mergeRamp(Rollouts& rollouts, const rollout::Ramp& ramp, uint64_t order, uint64_t rowVersion)
+{
+    const auto [entry, added] = rollouts.ramps_.try_emplace(ramp.service_);
+    KnownRamp& known = entry->second;
+    if (!added && order < known.order_)
+        return false;
+    if (added || order > known.order_) {
+        known = { .ramp_ = ramp, .order_ = order, .rowVersion_ = rowVersion };
+        return true;
+    }
+    known.rowVersion_ = std::max(known.rowVersion_, rowVersion);
+    if (known.ramp_.state_ != RampState::Running || known.ramp_ == ramp)
+        return false;
+    known.ramp_ = ramp;
+    return true;
+}
+
+void countAnswer(
+    Rollouts& rollouts, const std::string& service, const std::string& version, bool failed, bool slow)
+{
+    const auto known = rollouts.ramps_.find(service);
+    if (known == rollouts.ramps_.end() || known->second.ramp_.state_ != RampState::Running)
+        return;
+    rollout::RampCounts& counts = known->second.counts_;
+    const bool isNew = version == known->second.ramp_.version_;
+    (isNew ? counts.new_ : counts.old_) += 1;
+    (isNew ? counts.newFailed_ : counts.oldFailed_) += failed ? 1 : 0;
+    (isNew ? counts.newSlow_ : counts.oldSlow_) += slow ? 1 : 0;
+}
+
+std::vector<std::string> judgeRamps(Rollouts& rollouts, const std::vector<const HostReport*>& peers)
+{
+    std::vector<std::string> bad;
+    for (auto& [service, known] : rollouts.ramps_) {
+        if (known.ramp_.state_ != RampState::Running || known.bad_)
+            continue;
+        rollout::RampCounts total = known.counts_;
+        bool peerFoundBad = false;
+        for (const HostReport* peer : peers) {
+            for (const RampReport& report : peer->ramps_) {
+                if (report.ramp_.service_ != service || report.order_ != known.order_)
+                    continue;
+                total += report.counts_;
+                peerFoundBad = peerFoundBad || report.bad_;
+            }
+        }
+        const bool foundBad = rollout::judgeRamp(known.judge_, total);
+        if (!foundBad && !peerFoundBad)
+            continue;
+        known.bad_ = true;
+        bad.push_back(service);
+    }
+    return bad;
+}
+
+std::vector<KnownOrder> unstartedOrders(const Rollouts& rollouts)
+{
+    std::vector<KnownOrder> orders;
+    for (const auto& [service, order] : rollouts.orders_) {
+        const auto known = rollouts.ramps_.find(service);
+        if (known == rollouts.ramps_.end() || known->second.order_ < order.rowVersion_)
+            orders.push_back(order);
+    }
+    return orders;
+}
+
+std::vector<RampReport> rampReports(const Rollouts& rollouts)
+{
+    std::vector<RampReport> reports;
+    for (const auto& [service, known] : rollouts.ramps_)
+        reports.push_back({ known.ramp_, known.order_, known.bad_, known.counts_ });
+    return reports;
+}
+
+std::string encodeRamp(const rollout::Ramp& ramp, uint64_t order)
+{
+    return json {
+        { "service", ramp.service_ }, { "version", ramp.version_ }, { "start-ms", ramp.startMs_ },
+        { "deadline-ms", ramp.deadlineMs_ }, { "state", static_cast<int>(ramp.state_) }, { "order", order }
+    }.dump();
+}
+
+Result<StoredRamp> decodeRamp(const std::string& value)
+{
+    const json document = json::parse(value, nullptr, false);
+    if (!document.is_object())
+        return makeError(ErrorCode::Invalid, "the rollout is not a JSON object");
+    try {
+        const int state = document.at("state");
+        if (state < 0 || state > static_cast<int>(RampState::Reverted))
+            return makeError(ErrorCode::Invalid, "the rollout has an unknown state");
+        return StoredRamp { { document.at("service"), document.at("version"), document.at("start-ms"),
+                                document.at("deadline-ms"), static_cast<RampState>(state) },
+            document.at("order") };
+    } catch (const json::exception& fault) {
+        return makeError(ErrorCode::Invalid, std::string("the rollout: ") + fault.what());
+    }
+}
+
+} // namespace turmericwing::gateway
--- /dev/null
+++ b/src/gateway/rolloutwriter.cc
@@ -0,0 +1,153 @@
+// Start and end of rollouts.
+#include "rolloutwriter.h"
+
+#include "turmericwing/host/log.h"
+
+#include <algorithm>
+
+namespace turmericwing::gateway {
+
+using host::logEvent;
+using host::LogLevel;
+using rollout::Ramp;
+using rollout::RampState;
+
+namespace {
+
+    constexpr const char* rampsTable = "rollouts";
+    constexpr Duration writePause = std::chrono::milliseconds(700); ///< After a write without effect.
+    constexpr Duration readPause = std::chrono::milliseconds(500); ///< After a failed read.
+
+    const char* stateText(RampState state)
+    {
+        switch (state) {
+        case RampState::Running:
+            return "running";
+        case RampState::Complete:
+            return "complete";
+        case RampState::Reverted:
+            break;
+        }
+        return "reverted";
+    }
+
+} // namespace
+
+void logRamp(const Ramp& ramp, const char* source)
+{
+    logEvent(LogLevel::Info, "rollout",
+        { { "service", ramp.service_ }, { "to", ramp.version_ }, { "state", stateText(ramp.state_) },
+            { "start_ms", std::to_string(ramp.startMs_) }, { "source", source } });
+}
+
+namespace detail {
+
+    RolloutWriter::RolloutWriter(State& state, TableStore& store)
+        : state_(state)
+        , store_(store)
+    {
+    }
+
+    void RolloutWriter::read()
+    {
+        if (reading_)
+            return;
+        reading_ = true;
+        store_.read_(rampsTable, [this](const Result<TableRead>& answer) {
+            reading_ = false;
+            if (!answer) {
+                readAgainAt_ = monotonicNow() + readPause;
+                logEvent(LogLevel::Warning, "rollouts-unread", { { "reason", answer.error().message_ } });
+                return;
+            }
+            known_ = true;
+            for (const StoredRow& row : answer.value().rows_) {
+                const auto stored = decodeRamp(row.value_);
+                if (!stored) {
+                    logEvent(LogLevel::Warning, "rollout-unreadable",
+                        { { "key", row.key_ }, { "reason", stored.error().message_ } });
+                    continue;
+                }
+                const Ramp& ramp = stored.value().ramp_;
+                if (mergeRamp(state_.rollouts_, ramp, stored.value().order_, row.version_))
+                    logRamp(ramp, "store");
+            }
+        });
+    }
+
+    void RolloutWriter::act(TimePoint now)
+    {
+        if (!known_ && !reading_ && now >= readAgainAt_)
+            read();
+        if (!known_ || !state_.reachesStore_ || state_.draining_ || !isFirst(state_.fleet_, now))
+            return;
+        for (const KnownOrder& order : unstartedOrders(state_.rollouts_)) {
+            const int64_t start = storeNow(state_, now);
+            const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(order.order_.time_);
+            const Ramp ramp { order.order_.service_, order.order_.version_, start, start + time.count() };
+            const auto known = state_.rollouts_.ramps_.find(ramp.service_);
+            const uint64_t expected = known == state_.rollouts_.ramps_.end() ? 0 : known->second.rowVersion_;
+            write(now, ramp, order.rowVersion_, expected);
+        }
+        for (const auto& [service, known] : state_.rollouts_.ramps_) {
+            if (known.ramp_.state_ != RampState::Running)
+                continue;
+            if (known.bad_)
+                finish(now, known, RampState::Reverted);
+            else if (rollout::isRampFinished(known.ramp_, storeNow(state_, now), oldInFlight(known.ramp_)))
+                finish(now, known, RampState::Complete);
+        }
+    }
+
+    uint32_t RolloutWriter::oldInFlight(const Ramp& ramp) const
+    {
+        uint32_t sum = 0;
+        const auto pool = state_.directory_.services_.find(ramp.service_);
+        if (pool == state_.directory_.services_.end())
+            return sum;
+        for (const routing::Target& target : pool->second.targets_) {
+            if (target.version_ != ramp.version_)
+                sum += routing::load(target);
+        }
+        return sum;
+    }
+
+    void RolloutWriter::finish(TimePoint now, const KnownRamp& known, RampState state)
+    {
+        Ramp ended = known.ramp_;
+        ended.state_ = state;
+        write(now, ended, known.order_, known.rowVersion_);
+    }
+
+    void RolloutWriter::write(TimePoint now, const Ramp& ramp, uint64_t order, uint64_t expectedVersion)
+    {
+        TimePoint& busyUntil = busyUntil_[ramp.service_];
+        if (now < busyUntil)
+            return;
+        busyUntil = now + writePause;
+        const StoredRow row {
+            .table_ = rampsTable, .key_ = ramp.service_, .value_ = encodeRamp(ramp, order)
+        };
+        const Transaction transaction { .expected_ = { { rampsTable, ramp.service_, expectedVersion } },
+            .writes_ = { row, state_.protocol_.rolloutStatus_(ramp) } };
+        store_.transact_(transaction,
+            [this, ramp, order](const Result<TableRead>& answer) { onWritten(ramp, order, answer); });
+    }
+
+    void RolloutWriter::onWritten(const Ramp& ramp, uint64_t order, const Result<TableRead>& answer)
+    {
+        if (answer) {
+            busyUntil_.erase(ramp.service_);
+            mergeRamp(state_.rollouts_, ramp, order, answer.value().version_);
+            return logRamp(ramp, "this host");
+        }
+        logEvent(LogLevel::Warning, "rollout-write-failed",
+            { { "service", ramp.service_ }, { "state", stateText(ramp.state_) },
+                { "reason", answer.error().message_ } });
+        // Another host may have written, or this write took effect without an answer.
+        read();
+    }
+
+} // namespace detail
+
+} // namespace turmericwing::gateway
--- /dev/null
+++ b/src/gateway/settings.cc
@@ -0,0 +1,125 @@
+// Reads gateway settings.
+#include "turmericwing/gateway/settings.h"
+
+#include "turmericwing/base/inifile.h"
+
+#include <cmath>
+#include <cstdlib>
+
+namespace turmericwing::gateway {
+
+namespace detail {
+
+    constexpr double longestDurationSeconds = 86'400;
+
+    /// A number and its unit at the end of the text.
+    struct Quantity {
+        double number_ = 0;
+        std::string unit_;
+        bool valid_ = false;
+    };
+
+    Quantity parseQuantity(const std::string& text)
+    {
+        char* end = nullptr;
+        const double number = std::strtod(text.c_str(), &end);
+        return { number, end, end != text.c_str() && std::isfinite(number) && number >= 0 };
+    }
+
+    void takeDuration(IniFile& file, const std::string& key, Duration& value)
+    {
+        const auto text = takeValue(file, key, false);
+        if (!text)
+            return;
+        const auto parsed = parseDuration(text->text_);
+        if (parsed)
+            value = parsed.value();
+        else
+            addFault(file, text->line_, key, parsed.error().message_);
+    }
+
+    void takeNumber(IniFile& file, const std::string& key, double& value)
+    {
+        const auto text = takeValue(file, key, false);
+        if (!text)
+            return;
+        const Quantity quantity = parseQuantity(text->text_);
+        if (quantity.valid_ && quantity.unit_.empty())
+            value = quantity.number_;
+        else
+            addFault(file, text->line_, key, "'" + text->text_ + "' is not a number of at least 0");
+    }
+
+    Bounds takeBounds(IniFile& file)
+    {
+        Bounds bounds;
+        takeNumber(file, "bounds.retry-ratio", bounds.retryRatio_);
+        takeNumber(file, "bounds.retry-slack", bounds.retrySlack_);
+        takeDuration(file, "bounds.drain-time", bounds.drainTime_);
+        takeDuration(file, "bounds.stop-time", bounds.stopTime_);
+        takeDuration(file, "bounds.lookup-life", bounds.lookupLife_);
+        return bounds;
+    }
+
+    /// The first port of "first,last" on the host's own address.
+    Address takePort(IniFile& file, const std::string& key, const std::string& ip)
+    {
+        const auto text = takeValue(file, key, true);
+        if (!text)
+            return {};
+        const auto address = parseAddress(ip + ":" + text->text_.substr(0, text->text_.find(',')));
+        if (address)
+            return address.value();
+        addFault(file, text->line_, key, address.error().message_);
+        return {};
+    }
+
+    std::map<std::string, std::string> takeRegions(IniFile& file)
+    {
+        static const std::string section = "failure-domains.";
+        std::map<std::string, std::string> regions;
+        for (const auto& [key, value] : file.values_) {
+            if (key.starts_with(section) && !value.text_.empty())
+                regions.emplace(key.substr(section.size()), value.text_);
+        }
+        return regions;
+    }
+
+} // namespace detail
+
+Result<Duration> parseDuration(const std::string& text)
+{
+    const detail::Quantity quantity = detail::parseQuantity(text);
+    const double unit = quantity.unit_ == "s" ? 1 : quantity.unit_ == "ms" ? 0.001 : 0;
+    if (!quantity.valid_ || unit == 0 || quantity.number_ * unit > detail::longestDurationSeconds)
+        return makeError(ErrorCode::Invalid, "'" + text + "' is not a time such as 1500ms or 2.5s");
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(quantity.number_ * unit));
+}
+
+Result<Settings> loadSettings(const std::string& path)
+{
+    auto read = readIniFile(path);
+    if (!read)
+        return read.error();
+    IniFile& file = read.value();
+
+    Settings settings;
+    settings.name_ = takeText(file, "host.name");
+    settings.region_ = takeText(file, "host.region");
+    settings.failureDomain_ = takeText(file, "host.failure-domain");
+    settings.callerAddress_ = takeAddress(file, "listen.callers");
+    settings.readinessAddress_ = takeAddress(file, "listen.readiness");
+    settings.lookupAddress_ = takeAddress(file, "listen.lookups");
+    const std::string& ip = settings.callerAddress_.ip_;
+    settings.peerAddress_ = detail::takePort(file, "listen.peer-ports", ip);
+    settings.metricsAddress_ = detail::takePort(file, "listen.metrics-port", ip);
+    settings.storeAddress_ = takeAddress(file, "store.address");
+    settings.regionOf_ = detail::takeRegions(file);
+    settings.regionOf_[settings.failureDomain_] = settings.region_;
+    settings.bounds_ = detail::takeBounds(file);
+    if (!file.faults_.empty())
+        return makeError(ErrorCode::Invalid, faultText(file));
+    return settings;
+}
+
+} // namespace turmericwing::gateway
--- /dev/null
+++ b/src/rollout/ramp.cc
@@ -0,0 +1,103 @@
+// Steps and verdict of a move by a deadline.
+#include "turmericwing/rollout/ramp.h"
+
+#include <algorithm>
+#include <array>
+
+namespace turmericwing::rollout {
+
+namespace detail {
+
+    struct Step {
+        double from_; ///< Fraction of the time until the deadline.
+        double share_;
+    };
+
+    /// The new version gets 0.068 of all requests until it takes the whole traffic. What is left up to a
+    /// tenth covers the time that the test needs at the larger shares.
+    constexpr std::array steps { Step { 0.0, 0.02 }, Step { 0.2, 0.04 }, Step { 0.4, 0.1 }, Step { 0.5, 0.2 },
+        Step { 0.58, 0.5 }, Step { 0.64, 1.0 } };
+
+    /// Part of the time after which no host sends to the old version, so that its last requests can end.
+    constexpr double finishFraction = 0.72;
+    constexpr int64_t longestFinishMs = 2500; ///< Upstream work that lasts longer is not waited for.
+
+    constexpr TestOptions failureTest { .tests_ = 2 };
+    /// A new version starts without warm objects, so that it is slower for a while; only much slower is bad.
+    constexpr TestOptions slownessTest { .tests_ = 2, .tolerance_ = 6, .alternatives_ = { 20, 60 } };
+
+    double elapsedFraction(const Ramp& ramp, int64_t nowMs)
+    {
+        const auto span = static_cast<double>(std::max<int64_t>(1, ramp.deadlineMs_ - ramp.startMs_));
+        return static_cast<double>(nowMs - ramp.startMs_) / span;
+    }
+
+    bool fell(const RampCounts& now, const RampCounts& before)
+    {
+        return now.new_ < before.new_ || now.old_ < before.old_ || now.newFailed_ < before.newFailed_
+            || now.oldFailed_ < before.oldFailed_ || now.newSlow_ < before.newSlow_
+            || now.oldSlow_ < before.oldSlow_;
+    }
+
+} // namespace detail
+
+RampCounts& RampCounts::operator+=(const RampCounts& other)
+{
+    new_ += other.new_;
+    newFailed_ += other.newFailed_;
+    newSlow_ += other.newSlow_;
+    old_ += other.old_;
+    oldFailed_ += other.oldFailed_;
+    oldSlow_ += other.oldSlow_;
+    return *this;
+}
+
+double rampShare(const Ramp& ramp, int64_t nowMs)
+{
+    if (ramp.state_ != RampState::Running)
+        return ramp.state_ == RampState::Complete ? 1 : 0;
+    const double fraction = detail::elapsedFraction(ramp, nowMs);
+    double share = 0;
+    for (const detail::Step& step : detail::steps) {
+        if (fraction >= step.from_)
+            share = step.share_;
+    }
+    return share;
+}
+
+bool judgeRamp(RampJudge& judge, const RampCounts& total)
+{
+    if (detail::fell(total, judge.seen_)) {
+        judge.seen_ = total;
+        return false;
+    }
+    // Without requests to the old version in this period, all of its earlier ones are the reference.
+    const RampCounts& seen = judge.seen_;
+    const uint64_t newRequests = total.new_ - seen.new_;
+    const bool oldSeen = total.old_ > seen.old_;
+    const uint64_t oldRequests = oldSeen ? total.old_ - seen.old_ : total.old_;
+    const uint64_t oldFailed = oldSeen ? total.oldFailed_ - seen.oldFailed_ : total.oldFailed_;
+    const uint64_t oldSlow = oldSeen ? total.oldSlow_ - seen.oldSlow_ : total.oldSlow_;
+    const auto bounded = [](uint64_t part, uint64_t whole) { return std::min(part, whole); };
+    const Comparison failures { newRequests, bounded(total.newFailed_ - seen.newFailed_, newRequests),
+        oldRequests, bounded(oldFailed, oldRequests) };
+    const Comparison slowness { newRequests, bounded(total.newSlow_ - seen.newSlow_, newRequests),
+        oldRequests, bounded(oldSlow, oldRequests) };
+    judge.seen_ = total;
+    addPeriod(judge.failures_, detail::failureTest, failures);
+    addPeriod(judge.slowness_, detail::slownessTest, slowness);
+    return isBad(judge.failures_, detail::failureTest) || isBad(judge.slowness_, detail::slownessTest);
+}
+
+bool isRampFinished(const Ramp& ramp, int64_t nowMs, uint32_t oldInFlight)
+{
+    if (ramp.state_ != RampState::Running)
+        return false;
+    const auto span = static_cast<double>(ramp.deadlineMs_ - ramp.startMs_);
+    const int64_t finish = ramp.startMs_ + static_cast<int64_t>(span * detail::finishFraction);
+    if (nowMs < finish)
+        return false;
+    return oldInFlight == 0 || nowMs >= finish + detail::longestFinishMs;
+}
+
+} // namespace turmericwing::rollout
--- /dev/null
+++ b/test/adapter/documents-test.cc
@@ -0,0 +1,128 @@
+// Guards against documents of the platform that are misread, and against bad ones that are taken.
+#include "platform/documents.h"
+#include "platform/protocol.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::platform;
+
+namespace {
+
+const std::string configuration = R"({"version":7,"resources":[
+  {"type":"routes","metadata":{"name":"r1"},"spec":{"host":"a.example","prefix":"/x/","kind":"idempotent",
+    "timeout":"2000ms","slo":"400ms","priority":2,"backends":[{"service":"s1","weight":90},
+    {"service":"s2","weight":10}],"attempts":2,"public":false,"sticky":true,"home_regions":["a"]}},
+  {"type":"routes","metadata":{"name":"r2"},"spec":{"host":"b.example","prefix":"/","kind":"upload",
+    "timeout":"2s","slo":"500ms","priority":1,"service":"s2","attempts":1}},
+  {"type":"services","metadata":{"name":"s1"},"spec":{"health_path":"/healthz","max_conns":360,"cold":"3s",
+    "cold_per_s":14.0}},
+  {"type":"tenants","metadata":{"name":"t1"},"spec":{"api_keys":["k1"],"priority":0,"rate_per_s":325,
+    "burst":325,"home_regions":[]}},
+  {"type":"limits","metadata":{},"spec":{"header_bytes":16384,"max_body_bytes":67108864,
+    "header_timeout":"3000ms","idle_timeout":"15000ms"}},
+  {"type":"later","metadata":{},"spec":{}}]})";
+
+const std::string entry = R"({"service":"s1","address":"10.1.2.3:80","zone":"a1","version":"v1","slots":9,
+  "state":"ready","cold_left":"1500ms","seq":4,"born":1700000000000})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_CASE("a configuration is read whole")
+{
+    const auto decoded = decodeConfiguration(configuration);
+    REQUIRE(decoded);
+    const auto& routes = decoded.value().routes_;
+    REQUIRE(routes.size() == 2);
+    CHECK(decoded.value().version_ == 7);
+    CHECK(routes[0].kind_ == gateway::RequestKind::Idempotent);
+    CHECK(routes[0].timeout_ == std::chrono::seconds(2));
+    CHECK(routes[0].objective_ == std::chrono::milliseconds(400));
+    CHECK(routes[0].backends_ == std::vector<gateway::WeightedService> { { "s1", 90 }, { "s2", 10 } });
+    CHECK(routes[0].sticky_);
+    CHECK(routes[0].homeRegions_ == std::vector<std::string> { "a" });
+    CHECK(routes[1].kind_ == gateway::RequestKind::NonIdempotent);
+    CHECK(routes[1].backends_ == std::vector<gateway::WeightedService> { { "s2", 1 } });
+    CHECK(decoded.value().services_[0].coldRate_ == 14);
+    CHECK(decoded.value().workspaces_[0].keys_ == std::vector<std::string> { "k1" });
+    CHECK(decoded.value().limits_.idleTimeout_ == std::chrono::seconds(15));
+}
+
+TEST_CASE("a faulty configuration is an error that names the fault")
+{
+    CHECK_FALSE(decodeConfiguration("{"));
+    CHECK_FALSE(decodeConfiguration("[]"));
+    CHECK_FALSE(decodeConfiguration(std::string(200'000, '[')));
+    const auto timeout = decodeConfiguration(replaced(configuration, "\"2000ms\"", "2000"));
+    REQUIRE_FALSE(timeout);
+    CHECK(timeout.error().message_ == "timeout is not a text");
+    CHECK_FALSE(decodeConfiguration(replaced(configuration, "\"idempotent\"", "\"sometimes\"")));
+}
+
+TEST_CASE("an upstream's entry is read")
+{
+    const auto decoded = decodeUpstream("u1", entry);
+    REQUIRE(decoded);
+    const gateway::UpstreamEntry expected { .id_ = "u1",
+        .service_ = "s1",
+        .address_ = { "10.1.2.3", 80 },
+        .failureDomain_ = "a1",
+        .version_ = "v1",
+        .slots_ = 9,
+        .leaving_ = false,
+        .coldLeft_ = std::chrono::milliseconds(1500),
+        .startedMs_ = 1'700'000'000'000 };
+    CHECK(decoded.value() == expected);
+    CHECK(decodeUpstream("u1", replaced(entry, "\"ready\"", "\"draining\"")).value().leaving_);
+}
+
+TEST_CASE("entries of other writers name no upstream")
+{
+    for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>> {
+             { "\"service\":\"s1\",", "" }, { "\"ready\"", "\"gone\"" }, { ":9,", ":\"9\"," },
+             { ":9,", ":0," }, { "10.1.2.3:80", "somewhere" }, { "\"1500ms\"", "1500" },
+             { "\"seq\":4", "\"seq\":-4" }, { "1700000000000", "\"yesterday\"" } })
+        CHECK_FALSE(decodeUpstream("u1", replaced(entry, from, to)));
+    CHECK_FALSE(decodeUpstream("u1", "\xff\x00garbage"));
+    CHECK_FALSE(decodeUpstream("u1", ""));
+}
+
+TEST_CASE("orders are told apart by their keys")
+{
+    using Kind = gateway::OrderChange::Kind;
+    const auto rollout
+        = decodeOrder({ .key_ = "rollout/s1", .value_ = R"({"service":"s1","to":"v2","duration":"12s"})" });
+    REQUIRE(rollout);
+    CHECK(rollout.value().kind_ == Kind::Rollout);
+    CHECK(rollout.value().rollout_ == gateway::RolloutOrder { "s1", "v2", std::chrono::seconds(12) });
+    const auto evacuation = decodeOrder({ .key_ = "evacuate/a1", .removed_ = true });
+    REQUIRE(evacuation);
+    CHECK(evacuation.value().kind_ == Kind::Evacuation);
+    CHECK(evacuation.value().subject_ == "a1");
+    CHECK(evacuation.value().removed_);
+    CHECK(decodeOrder({ .key_ = "something" }).value().kind_ == Kind::Ignored);
+    CHECK_FALSE(decodeOrder({ .key_ = "config", .value_ = "x" }));
+    const auto status = encodeRolloutStatus({ "s1", "v2", 0, 1, rollout::RampState::Reverted });
+    CHECK(status.key_ == "rollout/s1");
+    CHECK(status.value_ == R"({"state":"reverted","to":"v2"})");
+}
+
+TEST_CASE("small formats of the protocol are read strictly")
+{
+    const auto protocol = makeProtocol();
+    CHECK(protocol.key_("Token abc") == "abc");
+    CHECK(protocol.key_("Bearer abc").empty());
+    CHECK(protocol.key_("Token").empty());
+    CHECK(protocol.load_("3,0,8") == gateway::LoadReport { 3, 0, 8 });
+    CHECK_FALSE(protocol.load_("3,0"));
+    CHECK_FALSE(protocol.load_("3,0,8,1"));
+    CHECK_FALSE(protocol.load_("a,b,c"));
+    CHECK(protocol.lookupQuery_("name=x&region=a&zone=a1") == gateway::LookupQuery { "a", "a1" });
+    CHECK(protocol.lookupAnswer_({ "10.0.0.1:80" }, std::chrono::seconds(2))
+        == R"({"addrs":["10.0.0.1:80"],"ttl":"2000ms"})");
+}
--- /dev/null
+++ b/test/gateway/directory-test.cc
@@ -0,0 +1,105 @@
+// Guards against requests to upstreams that have left, and against losing live ones to an outage of the
+// store.
+#include "turmericwing/gateway/directory.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::gateway;
+
+namespace {
+
+const TimePoint start { std::chrono::seconds(100) };
+
+UpstreamEntry makeEntry(const std::string& id)
+{
+    return { .id_ = id,
+        .service_ = "s",
+        .address_ = { "10.0.0.1", 80 },
+        .failureDomain_ = "a1",
+        .version_ = "v1",
+        .slots_ = 3,
+        .startedMs_ = 1 };
+}
+
+Directory makeDirectory()
+{
+    Directory directory { .regionOf_ = { { "a1", "a" } } };
+    putEntry(directory, start, makeEntry("u1"));
+    putEntry(directory, start, makeEntry("u2"));
+    return directory;
+}
+
+bool isUsable(Directory& directory, const std::string& id)
+{
+    const Located upstream = locate(directory, id);
+    return upstream.target_ && upstream.target_->usable_;
+}
+
+} // namespace
+
+TEST_CASE("an upstream that leaves or is removed gets nothing more at once")
+{
+    Directory directory = makeDirectory();
+    UpstreamEntry leaving = makeEntry("u1");
+    leaving.leaving_ = true;
+    putEntry(directory, start, leaving);
+    CHECK_FALSE(isUsable(directory, "u1"));
+    dropEntry(directory, start, "u2");
+    CHECK_FALSE(isUsable(directory, "u2"));
+    CHECK(expireEntries(directory, start) == std::vector<std::string> { "u2" });
+    CHECK_FALSE(locate(directory, "u2").target_);
+}
+
+TEST_CASE("entries that lapse during an outage are used until the store has been back for a while")
+{
+    Directory directory = makeDirectory();
+    storeLost(directory);
+    dropEntry(directory, start, "u1");
+    CHECK(expireEntries(directory, start + std::chrono::minutes(10)).empty());
+    const TimePoint back = start + std::chrono::minutes(10);
+    storeRegained(directory, back);
+    keepOnly(directory, back, {});
+    CHECK(isUsable(directory, "u1"));
+    CHECK(isUsable(directory, "u2"));
+    putEntry(directory, back + std::chrono::seconds(1), makeEntry("u2"));
+    expireEntries(directory, back + std::chrono::seconds(3));
+    CHECK_FALSE(isUsable(directory, "u1"));
+    CHECK(isUsable(directory, "u2"));
+}
+
+TEST_CASE("an upstream that says it leaves during an outage is not used again")
+{
+    Directory directory = makeDirectory();
+    storeLost(directory);
+    UpstreamEntry leaving = makeEntry("u1");
+    leaving.leaving_ = true;
+    putEntry(directory, start, leaving);
+    dropEntry(directory, start, "u1");
+    storeRegained(directory, start);
+    CHECK_FALSE(isUsable(directory, "u1"));
+}
+
+TEST_CASE("a new run under a known id starts afresh")
+{
+    Directory directory = makeDirectory();
+    locate(directory, "u1").target_->pausedUntil_ = start + std::chrono::seconds(9);
+    UpstreamEntry again = makeEntry("u1");
+    again.startedMs_ = 2;
+    again.coldLeft_ = std::chrono::seconds(3);
+    putEntry(directory, start, again);
+    CHECK(locate(directory, "u1").target_->pausedUntil_ == TimePoint());
+    CHECK(locate(directory, "u1").target_->coldUntil_ == start + std::chrono::seconds(3));
+}
+
+TEST_CASE("an upstream that is gone is kept while it has requests")
+{
+    Directory directory = makeDirectory();
+    locate(directory, "u1").target_->inFlight_ = 1;
+    dropEntry(directory, start, "u1");
+    expireEntries(directory, start);
+    REQUIRE(locate(directory, "u1").target_);
+    locate(directory, "u1").target_->inFlight_ = 0;
+    expireEntries(directory, start);
+    CHECK_FALSE(locate(directory, "u1").target_);
+}
--- /dev/null
+++ b/test/gateway/fleet-test.cc
@@ -0,0 +1,110 @@
+// Guards against lookups and shares that count hosts that are gone, or forget live ones.
+#include "turmericwing/gateway/fleet.h"
+
+#include "turmericwing/gateway/quotas.h"
+#include "turmericwing/gateway/state.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::gateway;
+
+namespace {
+
+const TimePoint start { std::chrono::seconds(100) };
+
+HostReport makeReport(const std::string& name, uint64_t serial, const std::string& region = "a")
+{
+    return { .name_ = name,
+        .incarnation_ = 1,
+        .serial_ = serial,
+        .callerAddress_ = { "10.0.0." + name.substr(1), 80 },
+        .peerAddress_ = { "10.0.0." + name.substr(1), 81 },
+        .region_ = region,
+        .ready_ = true,
+        .reachesStore_ = true };
+}
+
+} // namespace
+
+TEST_CASE("a host counts as alive while its reports arrive")
+{
+    Fleet fleet { .self_ = "h1" };
+    registerPeer(fleet, start, "h2", { "10.0.0.2", 81 });
+    CHECK(heardReports(fleet, start).empty());
+    CHECK(unheardCount(fleet, start) == 1);
+    CHECK(hear(fleet, start, makeReport("h2", 1)));
+    CHECK_FALSE(hear(fleet, start, makeReport("h2", 1)));
+    CHECK_FALSE(hear(fleet, start, makeReport("h1", 9)));
+    CHECK(heardReports(fleet, start).size() == 1);
+    CHECK(heardReports(fleet, start + fleet.options_.life_).empty());
+    CHECK(forgottenPeers(fleet, start + std::chrono::seconds(20)) == std::vector<std::string> { "h2" });
+}
+
+TEST_CASE("a restarted host is heard although its serial starts anew")
+{
+    Fleet fleet { .self_ = "h1" };
+    hear(fleet, start, makeReport("h2", 50));
+    HostReport again = makeReport("h2", 1);
+    again.incarnation_ = 2;
+    CHECK(hear(fleet, start, again));
+}
+
+TEST_CASE("the first host by name that reaches the store writes for all")
+{
+    Fleet fleet { .self_ = "h2" };
+    CHECK(isFirst(fleet, start));
+    HostReport lower = makeReport("h1", 1);
+    lower.reachesStore_ = false;
+    hear(fleet, start, lower);
+    CHECK(isFirst(fleet, start));
+    hear(fleet, start, makeReport("h1", 2));
+    CHECK_FALSE(isFirst(fleet, start));
+    CHECK(isFirst(fleet, start + fleet.options_.life_));
+}
+
+TEST_CASE("lookups name the live hosts of the caller's region, and others only without them")
+{
+    State state;
+    state.settings_.name_ = "h1";
+    state.settings_.region_ = "a";
+    state.settings_.callerAddress_ = { "10.0.0.1", 80 };
+    state.fleet_.self_ = "h1";
+    state.catalog_ = std::make_shared<const Catalog>(Configuration());
+    state.directory_.loaded_ = true;
+    hear(state.fleet_, start, makeReport("h2", 1));
+    hear(state.fleet_, start, makeReport("h3", 1, "b"));
+    CHECK(lookupAddresses(state, start, { "a", "" })
+        == std::vector<std::string> { "10.0.0.1:80", "10.0.0.2:80" });
+    CHECK(lookupAddresses(state, start, { "b", "" }) == std::vector<std::string> { "10.0.0.3:80" });
+    CHECK(lookupAddresses(state, start, { "c", "" }).size() == 3);
+    HostReport leaving = makeReport("h2", 2);
+    leaving.leaving_ = true;
+    hear(state.fleet_, start, leaving);
+    state.draining_ = true;
+    CHECK(lookupAddresses(state, start, { "a", "" }) == std::vector<std::string> { "10.0.0.3:80" });
+}
+
+TEST_CASE("two hosts with unequal demand together admit no more than the rate")
+{
+    // The pattern: one workspace sends far beyond its rate, nearly all of it to one host.
+    const WorkspaceSpec workspace { .name_ = "w", .rate_ = 100, .burst_ = 100 };
+    const Configuration configuration { .workspaces_ = { workspace } };
+    Fleet fleets[2] = { { .self_ = "h1" }, { .self_ = "h2" } };
+    Quotas quotas[2];
+    uint64_t admitted = 0;
+    const int seconds = 20;
+    for (int step = 0; step < seconds * 10; ++step) {
+        const TimePoint now = start + std::chrono::milliseconds(100) * step;
+        for (int host = 0; host < 2; ++host) {
+            HostReport report = makeReport(host == 0 ? "h1" : "h2", static_cast<uint64_t>(step) + 1);
+            report.demands_ = demands(quotas[host]);
+            hear(fleets[1 - host], now, report);
+            updateQuotas(quotas[host], now, configuration, fleets[host]);
+            for (int i = 0; i < (host == 0 ? 80 : 2); ++i)
+                admitted += takeQuota(quotas[host], now, workspace) ? 1 : 0;
+        }
+    }
+    CHECK(admitted <= 100 * seconds + 100);
+    CHECK(admitted >= 90 * seconds);
+}
--- /dev/null
+++ b/test/gateway/report-test.cc
@@ -0,0 +1,53 @@
+// Guards against datagrams that lose a field, and against bytes from strangers.
+#include "turmericwing/gateway/report.h"
+
+#include "turmericwing/base/random.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::gateway;
+
+namespace {
+
+HostReport makeReport()
+{
+    return { .name_ = "h1",
+        .incarnation_ = 0xfedcba9876543210U,
+        .serial_ = 7,
+        .callerAddress_ = { "10.0.0.1", 80 },
+        .peerAddress_ = { "10.0.0.1", 81 },
+        .region_ = "a",
+        .failureDomain_ = "a1",
+        .ready_ = true,
+        .leaving_ = false,
+        .reachesStore_ = true,
+        .inFlight_ = { { shortHash("u1"), 3 } },
+        .demands_ = { { shortHash("w"), 12.5 } },
+        .ramps_ = { { { "s", "v2", 5, 9, rollout::RampState::Reverted }, 44, true, { 1, 2, 3, 4, 5, 6 } } },
+        .crashes_ = { { { "h1", 3, 1 }, "u1", { 1000 }, { { { 1, 2 }, { 990 } } } } } };
+}
+
+} // namespace
+
+TEST_CASE("a report survives its encoding")
+{
+    const auto decoded = decodeReport(encodeReport(makeReport()));
+    REQUIRE(decoded);
+    CHECK(decoded.value() == makeReport());
+}
+
+TEST_CASE("damaged reports are errors and nothing else")
+{
+    const std::string bytes = encodeReport(makeReport());
+    Random random(5);
+    int rejected = 0;
+    for (int i = 0; i < 20'000; ++i) {
+        std::string damaged = bytes.substr(0, random() % (bytes.size() + 1));
+        for (int flips = 0; flips < 3 && !damaged.empty(); ++flips)
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        rejected += decodeReport(damaged) ? 0 : 1;
+    }
+    CHECK(rejected > 15'000);
+    CHECK_FALSE(decodeReport(std::string(70'000, 'x')));
+}
--- /dev/null
+++ b/test/gateway/settings-test.cc
@@ -0,0 +1,66 @@
+// Guards against a host that starts with settings that it has misread.
+#include "turmericwing/gateway/settings.h"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+using namespace turmericwing;
+using namespace turmericwing::gateway;
+
+namespace {
+
+const std::string good = "[host]\nname = h1\nregion = a\nfailure-domain = a1\n"
+                         "[listen]\ncallers = 10.0.0.1:80\nreadiness = 10.0.0.1:81\nlookups = 10.0.0.1:82\n"
+                         "peer-ports = 7460,7475\nmetrics-port = 9464\n"
+                         "[store]\naddress = 10.0.0.9:90\n"
+                         "[failure-domains]\na1 = a\nb1 = b\n";
+
+Result<Settings> load(const std::string& text)
+{
+    const auto path
+        = std::filesystem::temp_directory_path() / ("gateway-settings-" + std::to_string(getpid()));
+    std::ofstream(path) << text;
+    auto settings = loadSettings(path);
+    std::filesystem::remove(path);
+    return settings;
+}
+
+void checkFault(const std::string& text, const std::string& fault)
+{
+    const auto settings = load(text);
+    REQUIRE_FALSE(settings);
+    INFO(settings.error().message_);
+    CHECK(settings.error().message_.find(fault) != std::string::npos);
+}
+
+} // namespace
+
+TEST_CASE("complete settings are read, and unknown fields are ignored")
+{
+    const auto settings
+        = load(good + "[bounds]\nstop-time = 6s\nretry-slack = 62\nnew-bound = 1\n[new]\nx = y\n");
+    REQUIRE(settings);
+    CHECK(settings.value().peerAddress_ == Address { "10.0.0.1", 7460 });
+    CHECK(settings.value().metricsAddress_ == Address { "10.0.0.1", 9464 });
+    CHECK(settings.value().regionOf_.at("b1") == "b");
+    CHECK(settings.value().bounds_.stopTime_ == std::chrono::seconds(6));
+    CHECK(settings.value().bounds_.retrySlack_ == 62);
+}
+
+TEST_CASE("a missing or malformed field is named with its line")
+{
+    checkFault("[host]\nname = h1\n", "host.region: is missing");
+    checkFault(good + "[bounds]\nstop-time = 6 hours\n", "bounds.stop-time: '6 hours' is not a time");
+    checkFault(good + "[bounds]\nretry-ratio = much\n", ":17: bounds.retry-ratio");
+}
+
+TEST_CASE("times have a unit")
+{
+    CHECK(parseDuration("1500ms").value() == std::chrono::milliseconds(1500));
+    CHECK(parseDuration("2.5s").value() == std::chrono::milliseconds(2500));
+    for (const char* bad : { "", "5", "-1s", "s", "1h", "nan s", "1e99s" })
+        CHECK_FALSE(parseDuration(bad));
+}
--- /dev/null
+++ b/test/rollout/ramp-test.cc
@@ -0,0 +1,114 @@
+// Guards against a bad version that gets more than its part of the traffic, and a good one that misses its
+// deadline.
+#include "turmericwing/rollout/ramp.h"
+
+#include "turmericwing/base/random.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::rollout;
+
+namespace {
+
+constexpr int64_t spanMs = 16'000;
+constexpr int requestsPerSecond = 400;
+constexpr int periodMs = 100; ///< Of the reports between hosts.
+constexpr int delayMs = 300; ///< From an answer to the moment at which all hosts act on the verdict.
+
+Ramp makeRamp() { return { "service", "v2", 1000, 1000 + spanMs }; }
+
+struct Outcome {
+    int64_t badAtMs_ = 0; ///< After the start; 0 if the version was taken for good.
+    uint64_t exposed_ = 0; ///< Requests to the new version.
+    uint64_t requests_ = 0;
+};
+
+/// Plays a ramp. `failureRate` gives the part of the new version's answers that fail, by time and share.
+template <typename FailureRate> Outcome play(const FailureRate& failureRate, double oldRate, uint64_t seed)
+{
+    const Ramp ramp = makeRamp();
+    Random random(seed);
+    RampJudge judge;
+    RampCounts counts;
+    Outcome outcome;
+    int64_t stopAtMs = spanMs;
+    for (int64_t at = 0; at < spanMs; at += periodMs) {
+        const double share = at >= stopAtMs ? 0 : rampShare(ramp, ramp.startMs_ + at);
+        for (int i = 0; i < requestsPerSecond * periodMs / 1000; ++i) {
+            const bool toNew = uniform(random) < share;
+            const bool failed = uniform(random) < (toNew ? failureRate(at, share) : oldRate);
+            (toNew ? counts.new_ : counts.old_) += 1;
+            if (failed)
+                (toNew ? counts.newFailed_ : counts.oldFailed_) += 1;
+            outcome.exposed_ += toNew ? 1 : 0;
+            ++outcome.requests_;
+        }
+        if (outcome.badAtMs_ == 0 && judgeRamp(judge, counts)) {
+            outcome.badAtMs_ = std::max<int64_t>(1, at);
+            stopAtMs = at + delayMs;
+        }
+    }
+    return outcome;
+}
+
+} // namespace
+
+TEST_CASE("a bad version gets at most a tenth of the requests, whenever it turns bad")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        for (const int64_t badFromMs : { 0, 3000, 6000, 8000 }) {
+            const auto outcome
+                = play([&](int64_t at, double) { return at >= badFromMs ? 0.47 : 0.002; }, 0.002, seed);
+            CHECK(outcome.badAtMs_ > 0);
+            CHECK(outcome.exposed_ <= 0.1 * static_cast<double>(outcome.requests_) + 50);
+        }
+    }
+}
+
+TEST_CASE("a version that fails only under load is found within its part")
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        const auto outcome
+            = play([](int64_t, double share) { return share >= 0.4 ? 0.5 : 0.002; }, 0.002, seed);
+        CHECK(outcome.badAtMs_ > 0);
+        CHECK(outcome.exposed_ <= 0.1 * static_cast<double>(outcome.requests_) + 50);
+    }
+}
+
+TEST_CASE("a good version is not taken back, also while both sides fail")
+{
+    int takenBack = 0;
+    for (uint64_t seed = 1; seed <= 100; ++seed) {
+        const auto disturbed = [](int64_t at, double) { return at > 4000 && at < 8000 ? 0.06 : 0.004; };
+        takenBack += play(disturbed, 0.03, seed).badAtMs_ > 0 ? 1 : 0;
+    }
+    CHECK(takenBack <= 1);
+}
+
+TEST_CASE("a good version has all traffic and ends well before its deadline")
+{
+    const Ramp ramp = makeRamp();
+    CHECK(rampShare(ramp, ramp.startMs_ + spanMs * 7 / 10) == 1);
+    CHECK_FALSE(isRampFinished(ramp, ramp.startMs_ + spanMs / 2, 0));
+    CHECK(isRampFinished(ramp, ramp.startMs_ + spanMs * 3 / 4, 0));
+    CHECK_FALSE(isRampFinished(ramp, ramp.startMs_ + spanMs * 3 / 4, 3));
+    CHECK(isRampFinished(ramp, ramp.startMs_ + spanMs * 9 / 10, 3));
+}
+
+TEST_CASE("an ended ramp keeps its share")
+{
+    Ramp ramp = makeRamp();
+    ramp.state_ = RampState::Reverted;
+    CHECK(rampShare(ramp, ramp.deadlineMs_) == 0);
+    ramp.state_ = RampState::Complete;
+    CHECK(rampShare(ramp, ramp.startMs_) == 1);
+}
+
+TEST_CASE("counts that fell after a host restarted are no evidence")
+{
+    RampJudge judge;
+    CHECK_FALSE(judgeRamp(judge, { 100, 1, 0, 1000, 10, 0 }));
+    CHECK_FALSE(judgeRamp(judge, { 10, 1, 0, 100, 1, 0 }));
+    CHECK(judge.seen_.new_ == 10);
+}
--- /dev/null
+++ b/test/routing/pick-test.cc
@@ -0,0 +1,144 @@
+// Guards against requests that go to an upstream that is full, cold or far while a better one has room.
+#include "turmericwing/routing/pick.h"
+
+#include "turmericwing/base/hash.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace turmericwing;
+using namespace turmericwing::routing;
+
+namespace {
+
+const TimePoint start { std::chrono::seconds(100) };
+
+Target makeTarget(const std::string& id, const std::string& region, uint32_t slots = 3)
+{
+    return { .id_ = id, .hash_ = hash64(id), .region_ = region, .slots_ = slots, .slownessAt_ = start };
+}
+
+std::vector<Target> makeTargets(size_t count, const std::string& region, uint32_t slots = 3)
+{
+    std::vector<Target> targets;
+    for (size_t i = 0; i < count; ++i)
+        targets.push_back(makeTarget(region + std::to_string(i), region, slots));
+    return targets;
+}
+
+const auto anyTarget = [](const Target&) { return true; };
+const auto noDistance = [](const Target&) { return 0.001; };
+
+/// Work that upstreams do for a stream of requests, each of which takes `coldWork` unless its upstream has
+/// one of its `kept` latest objects.
+double totalWork(const PickOptions& options, size_t objects, size_t kept)
+{
+    auto targets = makeTargets(8, "a", 9);
+    std::map<std::string, std::vector<uint64_t>> known;
+    Random random(7);
+    double work = 0;
+    for (int i = 0; i < 4000; ++i) {
+        const uint64_t object = hash64("object-" + std::to_string(random() % objects));
+        const auto result = pickTarget(
+            targets, options, { .region_ = "a", .object_ = object }, start, anyTarget, noDistance);
+        REQUIRE(result.pick_);
+        auto& warm = known[targets[result.pick_->index_].id_];
+        const auto found = std::find(warm.begin(), warm.end(), object);
+        work += found == warm.end() ? 0.48 : 0.15;
+        if (found != warm.end())
+            warm.erase(found);
+        warm.push_back(object);
+        if (warm.size() > kept)
+            warm.erase(warm.begin());
+        // Loads differ a little, as they do when requests overlap.
+        for (Target& target : targets)
+            target.inFlight_ = static_cast<uint32_t>(random() % 6);
+    }
+    return work;
+}
+
+} // namespace
+
+TEST_CASE("objects that few upstreams can keep stay with their upstreams")
+{
+    // The pattern: many objects, upstreams that keep a part of them, and short differences of load. Without
+    // affinity most requests meet an upstream that has forgotten their object.
+    const double with = totalWork({}, 105, 20);
+    const double without = totalWork({ .affinity_ = false }, 105, 20);
+    CHECK(with < 0.6 * without);
+}
+
+TEST_CASE("the hosts agree on the upstream of an object")
+{
+    // Guards against an order that depends on how entries arrived.
+    auto targets = makeTargets(10, "a");
+    auto reversed = targets;
+    std::reverse(reversed.begin(), reversed.end());
+    for (uint64_t object = 1; object < 50; ++object) {
+        const PickRequest request { .region_ = "a", .object_ = hash64(std::to_string(object)) };
+        const auto one = pickTarget(targets, {}, request, start, anyTarget, noDistance);
+        const auto other = pickTarget(reversed, {}, request, start, anyTarget, noDistance);
+        REQUIRE(one.pick_);
+        REQUIRE(other.pick_);
+        CHECK(targets[one.pick_->index_].id_ == reversed[other.pick_->index_].id_);
+    }
+}
+
+TEST_CASE("a full upstream gets no request, and all full is told apart from none usable")
+{
+    auto targets = makeTargets(2, "a");
+    targets[0].inFlight_ = 2;
+    targets[0].peerInFlight_ = 2;
+    const auto one = pickTarget(targets, {}, { .region_ = "a" }, start, anyTarget, noDistance);
+    REQUIRE(one.pick_);
+    CHECK(one.pick_->index_ == 1);
+    targets[1].inFlight_ = 4;
+    CHECK(pickTarget(targets, {}, { .region_ = "a" }, start, anyTarget, noDistance).failure_
+        == PickFailure::AllFull);
+    for (Target& target : targets)
+        target.usable_ = false;
+    CHECK(pickTarget(targets, {}, { .region_ = "a" }, start, anyTarget, noDistance).failure_
+        == PickFailure::NoneUsable);
+}
+
+TEST_CASE("requests with home regions stay there, and tried upstreams are left out")
+{
+    auto targets = makeTargets(1, "a");
+    targets.push_back(makeTarget("b0", "b"));
+    const std::vector<std::string> homes { "b" };
+    const auto home
+        = pickTarget(targets, {}, { .region_ = "a", .homeRegions_ = &homes }, start, anyTarget, noDistance);
+    REQUIRE(home.pick_);
+    CHECK(targets[home.pick_->index_].id_ == "b0");
+    const std::vector<std::string> tried { "b0" };
+    const PickRequest again { .region_ = "a", .homeRegions_ = &homes, .except_ = &tried };
+    CHECK(pickTarget(targets, {}, again, start, anyTarget, noDistance).failure_ == PickFailure::NoneUsable);
+}
+
+TEST_CASE("a slow upstream is avoided and tried again later")
+{
+    auto targets = makeTargets(2, "a");
+    for (int i = 0; i < 20; ++i)
+        recordAnswer(targets[0], {}, start, 4, 0.4, false);
+    const auto at = [&](TimePoint now) {
+        return pickTarget(targets, {}, { .region_ = "a" }, now, anyTarget, noDistance).pick_->index_;
+    };
+    CHECK(at(start) == 1);
+    targets[1].inFlight_ = 1;
+    CHECK(at(start + std::chrono::seconds(60)) == 0);
+}
+
+TEST_CASE("an upstream that breaks connections pauses for a growing time")
+{
+    Target target = makeTarget("a0", "a");
+    const PickOptions options;
+    recordBreak(target, options, start);
+    CHECK(target.pausedUntil_ == start + options.firstPause_);
+    for (int i = 0; i < 20; ++i)
+        recordBreak(target, options, start);
+    CHECK(target.pausedUntil_ == start + options.longestPause_);
+    recordAnswer(target, options, start, 0.1, 0.1, false);
+    CHECK(target.failuresInRow_ == 0);
+}
