Split regions by capacity, keep objects with upstreams that know them

Now a region's share follows capacity and demand by at most 0.04 a second, an object's hash places it on the line of shares, and a request waits for one of three upstreams that know its object before it goes to a stranger with room.

--- a/include/turmericwing/gateway/directory.h
+++ b/include/turmericwing/gateway/directory.h
@@ -2,7 +2,8 @@
 //
 // An entry that disappears while the store is in trouble, or soon after, may have lapsed only because its
 // upstream could not write. It is used until the store has been back for `settling_`, and is gone if it is
-// still missing then.
+// still missing then. When a peer reached the store all the while, only this host was cut off from it, and a
+// missing entry is gone at once.
 #pragma once
 
 #include "turmericwing/base/time.h"
@@ -21,6 +22,8 @@
 struct DirectoryOptions {
     /// The users' entries are back within about 2 s after an outage of the store.
     Duration settling_ = std::chrono::milliseconds(2200);
+    /// A silent connection to the store is noticed within this time, so a loss may have begun earlier.
+    Duration lossNotice_ = std::chrono::seconds(4);
 };
 
 /// What the entry of one upstream says, beside the choice's state of it.
@@ -47,6 +50,7 @@
     std::set<std::string> evacuated_ {}; ///< Failure domains.
     bool loaded_ = false;
     bool storeTroubled_ = false;
+    TimePoint storeLostAt_ {};
     TimePoint settledAt_ {}; ///< The store has been back for long enough.
 };
 
@@ -67,9 +71,13 @@
 /// After a full read: entries that are not among `ids` are gone.
 void keepOnly(Directory&, TimePoint now, const std::set<std::string>& ids);
 
-void storeLost(Directory&);
+void storeLost(Directory&, TimePoint now);
 void storeRegained(Directory&, TimePoint now);
 
+/// A peer has reached the store for this long without a break. If that covers this host's own loss, entries
+/// that are missing have not lapsed.
+void storeHeldByPeer(Directory&, TimePoint now, Duration held);
+
 /// Ends the time of missing entries, and removes upstreams that are gone and have nothing in flight. Returns
 /// the ids of those that became unusable or were removed.
 std::vector<std::string> expireEntries(Directory&, TimePoint now);
--- a/include/turmericwing/gateway/report.h
+++ b/include/turmericwing/gateway/report.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace turmericwing::gateway {
@@ -28,6 +29,14 @@
     friend auto operator<=>(const Demand&, const Demand&) = default;
 };
 
+/// Demand for a service at the sender, and where its region's requests go.
+struct ServiceReport {
+    uint32_t service_ = 0; ///< shortHash of its name.
+    double slots_ = 0; ///< Slots that the sender's callers need: requests/s x seconds at an upstream.
+    std::vector<std::pair<uint32_t, double>> split_; ///< Share by shortHash of the region.
+    friend bool operator==(const ServiceReport&, const ServiceReport&) = default;
+};
+
 /// A rollout as the sender knows it, with its own counts.
 struct RampReport {
     rollout::Ramp ramp_;
@@ -47,9 +56,10 @@
     std::string failureDomain_;
     bool ready_ = false;
     bool leaving_ = false;
-    bool reachesStore_ = false;
+    uint32_t storeReachedMs_ = 0; ///< Time for which the sender has reached the store; 0 if it does not.
     std::vector<InFlight> inFlight_;
     std::vector<Demand> demands_;
+    std::vector<ServiceReport> services_;
     std::vector<RampReport> ramps_;
     std::vector<routing::CrashReport> crashes_; ///< Of the last seconds.
     friend bool operator==(const HostReport&, const HostReport&) = default;
--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -10,6 +10,7 @@
 #include "turmericwing/gateway/rollouts.h"
 #include "turmericwing/gateway/settings.h"
 #include "turmericwing/routing/quarantine.h"
+#include "turmericwing/routing/regionsplit.h"
 #include "turmericwing/routing/retry.h"
 
 #include <deque>
@@ -32,6 +33,15 @@
     TimePoint toldUntil_ {};
 };
 
+/// Demand for one service at this host, and where its requests go.
+struct ServiceDemand {
+    double asked_ = 0; ///< Requests since the last update.
+    double rate_ = 0; ///< Requests/s.
+    double held_ = 0; ///< Mean seconds that a request holds a slot; 0 until known.
+    routing::RegionSplit split_; ///< Empty until the first update.
+    uint64_t drawn_ = 0; ///< Requests without an object, which spread evenly over the line of shares.
+};
+
 struct State {
     Settings settings_;
     Protocol protocol_;
@@ -50,6 +60,10 @@
     uint64_t crashSerial_ = 0;
     bool draining_ = false;
     bool reachesStore_ = false;
+    TimePoint storeReachedAt_ {}; ///< Since when, if it does.
+    routing::RegionSplitOptions splitOptions_;
+    std::map<std::string, ServiceDemand> demand_; ///< By service.
+    TimePoint demandAt_ {}; ///< Last update of demand_.
     int64_t storeMs_ = 0; ///< The store's clock at storeReadAt_.
     TimePoint storeReadAt_ {};
     Random random_ = makeRandom();
@@ -58,6 +72,9 @@
 /// Estimate of the store's clock.
 int64_t storeNow(const State&, TimePoint now);
 
+/// Time for which this host has reached the store, in milliseconds; 0 if it does not.
+uint32_t storeReachedMs(const State&, TimePoint now);
+
 /// Whether the host can serve: it knows a configuration and the upstreams, and is not draining.
 inline bool isReady(const State& state)
 {
@@ -73,6 +90,10 @@
 /// What this host tells its peers now. `inFlight` is taken from the directory.
 HostReport makeReport(const State&, TimePoint now, uint64_t serial);
 
+/// Measures the demand since the last update and moves the splits of all services towards what demand and
+/// room of the regions ask for.
+void updateSplits(State&, TimePoint now);
+
 /// Counts what peers have in flight at each upstream.
 void applyPeerLoads(State&, TimePoint now);
 
--- a/include/turmericwing/routing/pick.h
+++ b/include/turmericwing/routing/pick.h
@@ -25,6 +25,9 @@
     Duration firstPause_ = std::chrono::milliseconds(400); ///< After a failed connection; doubles.
     Duration longestPause_ = std::chrono::seconds(4);
     Duration fullPause_ = std::chrono::milliseconds(60); ///< After the upstream said that it is full.
+    /// Load, as a part of its slots, up to which an upstream takes objects that it does not know while others
+    /// know them. Beyond it they would push out the objects of the upstream itself.
+    double strangerLoad_ = 0.6;
     /// Requests per slot that may be in flight before an upstream counts as full.
     double occupancy_ = 1.34;
     bool affinity_ = true; ///< False ignores the object. Only for tests, as a baseline.
@@ -54,6 +57,7 @@
     std::optional<uint64_t> object_; ///< Hash of the object that the request concerns.
     const std::vector<std::string>* homeRegions_ = nullptr; ///< Empty or absent: any region.
     const std::vector<std::string>* except_ = nullptr; ///< Ids that were tried already.
+    bool strangers_ = false; ///< Whether upstreams that do not know the object may be taken.
     double work_ = 0.4; ///< Seconds that an idle upstream needs for an object that it does not know.
 };
 
@@ -63,6 +67,13 @@
     bool warm_ = false; ///< The object belongs to the upstream.
 };
 
+/// Whether conditions of the caller allow a target.
+enum class Permission {
+    Never, ///< Not for this request, for example because of its version.
+    Later, ///< Not now, for example because the target is cold and has had its requests.
+    Now,
+};
+
 /// Why no upstream was found.
 enum class PickFailure { None, NoneUsable, AllFull };
 
@@ -71,12 +82,12 @@
     PickFailure failure_ = PickFailure::None;
 };
 
-/// `allowed` is called for each target that could be picked, for conditions of the caller such as version,
-/// evacuation and admission to cold upstreams; it must have no effect. `roundTrip` gives the seconds to a
-/// target and back.
-template <typename Allowed, typename RoundTripTo>
+/// `permit` gives the Permission of a target; it must have no effect. `roundTrip` gives the seconds to a
+/// target and back. With an object, the up to three targets of each region that know it are taken, and others
+/// only if the request says so or none of those is usable.
+template <typename Permit, typename RoundTripTo>
 PickResult pickTarget(const std::vector<Target>&, const PickOptions&, const PickRequest&, TimePoint now,
-    const Allowed&, const RoundTripTo&);
+    const Permit&, const RoundTripTo&);
 
 /// An answer arrived after `observed` seconds where `expected` were expected. `failed` counts an answer that
 /// the upstream itself marks as a failure.
@@ -109,7 +120,8 @@
     /// Factor of the work for the object at this target, given the preferred ones of its region.
     double workFactor(const std::vector<Preferred>&, const Target&, const PickOptions&);
 
-    void prefer(std::vector<Preferred>&, const Target&, uint64_t object);
+    /// Takes the target into its region's list if its weight is high enough; true if so.
+    bool prefer(std::vector<Preferred>&, const Target&, uint64_t object);
 
     bool contains(const std::vector<std::string>* list, const std::string& text);
 
@@ -118,32 +130,39 @@
 
 } // namespace detail
 
-template <typename Allowed, typename RoundTripTo>
+template <typename Permit, typename RoundTripTo>
 PickResult pickTarget(const std::vector<Target>& targets, const PickOptions& options,
-    const PickRequest& request, TimePoint now, const Allowed& allowed, const RoundTripTo& roundTrip)
+    const PickRequest& request, TimePoint now, const Permit& permit, const RoundTripTo& roundTrip)
 {
+    const auto isCandidate = [&](const Target& target) {
+        const bool home = !request.homeRegions_ || request.homeRegions_->empty()
+            || detail::contains(request.homeRegions_, target.region_);
+        return target.usable_ && home && !detail::contains(request.except_, target.id_)
+            && permit(target) != Permission::Never;
+    };
     const bool sticky = request.object_ && options.affinity_;
     std::vector<detail::Preferred> preferred;
+    bool anyKnows = false;
     if (sticky) {
         for (const Target& target : targets) {
-            if (target.usable_)
-                detail::prefer(preferred, target, *request.object_);
+            if (isCandidate(target) && now >= target.pausedUntil_)
+                anyKnows = detail::prefer(preferred, target, *request.object_) || anyKnows;
         }
     }
     PickResult result;
     bool anyUsable = false;
     for (size_t i = 0; i < targets.size(); ++i) {
         const Target& target = targets[i];
-        if (!target.usable_ || detail::contains(request.except_, target.id_))
-            continue;
-        const bool home = !request.homeRegions_ || request.homeRegions_->empty()
-            || detail::contains(request.homeRegions_, target.region_);
-        if (!home)
+        if (!isCandidate(target))
             continue;
         anyUsable = true;
-        if (now < target.pausedUntil_ || load(target) >= capacity(target, options) || !allowed(target))
-            continue;
         const double factor = sticky ? detail::workFactor(preferred, target, options) : 1;
+        const bool stranger = sticky && anyKnows && factor >= 1;
+        if (stranger && (!request.strangers_ || load(target) >= options.strangerLoad_ * target.slots_))
+            continue;
+        if (now < target.pausedUntil_ || load(target) >= capacity(target, options)
+            || permit(target) != Permission::Now)
+            continue;
         const double expected
             = detail::expectedTime(target, options, request, now, roundTrip(target), factor);
         if (!result.pick_ || expected < result.pick_->expected_)
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -124,7 +124,25 @@
         dropEntry(directory, now, id);
 }
 
-void storeLost(Directory& directory) { directory.storeTroubled_ = true; }
+void storeLost(Directory& directory, TimePoint now)
+{
+    directory.storeTroubled_ = true;
+    directory.storeLostAt_ = now;
+}
+
+void storeHeldByPeer(Directory& directory, TimePoint now, Duration held)
+{
+    const bool settling = !directory.storeTroubled_ && now < directory.settledAt_;
+    if (!settling || now - held > directory.storeLostAt_ - directory.options_.lossNotice_)
+        return;
+    directory.settledAt_ = now;
+    for (auto& [name, pool] : directory.services_) {
+        for (UpstreamRecord& record : pool.records_) {
+            if (record.goneAt_)
+                record.goneAt_ = std::min(*record.goneAt_, now);
+        }
+    }
+}
 
 void storeRegained(Directory& directory, TimePoint now)
 {
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <unordered_map>
 
 namespace turmericwing::gateway {
@@ -23,11 +24,12 @@
 namespace detail {
 
     constexpr double workWeight = 0.02; ///< Weight of a new sample in a service's work.
+    constexpr double heldWeight = 0.02; ///< Weight of a new sample in the time that a request holds a slot.
     constexpr double roundTripWeight = 0.2; ///< Weight of a new sample in a region's round trip.
     constexpr double slowFactor = 4; ///< Multiple of the work that counts as slow in a rollout.
     constexpr Duration leastUsefulTime = std::chrono::milliseconds(10); ///< To send a request at all.
     constexpr Duration crashTold = std::chrono::seconds(3); ///< Time for which a crash is reported to peers.
-    constexpr size_t mostUnplaced = 4; ///< Waiting requests that a pass tries in vain.
+    constexpr size_t mostUnplaced = 12; ///< Waiting requests that a pass tries in vain.
     constexpr Duration sameCrash = std::chrono::milliseconds(500); ///< Breaks that belong to one crash.
 
     /// One request between its admission and its answer.
@@ -42,6 +44,8 @@
         std::string service_;
         std::optional<uint64_t> object_;
         VersionFilter version_;
+        std::vector<std::string> homes_; ///< Regions that may run it; empty: any.
+        std::string region_; ///< Where its place on the line of shares puts it.
         TimePoint giveUpAt_ {}; ///< The earlier of the caller's deadline and the route's timeout.
         bool quotaTaken_ = false;
         bool mayHaveRun_ = false; ///< An upstream may have run it.
@@ -155,11 +159,15 @@
     std::optional<Reason> authenticate(Ticket&) const;
     void start(const TicketPtr&);
     void place(const TicketPtr&);
-    routing::PickFailure tryPlace(const TicketPtr&);
+    routing::PickFailure tryPlace(const TicketPtr&, bool strangers = false);
+    routing::PickResult pickIn(
+        const Ticket&, ServicePool&, const std::vector<std::string>& regions, bool strangers);
     void wait(const TicketPtr&);
     void send(const TicketPtr&, ServicePool&, const routing::Pick&);
     std::string attemptHead(const Ticket&, const routing::Target&, TimePoint now) const;
-    bool isAllowed(const Ticket&, const routing::Target&, const UpstreamRecord&, TimePoint now) const;
+    routing::Permission permission(
+        const Ticket&, const routing::Target&, const UpstreamRecord&, TimePoint now) const;
+    void drawRegion(Ticket&);
     void coolDown(ServicePool&, size_t index, TimePoint now);
     void onAnswer(const TicketPtr&, UpstreamAnswer);
     void onResponse(const TicketPtr&, Response, double observed);
@@ -263,6 +271,8 @@
             callerGone(left);
     });
     routing::earnRetry(state_.retries_[ticket->service_], retryOptions());
+    ticket->homes_ = detail::homeRegions(*ticket);
+    drawRegion(*ticket);
     place(ticket);
 }
 
@@ -274,17 +284,20 @@
     return known;
 }
 
-bool Dispatcher::Core::isAllowed(
+routing::Permission Dispatcher::Core::permission(
     const Ticket& ticket, const routing::Target& target, const UpstreamRecord& record, TimePoint now) const
 {
-    if (!ticket.version_.allows(target.version_))
-        return false;
-    if (state_.directory_.evacuated_.contains(target.failureDomain_))
-        return false;
+    if (!ticket.version_.allows(target.version_)
+        || state_.directory_.evacuated_.contains(target.failureDomain_))
+        return routing::Permission::Never;
     const ServiceSpec* service = ticket.catalog_->findService(ticket.service_);
     if (now >= target.coldUntil_ || !service || service->coldRate_ <= 0)
-        return true;
-    return record.coldBucket_ && limits::availableTokens(*record.coldBucket_, now) > 0;
+        return routing::Permission::Now;
+    // Upstreams that other hosts warm up are not for this one.
+    if (!record.coldBucket_)
+        return routing::Permission::Never;
+    return limits::availableTokens(*record.coldBucket_, now) > 0 ? routing::Permission::Now
+                                                                 : routing::Permission::Later;
 }
 
 /// Prepares the budgets of cold upstreams that this host owns.
@@ -315,28 +328,51 @@
         record.coldBucket_ = routing::makeColdStartBucket(options_.coldStart_, service->coldRate_, now);
 }
 
-/// Sends the request if an upstream has room for it. Otherwise says why not.
-routing::PickFailure Dispatcher::Core::tryPlace(const TicketPtr& ticket)
+/// Finds the region of a request by the split of its service. Requests for one object share a place.
+void Dispatcher::Core::drawRegion(Ticket& ticket)
+{
+    ServiceDemand& demand = state_.demand_[ticket.service_];
+    demand.asked_ += 1;
+    // Multiples of the golden ratio fill the line evenly at any time.
+    constexpr double goldenRatio = 0.6180339887498949;
+    const double evenly = std::fmod(static_cast<double>(++demand.drawn_) * goldenRatio, 1.0);
+    const double point = ticket.object_ ? routing::pointOf(*ticket.object_) : evenly;
+    ticket.region_ = routing::regionAt(demand.split_, ticket.homes_, point);
+}
+
+routing::PickResult Dispatcher::Core::pickIn(
+    const Ticket& ticket, ServicePool& pool, const std::vector<std::string>& regions, bool strangers)
 {
     const TimePoint now = monotonicNow();
+    const routing::PickRequest request { .region_ = state_.settings_.region_,
+        .object_ = ticket.object_,
+        .homeRegions_ = &regions,
+        .except_ = &ticket.tried_,
+        .strangers_ = strangers,
+        .work_ = work(ticket.service_, *ticket.route_) };
+    const auto permit = [&](const routing::Target& target) {
+        const auto index = static_cast<size_t>(&target - pool.targets_.data());
+        return permission(ticket, target, pool.records_[index], now);
+    };
+    const auto distance = [&](const routing::Target& target) { return roundTrip(state_, target); };
+    return routing::pickTarget(pool.targets_, options_.pick_, request, now, permit, distance);
+}
+
+/// Sends the request if an upstream has room for it. Otherwise says why not.
+routing::PickFailure Dispatcher::Core::tryPlace(const TicketPtr& ticket, bool strangers)
+{
     const auto found = state_.directory_.services_.find(ticket->service_);
     if (found == state_.directory_.services_.end())
         return routing::PickFailure::NoneUsable;
     ServicePool& pool = found->second;
+    const TimePoint now = monotonicNow();
     for (size_t i = 0; i < pool.targets_.size(); ++i)
         coolDown(pool, i, now);
-    const auto homes = detail::homeRegions(*ticket);
-    const routing::PickRequest request { .region_ = state_.settings_.region_,
-        .object_ = ticket->object_,
-        .homeRegions_ = &homes,
-        .except_ = &ticket->tried_,
-        .work_ = work(ticket->service_, *ticket->route_) };
-    const auto allowed = [&](const routing::Target& target) {
-        const auto index = static_cast<size_t>(&target - pool.targets_.data());
-        return isAllowed(*ticket, target, pool.records_[index], now);
-    };
-    const auto distance = [&](const routing::Target& target) { return roundTrip(state_, target); };
-    const auto result = routing::pickTarget(pool.targets_, options_.pick_, request, now, allowed, distance);
+    routing::PickResult result { .failure_ = routing::PickFailure::NoneUsable };
+    if (!ticket->region_.empty())
+        result = pickIn(*ticket, pool, { ticket->region_ }, strangers);
+    if (result.failure_ == routing::PickFailure::NoneUsable)
+        result = pickIn(*ticket, pool, ticket->homes_, strangers);
     if (result.pick_)
         send(ticket, pool, *result.pick_);
     return result.failure_;
@@ -364,7 +400,9 @@
     const TimePoint startBy = std::min(ticket->giveUpAt_, ticket->request_.receivedAt_ + longest);
     const routing::Waiter waiter { ticket->id_, detail::rankOf(*ticket), ticket->request_.receivedAt_,
         startBy };
-    if (!routing::joinLine(services_[ticket->service_].line_, waiter, now))
+    if (routing::joinLine(services_[ticket->service_].line_, waiter, now))
+        return;
+    if (tryPlace(ticket, true) != routing::PickFailure::None)
         refuse(ticket, ticket->mayHaveRun_ ? Reason::UpstreamFailed : Reason::Overloaded);
 }
 
@@ -470,6 +508,11 @@
         if (!failed)
             service.work_ += detail::workWeight * (std::clamp(sample, 0.02, 5.0) - service.work_);
     }
+    if (!failed && known.target_) {
+        const double held = std::max(0.001, observed - roundTrip(state_, *known.target_));
+        double& mean = state_.demand_[ticket->service_].held_;
+        mean = mean > 0 ? mean + detail::heldWeight * (held - mean) : held;
+    }
     const bool slow = observed > detail::slowFactor * std::max(service.work_, 0.05);
     countAnswer(state_.rollouts_, ticket->service_, version, failed, slow);
     if (!state_.quarantine_.reports_.empty())
@@ -664,12 +707,16 @@
     const Duration took = now - ticket->request_.receivedAt_;
     const std::string workspace = ticket->workspace_ ? ticket->workspace_->name_ : std::string();
     const std::string tried = ticket->tried_.empty() ? std::string() : ticket->tried_.back();
+    const auto object = headerValue(ticket->request_.headers_, state_.protocol_.headers_.object_);
+    const Duration sent
+        = ticket->tried_.empty() ? took : Duration(ticket->sentAt_ - ticket->request_.receivedAt_);
     const uint64_t version = ticket->catalog_ ? ticket->catalog_->configuration().version_ : 0;
     logEvent(LogLevel::Info, "request",
         { { "request", ticket->requestId_ }, { "result", result }, { "status", std::to_string(status) },
             { "route", ticket->route_ ? ticket->route_->name_ : std::string() }, { "workspace", workspace },
             { "service", ticket->service_ }, { "upstream", tried },
             { "attempts", std::to_string(ticket->tried_.size()) }, { "config", std::to_string(version) },
+            { "object", std::string(object) }, { "sent_ms", detail::milliseconds(sent) },
             { "took_ms", detail::milliseconds(took) },
             { "expected_ms", std::to_string(static_cast<int>(ticket->expected_ * 1000)) },
             { "fault", detail } });
@@ -689,14 +736,17 @@
 /// Starts waiting requests in order while there is room, and refuses those that can no longer start in time.
 void Dispatcher::Core::serveWaiting(const std::string& service)
 {
-    const auto found = services_.find(service);
-    if (found == services_.end())
+    const auto known = services_.find(service);
+    if (known == services_.end())
         return;
-    routing::WaitLine& line = found->second.line_;
+    routing::WaitLine& line = known->second.line_;
     for (const uint64_t id : routing::expiredWaiters(line, monotonicNow())) {
-        if (const auto ticket = tickets_.find(id); ticket != tickets_.end())
-            refuse(TicketPtr(ticket->second),
-                ticket->second->mayHaveRun_ ? Reason::UpstreamFailed : Reason::Overloaded);
+        const auto found = tickets_.find(id);
+        if (found == tickets_.end())
+            continue;
+        const TicketPtr ticket = found->second;
+        if (tryPlace(ticket, true) != routing::PickFailure::None)
+            refuse(ticket, ticket->mayHaveRun_ ? Reason::UpstreamFailed : Reason::Overloaded);
     }
     const std::vector<routing::Waiter> waiters = line.waiters_;
     size_t unplaced = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -97,6 +97,7 @@
     Result<void> listen(const Address&, RequestHandler);
     void follow(const std::string& table, std::function<void(const TableRead&, bool whole)>);
     void takeStoreTime(const TableRead&);
+    void setStoreReached(bool);
     void onStore(const std::string& table, bool reached, const std::string& reason);
     void onOrders(const TableRead&, bool whole);
     void onOrder(const StoredRow&);
@@ -199,20 +200,27 @@
 
 void Gateway::Core::takeStoreTime(const TableRead& read)
 {
-    state_.reachesStore_ = lostWatches_.empty();
+    setStoreReached(lostWatches_.empty());
     if (read.storeMs_ == 0)
         return;
     state_.storeMs_ = read.storeMs_;
     state_.storeReadAt_ = monotonicNow();
 }
 
+void Gateway::Core::setStoreReached(bool reached)
+{
+    if (reached && !state_.reachesStore_)
+        state_.storeReachedAt_ = monotonicNow();
+    state_.reachesStore_ = reached;
+}
+
 void Gateway::Core::onStore(const std::string& table, bool reached, const std::string& reason)
 {
     if (reached)
         lostWatches_.erase(table);
     else
         lostWatches_.insert(table);
-    state_.reachesStore_ = lostWatches_.empty();
+    setStoreReached(lostWatches_.empty());
     logEvent(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store-regained" : "store-lost",
         { { "table", table }, { "reason", reason } });
     if (table != state_.protocol_.upstreamsTable_)
@@ -220,7 +228,7 @@
     if (reached)
         storeRegained(state_.directory_, monotonicNow());
     else
-        storeLost(state_.directory_);
+        storeLost(state_.directory_, monotonicNow());
 }
 
 void Gateway::Core::onOrders(const TableRead& read, bool whole)
@@ -338,6 +346,7 @@
         return;
     if (!wasHeard)
         logEvent(LogLevel::Info, "peer-heard", { { "peer", report.value().name_ } });
+    storeHeldByPeer(state_.directory_, now, std::chrono::milliseconds(report.value().storeReachedMs_));
     for (const RampReport& ramp : report.value().ramps_) {
         if (mergeRamp(state_.rollouts_, ramp.ramp_, ramp.order_, 0))
             logRamp(ramp.ramp_, "peer");
@@ -444,6 +453,7 @@
     for (const std::string& id : expireEntries(state_.directory_, now))
         upstreams_.forget(id);
     applyPeerLoads(state_, now);
+    updateSplits(state_, now);
     if (state_.catalog_)
         updateQuotas(state_.quotas_, now, state_.catalog_->configuration(), state_.fleet_);
     for (const std::string& service : judgeRamps(state_.rollouts_, heardReports(state_.fleet_, now)))
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -12,7 +12,7 @@
 namespace detail {
 
     constexpr size_t largestReport = 60'000; ///< Bytes; a UDP datagram holds no more.
-    constexpr size_t members = 14;
+    constexpr size_t members = 15;
 
     json encode(const rollout::RampCounts& counts)
     {
@@ -20,6 +20,22 @@
             counts.oldSlow_ });
     }
 
+    json encode(const ServiceReport& report)
+    {
+        json split = json::array();
+        for (const auto& [region, share] : report.split_)
+            split.push_back(json::array({ region, static_cast<float>(share) }));
+        return json::array({ report.service_, static_cast<float>(report.slots_), split });
+    }
+
+    ServiceReport decodeService(const json& value)
+    {
+        ServiceReport report { value.at(0), value.at(1), {} };
+        for (const json& entry : value.at(2))
+            report.split_.emplace_back(entry.at(0).get<uint32_t>(), entry.at(1).get<double>());
+        return report;
+    }
+
     json encode(const RampReport& report)
     {
         const rollout::Ramp& ramp = report.ramp_;
@@ -83,11 +99,13 @@
         report.failureDomain_ = value.at(next++);
         report.ready_ = value.at(next++);
         report.leaving_ = value.at(next++);
-        report.reachesStore_ = value.at(next++);
+        report.storeReachedMs_ = value.at(next++);
         for (const json& entry : value.at(next++))
             report.inFlight_.push_back({ entry.at(0), entry.at(1) });
         for (const json& entry : value.at(next++))
             report.demands_.push_back({ entry.at(0), entry.at(1) });
+        for (const json& entry : value.at(next++))
+            report.services_.push_back(decodeService(entry));
         for (const json& entry : value.at(next++))
             report.ramps_.push_back(decodeRamp(entry));
         for (const json& entry : value.at(next++))
@@ -107,6 +125,9 @@
     json demands = json::array();
     for (const Demand& entry : report.demands_)
         demands.push_back(json::array({ entry.workspace_, static_cast<float>(entry.rate_) }));
+    json services = json::array();
+    for (const ServiceReport& entry : report.services_)
+        services.push_back(detail::encode(entry));
     json ramps = json::array();
     for (const RampReport& entry : report.ramps_)
         ramps.push_back(detail::encode(entry));
@@ -116,7 +137,7 @@
     const json value
         = json::array({ report.name_, report.incarnation_, report.serial_, addressText(report.callerAddress_),
             addressText(report.peerAddress_), report.region_, report.failureDomain_, report.ready_,
-            report.leaving_, report.reachesStore_, inFlight, demands, ramps, crashes });
+            report.leaving_, report.storeReachedMs_, inFlight, demands, services, ramps, crashes });
     std::string bytes;
     json::to_cbor(value, bytes);
     return bytes;
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -2,10 +2,14 @@
 #include "turmericwing/gateway/state.h"
 
 #include <algorithm>
+#include <cmath>
 #include <unordered_map>
 
 namespace turmericwing::gateway {
 
+using routing::RegionLoad;
+using routing::RegionSplit;
+
 namespace detail {
 
     constexpr size_t mostAddresses = 64; ///< In an answer to a lookup.
@@ -26,14 +30,153 @@
         return addresses;
     }
 
+    constexpr double demandWindow = 1.5; ///< Seconds; time constant of the measured demand.
+    constexpr double initialHeld = 0.3; ///< Seconds at an upstream before any was measured.
+    /// Before any demand is known, regions are taken to ask for equal parts of this utilisation.
+    constexpr double initialUtilisation = 0.5;
+
+    void measureDemand(ServiceDemand& demand, double elapsed)
+    {
+        if (elapsed <= 0)
+            return;
+        const double weight = 1 - std::exp(-elapsed / demandWindow);
+        demand.rate_ += weight * (demand.asked_ / elapsed - demand.rate_);
+        demand.asked_ = 0;
+    }
+
+    double slotsAsked(const ServiceDemand& demand)
+    {
+        return demand.rate_ * (demand.held_ > 0 ? demand.held_ : initialHeld);
+    }
+
+    const ServiceReport* findService(const HostReport& report, uint32_t service)
+    {
+        const auto found = std::find_if(report.services_.begin(), report.services_.end(),
+            [&](const ServiceReport& entry) { return entry.service_ == service; });
+        return found == report.services_.end() ? nullptr : &*found;
+    }
+
+    /// Version whose upstreams are the room of a service now.
+    VersionFilter mainVersion(
+        const State& state, const std::string& service, const ServicePool& pool, TimePoint now)
+    {
+        const auto ramp = state.rollouts_.ramps_.find(service);
+        if (ramp == state.rollouts_.ramps_.end())
+            return { .only_ = pool.baseVersion_ };
+        const bool mostlyNew
+            = !ramp->second.bad_ && rollout::rampShare(ramp->second.ramp_, storeNow(state, now)) >= 0.5;
+        return mostlyNew ? VersionFilter { .only_ = ramp->second.ramp_.version_ }
+                         : VersionFilter { .except_ = ramp->second.ramp_.version_ };
+    }
+
+    std::map<std::string, RegionLoad> regionRoom(
+        const State& state, const std::string& service, const ServicePool& pool, TimePoint now)
+    {
+        std::map<std::string, RegionLoad> regions;
+        const VersionFilter versions = mainVersion(state, service, pool, now);
+        for (const routing::Target& target : pool.targets_) {
+            const bool room = target.usable_ && versions.allows(target.version_) && now >= target.coldUntil_
+                && !state.directory_.evacuated_.contains(target.failureDomain_);
+            RegionLoad& region = regions[target.region_];
+            region.region_ = target.region_;
+            region.capacity_ += room ? target.slots_ : 0;
+        }
+        return regions;
+    }
+
+    void addDemand(const State& state, const std::string& service, TimePoint now,
+        std::map<std::string, RegionLoad>& regions)
+    {
+        const auto add = [&](const std::string& name, double slots) {
+            RegionLoad& region = regions[name];
+            region.region_ = name;
+            region.demand_ += slots;
+        };
+        if (const auto own = state.demand_.find(service); own != state.demand_.end())
+            add(state.settings_.region_, slotsAsked(own->second));
+        for (const HostReport* report : heardReports(state.fleet_, now)) {
+            if (const ServiceReport* entry = findService(*report, shortHash(service)))
+                add(report->region_, entry->slots_);
+        }
+    }
+
+    /// Equal demand of all regions that have hosts, where none was measured.
+    void assumeDemand(std::map<std::string, RegionLoad>& regions)
+    {
+        double capacity = 0;
+        double demand = 0;
+        for (const auto& [name, region] : regions) {
+            capacity += region.capacity_;
+            demand += region.demand_;
+        }
+        if (demand >= 1)
+            return;
+        for (auto& [name, region] : regions)
+            region.demand_ = capacity * initialUtilisation / static_cast<double>(regions.size());
+    }
+
+    /// The split of a peer in this region, for a host that has just started.
+    RegionSplit peerSplit(const State& state, const std::string& service, TimePoint now,
+        const std::map<std::string, RegionLoad>& regions)
+    {
+        for (const HostReport* report : heardReports(state.fleet_, now)) {
+            const ServiceReport* entry = findService(*report, shortHash(service));
+            if (report->region_ != state.settings_.region_ || !entry || entry->split_.empty())
+                continue;
+            RegionSplit split;
+            for (const auto& [hash, share] : entry->split_) {
+                for (const auto& [name, region] : regions) {
+                    if (shortHash(name) == hash)
+                        split.push_back({ name, share });
+                }
+            }
+            return split;
+        }
+        return {};
+    }
+
 } // namespace detail
 
+void updateSplits(State& state, TimePoint now)
+{
+    const double elapsed = seconds(now - state.demandAt_);
+    state.demandAt_ = now;
+    for (const auto& [service, pool] : state.directory_.services_) {
+        ServiceDemand& demand = state.demand_[service];
+        detail::measureDemand(demand, elapsed);
+        auto regions = detail::regionRoom(state, service, pool, now);
+        std::vector<std::string> lost;
+        for (const auto& [name, region] : regions) {
+            if (region.capacity_ <= 0)
+                lost.push_back(name);
+        }
+        detail::addDemand(state, service, now, regions);
+        detail::assumeDemand(regions);
+        std::vector<routing::RegionLoad> loads;
+        for (const auto& [name, region] : regions)
+            loads.push_back(region);
+        const auto target = routing::targetSplit(state.splitOptions_, state.settings_.region_, loads);
+        if (demand.split_.empty())
+            demand.split_ = detail::peerSplit(state, service, now, regions);
+        demand.split_ = routing::approachSplit(
+            state.splitOptions_, demand.split_, target, lost, std::min(elapsed, 1.0));
+    }
+}
+
 int64_t storeNow(const State& state, TimePoint now)
 {
     const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - state.storeReadAt_);
     return state.storeMs_ + since.count();
 }
 
+uint32_t storeReachedMs(const State& state, TimePoint now)
+{
+    if (!state.reachesStore_)
+        return 0;
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - state.storeReachedAt_);
+    return static_cast<uint32_t>(std::clamp<int64_t>(since.count(), 1, UINT32_MAX));
+}
+
 double roundTrip(const State& state, const routing::Target& target)
 {
     const DistanceOptions& distance = state.distance_;
@@ -66,7 +209,7 @@
         .failureDomain_ = state.settings_.failureDomain_,
         .ready_ = isReady(state),
         .leaving_ = state.draining_,
-        .reachesStore_ = state.reachesStore_,
+        .storeReachedMs_ = storeReachedMs(state, now),
         .demands_ = demands(state.quotas_),
         .ramps_ = rampReports(state.rollouts_) };
     for (const auto& [name, pool] : state.directory_.services_) {
@@ -75,6 +218,12 @@
                 report.inFlight_.push_back({ shortHash(target.id_), target.inFlight_ });
         }
     }
+    for (const auto& [name, demand] : state.demand_) {
+        ServiceReport service { shortHash(name), detail::slotsAsked(demand), {} };
+        for (const routing::RegionShare& entry : demand.split_)
+            service.split_.emplace_back(shortHash(entry.region_), entry.share_);
+        report.services_.push_back(std::move(service));
+    }
     for (const OwnCrash& crash : state.ownCrashes_) {
         if (now < crash.toldUntil_)
             report.crashes_.push_back(crash.report_);
--- a/src/routing/pick.cc
+++ b/src/routing/pick.cc
@@ -17,7 +17,7 @@
         return x ^ (x >> 31);
     }
 
-    void prefer(std::vector<Preferred>& regions, const Target& target, uint64_t object)
+    bool prefer(std::vector<Preferred>& regions, const Target& target, uint64_t object)
     {
         auto region = std::find_if(regions.begin(), regions.end(),
             [&](const Preferred& known) { return *known.region_ == target.region_; });
@@ -31,8 +31,9 @@
             std::swap(region->targets_[rank], candidate);
             std::swap(region->weights_[rank], weight);
             if (!candidate)
-                return;
+                return true;
         }
+        return candidate != &target;
     }
 
     double workFactor(const std::vector<Preferred>& regions, const Target& target, const PickOptions& options)
--- /dev/null
+++ b/src/routing/regionsplit.cc
@@ -0,0 +1,129 @@
+// Split of a region's requests among regions.
+#include "turmericwing/routing/regionsplit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericwing::routing {
+
+namespace detail {
+
+    bool isListed(const std::vector<std::string>& names, const std::string& name)
+    {
+        return std::find(names.begin(), names.end(), name) != names.end();
+    }
+
+    double shareOf(const RegionSplit& split, const std::string& region)
+    {
+        const auto found = std::find_if(
+            split.begin(), split.end(), [&](const RegionShare& entry) { return entry.region_ == region; });
+        return found == split.end() ? 0 : found->share_;
+    }
+
+    void sortOwnFirst(const std::string& own, std::vector<RegionLoad>& loads)
+    {
+        std::sort(loads.begin(), loads.end(), [&](const RegionLoad& a, const RegionLoad& b) {
+            if ((a.region_ == own) != (b.region_ == own))
+                return a.region_ == own;
+            return a.region_ < b.region_;
+        });
+    }
+
+    /// Takes the shares of lost regions away and stretches the others to a sum of 1.
+    RegionSplit withoutLost(const RegionSplit& split, const std::vector<std::string>& lost)
+    {
+        RegionSplit kept = split;
+        double sum = 0;
+        for (RegionShare& entry : kept) {
+            if (isListed(lost, entry.region_))
+                entry.share_ = 0;
+            sum += entry.share_;
+        }
+        for (RegionShare& entry : kept)
+            entry.share_ = sum > 0 ? entry.share_ / sum : 0;
+        return kept;
+    }
+
+} // namespace detail
+
+RegionSplit targetSplit(
+    const RegionSplitOptions& options, const std::string& own, std::vector<RegionLoad> loads)
+{
+    detail::sortOwnFirst(own, loads);
+    double capacity = 0;
+    double demand = 0;
+    for (const RegionLoad& load : loads) {
+        capacity += load.capacity_;
+        demand += load.demand_;
+    }
+    if (capacity <= 0)
+        return {};
+    const double utilisation = std::max(options.utilisation_, demand / capacity);
+    const double ownDemand = loads.front().region_ == own ? loads.front().demand_ : 0;
+    const double ownRoom = loads.front().region_ == own ? loads.front().capacity_ * utilisation : 0;
+    const double kept = ownDemand <= ownRoom ? 1 : ownRoom / ownDemand;
+    double spare = 0;
+    for (const RegionLoad& load : loads)
+        spare += std::max(0.0, load.capacity_ * utilisation - load.demand_);
+    RegionSplit split;
+    for (const RegionLoad& load : loads) {
+        const double room = std::max(0.0, load.capacity_ * utilisation - load.demand_);
+        const double share = load.region_ == own ? kept : spare > 0 ? (1 - kept) * room / spare : 0;
+        split.push_back({ load.region_, share });
+    }
+    // Rounding, or demand in a region without capacity, may leave a rest; it stays where the room is.
+    double sum = 0;
+    for (const RegionShare& entry : split)
+        sum += entry.share_;
+    for (RegionShare& entry : split)
+        entry.share_ = sum > 0 ? entry.share_ / sum : 1.0 / static_cast<double>(split.size());
+    return split;
+}
+
+RegionSplit approachSplit(const RegionSplitOptions& options, const RegionSplit& current,
+    const RegionSplit& target, const std::vector<std::string>& lost, double seconds)
+{
+    const RegionSplit kept = detail::withoutLost(current, lost);
+    const bool anyKept
+        = std::any_of(kept.begin(), kept.end(), [](const RegionShare& entry) { return entry.share_ > 0; });
+    if (!anyKept || target.empty())
+        return target;
+    double distance = 0;
+    for (const RegionShare& entry : target)
+        distance += std::abs(entry.share_ - detail::shareOf(kept, entry.region_)) / 2;
+    const double step = distance > 0 ? std::min(1.0, options.stepPerSecond_ * seconds / distance) : 1;
+    RegionSplit moved;
+    double sum = 0;
+    for (const RegionShare& entry : target) {
+        const double from = detail::shareOf(kept, entry.region_);
+        moved.push_back({ entry.region_, from + (entry.share_ - from) * step });
+        sum += moved.back().share_;
+    }
+    for (RegionShare& entry : moved)
+        entry.share_ = sum > 0 ? entry.share_ / sum : 0;
+    return moved;
+}
+
+std::string regionAt(const RegionSplit& split, const std::vector<std::string>& homes, double point)
+{
+    double sum = 0;
+    for (const RegionShare& entry : split) {
+        if (homes.empty() || detail::isListed(homes, entry.region_))
+            sum += entry.share_;
+    }
+    double at = point * sum;
+    std::string last;
+    for (const RegionShare& entry : split) {
+        if (entry.share_ <= 0 || (!homes.empty() && !detail::isListed(homes, entry.region_)))
+            continue;
+        last = entry.region_;
+        at -= entry.share_;
+        if (at < 0)
+            return last;
+    }
+    return last;
+}
+
+double pointOf(uint64_t objectHash) { return static_cast<double>(objectHash >> 11) * 0x1.0p-53; }
+
+} // namespace turmericwing::routing
--- a/test/gateway/directory-test.cc
+++ b/test/gateway/directory-test.cc
@@ -54,7 +54,7 @@
 TEST_CASE("entries that lapse during an outage are used until the store has been back for a while")
 {
     Directory directory = makeDirectory();
-    storeLost(directory);
+    storeLost(directory, start);
     dropEntry(directory, start, "u1");
     CHECK(expireEntries(directory, start + std::chrono::minutes(10)).empty());
     const TimePoint back = start + std::chrono::minutes(10);
@@ -68,10 +68,31 @@
     CHECK(isUsable(directory, "u2"));
 }
 
+TEST_CASE("entries that are missing after this host alone was cut off are gone at once")
+{
+    // A request went to an upstream 12 s after it had said that it leaves, because its entry counted as
+    // lapsed.
+    Directory directory = makeDirectory();
+    storeLost(directory, start);
+    const TimePoint back = start + std::chrono::seconds(10);
+    storeRegained(directory, back);
+    keepOnly(directory, back, { "u2" });
+    CHECK(isUsable(directory, "u1"));
+    storeHeldByPeer(directory, back, std::chrono::seconds(9));
+    expireEntries(directory, back);
+    CHECK(isUsable(directory, "u1"));
+    storeHeldByPeer(directory, back, std::chrono::seconds(60));
+    expireEntries(directory, back);
+    CHECK_FALSE(isUsable(directory, "u1"));
+    CHECK(isUsable(directory, "u2"));
+    dropEntry(directory, back + std::chrono::milliseconds(1), "u2");
+    CHECK_FALSE(isUsable(directory, "u2"));
+}
+
 TEST_CASE("an upstream that says it leaves during an outage is not used again")
 {
     Directory directory = makeDirectory();
-    storeLost(directory);
+    storeLost(directory, start);
     UpstreamEntry leaving = makeEntry("u1");
     leaving.leaving_ = true;
     putEntry(directory, start, leaving);
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -22,7 +22,7 @@
         .peerAddress_ = { "10.0.0." + name.substr(1), 81 },
         .region_ = region,
         .ready_ = true,
-        .reachesStore_ = true };
+        .storeReachedMs_ = 5000 };
 }
 
 } // namespace
@@ -55,7 +55,7 @@
     Fleet fleet { .self_ = "h2" };
     CHECK(isFirst(fleet, start));
     HostReport lower = makeReport("h1", 1);
-    lower.reachesStore_ = false;
+    lower.storeReachedMs_ = 0;
     hear(fleet, start, lower);
     CHECK(isFirst(fleet, start));
     hear(fleet, start, makeReport("h1", 2));
--- a/test/routing/pick-test.cc
+++ b/test/routing/pick-test.cc
@@ -28,7 +28,7 @@
     return targets;
 }
 
-const auto anyTarget = [](const Target&) { return true; };
+const auto anyTarget = [](const Target&) { return Permission::Now; };
 const auto noDistance = [](const Target&) { return 0.001; };
 
 /// Work that upstreams do for a stream of requests, each of which takes `coldWork` unless its upstream has
@@ -103,6 +103,38 @@
         == PickFailure::NoneUsable);
 }
 
+TEST_CASE("a request for an object waits for an upstream that knows it rather than push out others")
+{
+    auto targets = makeTargets(6, "a");
+    const uint64_t object = hash64("object");
+    PickRequest request { .region_ = "a", .object_ = object };
+    for (int i = 0; i < 3; ++i) {
+        const auto result = pickTarget(targets, {}, request, start, anyTarget, noDistance);
+        REQUIRE(result.pick_);
+        CHECK(result.pick_->warm_);
+        targets[result.pick_->index_].inFlight_ = 4;
+    }
+    CHECK(pickTarget(targets, {}, request, start, anyTarget, noDistance).failure_ == PickFailure::AllFull);
+    request.strangers_ = true;
+    const auto stranger = pickTarget(targets, {}, request, start, anyTarget, noDistance);
+    REQUIRE(stranger.pick_);
+    CHECK_FALSE(stranger.pick_->warm_);
+    for (Target& target : targets)
+        target.inFlight_ = std::max<uint32_t>(target.inFlight_, 2);
+    CHECK(pickTarget(targets, {}, request, start, anyTarget, noDistance).failure_ == PickFailure::AllFull);
+}
+
+TEST_CASE("a target that is never permitted does not count as full")
+{
+    auto targets = makeTargets(2, "a");
+    const auto never = [](const Target&) { return Permission::Never; };
+    const auto later = [](const Target&) { return Permission::Later; };
+    CHECK(pickTarget(targets, {}, { .region_ = "a" }, start, never, noDistance).failure_
+        == PickFailure::NoneUsable);
+    CHECK(pickTarget(targets, {}, { .region_ = "a" }, start, later, noDistance).failure_
+        == PickFailure::AllFull);
+}
+
 TEST_CASE("requests with home regions stay there, and tried upstreams are left out")
 {
     auto targets = makeTargets(1, "a");
--- /dev/null
+++ b/test/routing/regionsplit-test.cc
@@ -0,0 +1,96 @@
+// Guards against a large part of a region's traffic that changes its region at once, and against a region
+// that is overloaded while others have room.
+#include "turmericwing/routing/regionsplit.h"
+
+#include "turmericwing/base/hash.h"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+
+using namespace turmericwing;
+using namespace turmericwing::routing;
+
+namespace {
+
+double shareOf(const RegionSplit& split, const std::string& region)
+{
+    for (const RegionShare& entry : split) {
+        if (entry.region_ == region)
+            return entry.share_;
+    }
+    return 0;
+}
+
+} // namespace
+
+TEST_CASE("a region with room keeps its requests")
+{
+    const auto split = targetSplit({}, "b", { { "a", 18, 10 }, { "b", 72, 20 }, { "c", 72, 20 } });
+    CHECK(split.front() == RegionShare { "b", 1 });
+    CHECK(shareOf(split, "a") == 0);
+}
+
+TEST_CASE("what a small region cannot take goes where room is")
+{
+    // The pattern: a third of the callers come in where a ninth of the upstreams stands.
+    const std::vector<RegionLoad> loads { { "a", 18, 40 }, { "b", 72, 40 }, { "c", 72, 20 } };
+    const auto split = targetSplit({}, "a", loads);
+    CHECK(shareOf(split, "a") == doctest::Approx(18 * 0.75 / 40));
+    CHECK(shareOf(split, "c") > shareOf(split, "b"));
+    // Nobody ends above the common utilisation.
+    CHECK(40 * shareOf(split, "b") + 40 <= 72 * 0.75 + 0.001);
+    CHECK(40 * shareOf(split, "c") + 20 <= 72 * 0.75 + 0.001);
+}
+
+TEST_CASE("when all are too full, all are equally full")
+{
+    const std::vector<RegionLoad> loads { { "a", 18, 100 }, { "b", 72, 100 }, { "c", 72, 100 } };
+    double used = 100 * shareOf(targetSplit({}, "a", loads), "a");
+    CHECK(used == doctest::Approx(18 * 300.0 / 162));
+}
+
+TEST_CASE("a burst moves at most the step in a second")
+{
+    const RegionSplitOptions options;
+    RegionSplit split { { "a", 1 }, { "b", 0 }, { "c", 0 } };
+    const RegionSplit target { { "a", 0.2 }, { "b", 0.4 }, { "c", 0.4 } };
+    for (int tick = 0; tick < 10; ++tick)
+        split = approachSplit(options, split, target, {}, 0.1);
+    CHECK(shareOf(split, "a") == doctest::Approx(1 - options.stepPerSecond_));
+    for (int tick = 0; tick < 1000; ++tick)
+        split = approachSplit(options, split, target, {}, 0.1);
+    CHECK(shareOf(split, "a") == doctest::Approx(0.2));
+}
+
+TEST_CASE("a region that lost all upstreams is left at once")
+{
+    const RegionSplit split { { "a", 0.8 }, { "b", 0.1 }, { "c", 0.1 } };
+    const RegionSplit target { { "a", 0 }, { "b", 0.5 }, { "c", 0.5 } };
+    const auto moved = approachSplit({}, split, target, { "a" }, 0.1);
+    CHECK(shareOf(moved, "a") == 0);
+    CHECK(shareOf(moved, "b") == doctest::Approx(0.5));
+    CHECK(approachSplit({}, { { "a", 1 } }, target, { "a" }, 0.1) == target);
+}
+
+TEST_CASE("an object keeps its region while the shares move")
+{
+    const RegionSplit before { { "a", 0.5 }, { "b", 0.25 }, { "c", 0.25 } };
+    const RegionSplit after { { "a", 0.54 }, { "b", 0.23 }, { "c", 0.23 } };
+    int moved = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const double point = pointOf(hash64(std::to_string(i)));
+        moved += regionAt(before, {}, point) != regionAt(after, {}, point) ? 1 : 0;
+    }
+    CHECK(moved < 80);
+}
+
+TEST_CASE("home regions leave the others out")
+{
+    const RegionSplit split { { "a", 0.5 }, { "b", 0.5 }, { "c", 0 } };
+    for (const double point : { 0.0, 0.3, 0.7, 0.999 })
+        CHECK(regionAt(split, { "b" }, point) == "b");
+    CHECK(regionAt(split, { "d" }, 0.5).empty());
+    CHECK(regionAt({}, {}, 0.5).empty());
+    CHECK(regionAt(split, {}, 0.999999) == "b");
+}
