Tell a host's own cut from an outage of the store by unbroken answers

Hosts now report how long the store has answered without a gap of 3.4 s, the longest in which no entry can lapse.

Ruled out: the removal itself, which arrived with the first answer after the cut.

--- a/include/turmericwing/gateway/report.h
+++ b/include/turmericwing/gateway/report.h
@@ -56,7 +56,8 @@
     std::string failureDomain_;
     bool ready_ = false;
     bool leaving_ = false;
-    uint32_t storeReachedMs_ = 0; ///< Time for which the sender has reached the store; 0 if it does not.
+    bool reachesStore_ = false;
+    uint32_t storeHeldMs_ = 0; ///< Time for which the store has answered the sender without a long gap.
     std::vector<InFlight> inFlight_;
     std::vector<Demand> demands_;
     std::vector<ServiceReport> services_;
--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -60,7 +60,8 @@
     uint64_t crashSerial_ = 0;
     bool draining_ = false;
     bool reachesStore_ = false;
-    TimePoint storeReachedAt_ {}; ///< Since when, if it does.
+    TimePoint storeAnsweredAt_ {}; ///< Last answer.
+    TimePoint storeHeldSince_ {}; ///< Answers have come without a gap that lets entries lapse.
     routing::RegionSplitOptions splitOptions_;
     std::map<std::string, ServiceDemand> demand_; ///< By service.
     TimePoint demandAt_ {}; ///< Last update of demand_.
@@ -72,8 +73,11 @@
 /// Estimate of the store's clock.
 int64_t storeNow(const State&, TimePoint now);
 
-/// Time for which this host has reached the store, in milliseconds; 0 if it does not.
-uint32_t storeReachedMs(const State&, TimePoint now);
+/// The store answered. A gap since the last answer starts the time anew for which it has been held.
+void storeAnswered(State&, TimePoint now);
+
+/// Time for which the store has answered without a long gap, in milliseconds; 0 if it does not answer now.
+uint32_t storeHeldMs(const State&, TimePoint now);
 
 /// Whether the host can serve: it knows a configuration and the upstreams, and is not draining.
 inline bool isReady(const State& state)
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -67,7 +67,7 @@
 {
     return std::none_of(fleet.peers_.begin(), fleet.peers_.end(), [&](const auto& entry) {
         const Peer& peer = entry.second;
-        return entry.first < fleet.self_ && isHeard(peer, now) && peer.report_.storeReachedMs_ > 0
+        return entry.first < fleet.self_ && isHeard(peer, now) && peer.report_.reachesStore_
             && !peer.report_.leaving_;
     });
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -97,7 +97,6 @@
     Result<void> listen(const Address&, RequestHandler);
     void follow(const std::string& table, std::function<void(const TableRead&, bool whole)>);
     void takeStoreTime(const TableRead&);
-    void setStoreReached(bool);
     void onStore(const std::string& table, bool reached, const std::string& reason);
     void onOrders(const TableRead&, bool whole);
     void onOrder(const StoredRow&);
@@ -200,27 +199,21 @@
 
 void Gateway::Core::takeStoreTime(const TableRead& read)
 {
-    setStoreReached(lostWatches_.empty());
+    state_.reachesStore_ = lostWatches_.empty();
+    storeAnswered(state_, monotonicNow());
     if (read.storeMs_ == 0)
         return;
     state_.storeMs_ = read.storeMs_;
     state_.storeReadAt_ = monotonicNow();
 }
 
-void Gateway::Core::setStoreReached(bool reached)
-{
-    if (reached && !state_.reachesStore_)
-        state_.storeReachedAt_ = monotonicNow();
-    state_.reachesStore_ = reached;
-}
-
 void Gateway::Core::onStore(const std::string& table, bool reached, const std::string& reason)
 {
     if (reached)
         lostWatches_.erase(table);
     else
         lostWatches_.insert(table);
-    setStoreReached(lostWatches_.empty());
+    state_.reachesStore_ = lostWatches_.empty();
     logEvent(reached ? LogLevel::Info : LogLevel::Warning, reached ? "store-regained" : "store-lost",
         { { "table", table }, { "reason", reason } });
     if (table != state_.protocol_.upstreamsTable_)
@@ -346,7 +339,7 @@
         return;
     if (!wasHeard)
         logEvent(LogLevel::Info, "peer-heard", { { "peer", report.value().name_ } });
-    storeHeldByPeer(state_.directory_, now, std::chrono::milliseconds(report.value().storeReachedMs_));
+    storeHeldByPeer(state_.directory_, now, std::chrono::milliseconds(report.value().storeHeldMs_));
     for (const RampReport& ramp : report.value().ramps_) {
         if (mergeRamp(state_.rollouts_, ramp.ramp_, ramp.order_, 0))
             logRamp(ramp.ramp_, "peer");
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -12,7 +12,7 @@
 namespace detail {
 
     constexpr size_t largestReport = 60'000; ///< Bytes; a UDP datagram holds no more.
-    constexpr size_t members = 15;
+    constexpr size_t members = 16;
 
     json encode(const rollout::RampCounts& counts)
     {
@@ -99,7 +99,8 @@
         report.failureDomain_ = value.at(next++);
         report.ready_ = value.at(next++);
         report.leaving_ = value.at(next++);
-        report.storeReachedMs_ = value.at(next++);
+        report.reachesStore_ = value.at(next++);
+        report.storeHeldMs_ = value.at(next++);
         for (const json& entry : value.at(next++))
             report.inFlight_.push_back({ entry.at(0), entry.at(1) });
         for (const json& entry : value.at(next++))
@@ -134,10 +135,10 @@
     json crashes = json::array();
     for (const auto& entry : report.crashes_)
         crashes.push_back(detail::encode(entry));
-    const json value
-        = json::array({ report.name_, report.incarnation_, report.serial_, addressText(report.callerAddress_),
-            addressText(report.peerAddress_), report.region_, report.failureDomain_, report.ready_,
-            report.leaving_, report.storeReachedMs_, inFlight, demands, services, ramps, crashes });
+    const json value = json::array({ report.name_, report.incarnation_, report.serial_,
+        addressText(report.callerAddress_), addressText(report.peerAddress_), report.region_,
+        report.failureDomain_, report.ready_, report.leaving_, report.reachesStore_, report.storeHeldMs_,
+        inFlight, demands, services, ramps, crashes });
     std::string bytes;
     json::to_cbor(value, bytes);
     return bytes;
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -30,6 +30,9 @@
         return addresses;
     }
 
+    /// Follow calls end after 3 s without a change; entries lapse after 4.5 s of silence, of which up to 1.5
+    /// s may lie before an outage.
+    constexpr Duration longestAnswerGap = std::chrono::milliseconds(3400);
     constexpr double demandWindow = 1.5; ///< Seconds; time constant of the measured demand.
     constexpr double initialHeld = 0.3; ///< Seconds at an upstream before any was measured.
     /// Before any demand is known, regions are taken to ask for equal parts of this utilisation.
@@ -169,12 +172,19 @@
     return state.storeMs_ + since.count();
 }
 
-uint32_t storeReachedMs(const State& state, TimePoint now)
+void storeAnswered(State& state, TimePoint now)
 {
-    if (!state.reachesStore_)
+    if (now - state.storeAnsweredAt_ > detail::longestAnswerGap)
+        state.storeHeldSince_ = now;
+    state.storeAnsweredAt_ = now;
+}
+
+uint32_t storeHeldMs(const State& state, TimePoint now)
+{
+    if (now - state.storeAnsweredAt_ > detail::longestAnswerGap)
         return 0;
-    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - state.storeReachedAt_);
-    return static_cast<uint32_t>(std::clamp<int64_t>(since.count(), 1, UINT32_MAX));
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - state.storeHeldSince_);
+    return static_cast<uint32_t>(std::clamp<int64_t>(since.count(), 0, UINT32_MAX));
 }
 
 double roundTrip(const State& state, const routing::Target& target)
@@ -209,7 +219,8 @@
         .failureDomain_ = state.settings_.failureDomain_,
         .ready_ = isReady(state),
         .leaving_ = state.draining_,
-        .storeReachedMs_ = storeReachedMs(state, now),
+        .reachesStore_ = state.reachesStore_,
+        .storeHeldMs_ = storeHeldMs(state, now),
         .demands_ = demands(state.quotas_),
         .ramps_ = rampReports(state.rollouts_) };
     for (const auto& [name, pool] : state.directory_.services_) {
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -22,7 +22,7 @@
         .peerAddress_ = { "10.0.0." + name.substr(1), 81 },
         .region_ = region,
         .ready_ = true,
-        .storeReachedMs_ = 5000 };
+        .reachesStore_ = true };
 }
 
 } // namespace
@@ -55,7 +55,7 @@
     Fleet fleet { .self_ = "h2" };
     CHECK(isFirst(fleet, start));
     HostReport lower = makeReport("h1", 1);
-    lower.storeReachedMs_ = 0;
+    lower.reachesStore_ = false;
     hear(fleet, start, lower);
     CHECK(isFirst(fleet, start));
     hear(fleet, start, makeReport("h1", 2));
@@ -85,6 +85,20 @@
     CHECK(lookupAddresses(state, start, { "a", "" }) == std::vector<std::string> { "10.0.0.3:80" });
 }
 
+TEST_CASE("a short break of one connection to the store is no outage")
+{
+    // A dropped history cut all watches for a moment, and hosts that were cut off for long found no peer that
+    // had held the store.
+    State state;
+    for (int i = 0; i <= 20; ++i)
+        storeAnswered(state, start + std::chrono::seconds(1) * i);
+    const TimePoint now = start + std::chrono::seconds(20);
+    CHECK(storeHeldMs(state, now) == 20'000);
+    CHECK(storeHeldMs(state, now + std::chrono::seconds(10)) == 0);
+    storeAnswered(state, now + std::chrono::seconds(10));
+    CHECK(storeHeldMs(state, now + std::chrono::seconds(11)) == 1000);
+}
+
 TEST_CASE("two hosts with unequal demand together admit no more than the rate")
 {
     // The pattern: one workspace sends far beyond its rate, nearly all of it to one host.
