Keep a workspace's rate by one estimated bucket for the fleet

Hosts now count their own admissions at once and their peers' from reports, and admit with the probability that brings the fleet back to the rate. Hosts that are not heard keep their part. Store changes that come together are read together (250 ms), which saves calls at start.

Ruled out: a faster split by demand, which still needs whole requests on each host.

--- a/include/turmericwing/gateway/quotas.h
+++ b/include/turmericwing/gateway/quotas.h
@@ -1,45 +1,39 @@
-// Rates of the workspaces on this host: a bucket each, filled with the host's share of the workspace's rate.
-// The shares follow the demand at all hosts, so that callers of one host can use what others leave.
+// Rates of the workspaces on this host, from its own admissions and the reports of its peers.
 #pragma once
 
 #include "turmericwing/gateway/catalog.h"
 #include "turmericwing/gateway/fleet.h"
-#include "turmericwing/limits/bucket.h"
-#include "turmericwing/limits/hostshare.h"
+#include "turmericwing/limits/fleetquota.h"
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace turmericwing::gateway {
 
-struct QuotaOptions {
-    limits::HostShareOptions share_ {};
-    Duration demandWindow_ = std::chrono::seconds(2); ///< Time constant of the measured demand.
-};
-
-struct WorkspaceQuota {
-    limits::Bucket bucket_;
-    double asked_ = 0; ///< Requests since the last update.
-    double demand_ = 0; ///< Requests/s that callers ask for.
+/// What a peer had admitted at its last report that was counted.
+struct PeerAdmissions {
+    uint64_t incarnation_ = 0;
+    std::unordered_map<uint32_t, uint32_t> admitted_; ///< By shortHash of the workspace.
 };
 
 struct Quotas {
-    QuotaOptions options_ {};
-    std::map<std::string, WorkspaceQuota> workspaces_ {};
-    TimePoint updated_ {};
+    limits::FleetQuotaOptions options_ {};
+    std::map<std::string, limits::FleetQuota> workspaces_ {};
+    std::map<std::string, PeerAdmissions> counted_ {}; ///< By peer.
 };
 
-/// Takes one request of the workspace. False if the host's share is used up.
-bool takeQuota(Quotas&, TimePoint now, const WorkspaceSpec&);
+/// Admits one request of the workspace or not.
+bool takeQuota(Quotas&, const WorkspaceSpec&, Random&);
 
 /// Gives back a request that no upstream has run.
-void putBackQuota(Quotas&, TimePoint now, const WorkspaceSpec&);
+void putBackQuota(Quotas&, const WorkspaceSpec&);
 
-/// When the next request can be taken; TimePoint::max() if never.
-TimePoint quotaReadyAt(const Quotas&, TimePoint now, const WorkspaceSpec&);
+/// Seconds until the workspace is expected to be back within its rate.
+double quotaRecovery(const Quotas&, const WorkspaceSpec&);
 
-/// Measures the demand since the last update and sets this host's shares.
+/// Takes the reports of the peers and lets the rates of the configuration apply.
 void updateQuotas(Quotas&, TimePoint now, const Configuration&, const Fleet&);
 
 /// For the host's report.
--- a/include/turmericwing/gateway/report.h
+++ b/include/turmericwing/gateway/report.h
@@ -26,6 +26,7 @@
 struct Demand {
     uint32_t workspace_ = 0; ///< shortHash of its name.
     double rate_ = 0;
+    uint32_t admitted_ = 0; ///< Since the sender's start; wraps around.
     friend auto operator<=>(const Demand&, const Demand&) = default;
 };
 
--- a/include/turmericwing/gateway/watch.h
+++ b/include/turmericwing/gateway/watch.h
@@ -21,6 +21,8 @@
     /// A follow call that finds no change ends after this time. It bounds how long a silent connection stays
     /// unnoticed.
     Duration wait_ = std::chrono::seconds(3);
+    /// Between an answer and the next call, so that changes that come together are read together.
+    Duration gap_ = std::chrono::milliseconds(250);
     Duration firstPause_ = std::chrono::milliseconds(100); ///< After a failure; doubles.
     Duration longestPause_ = std::chrono::seconds(1);
 };
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -242,7 +242,7 @@
     if (!state_.quarantine_.quarantined_.empty()
         && routing::isQuarantined(state_.quarantine_, wallNow(), detail::fingerprintOf(ticket)))
         return Reason::Quarantined;
-    if (ticket.workspace_ && !takeQuota(state_.quotas_, now, *ticket.workspace_))
+    if (ticket.workspace_ && !takeQuota(state_.quotas_, *ticket.workspace_, state_.random_))
         return Reason::RateLimited;
     ticket.quotaTaken_ = ticket.workspace_ != nullptr;
     ticket.service_ = detail::drawBackend(*ticket.route_, state_.random_);
@@ -666,12 +666,10 @@
 /// A time after which an upstream is likely to have room, spread so that callers do not return together.
 Duration Dispatcher::Core::retryAfter(const Ticket& ticket, Reason reason)
 {
-    const TimePoint now = monotonicNow();
     Duration wait = options_.shortestRetryAfter_;
     if (reason == Reason::RateLimited && ticket.workspace_) {
-        const TimePoint ready = quotaReadyAt(state_.quotas_, now, *ticket.workspace_);
-        if (ready != TimePoint::max())
-            wait = std::max<Duration>(wait, ready - now);
+        const double recovery = quotaRecovery(state_.quotas_, *ticket.workspace_);
+        wait = std::max(wait, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(recovery)));
     }
     if (ticket.route_ && !ticket.service_.empty()) {
         const auto& line = services_[ticket.service_].line_;
@@ -695,7 +693,7 @@
         response.headers_.push_back({ "Retry-After", std::to_string(wait).substr(0, 5) });
     }
     if (ticket->quotaTaken_ && !ticket->mayHaveRun_)
-        putBackQuota(state_.quotas_, monotonicNow(), *ticket->workspace_);
+        putBackQuota(state_.quotas_, *ticket->workspace_);
     ticket->exchange_->respond(std::move(response));
     finish(ticket, status, host::toString(reason), ticket->lastFault_);
 }
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -1,82 +1,75 @@
 // Rates of the workspaces on this host.
 #include "turmericwing/gateway/quotas.h"
 
-#include <algorithm>
-#include <cmath>
-
 namespace turmericwing::gateway {
 
 namespace detail {
 
     bool isLimited(const WorkspaceSpec& workspace) { return workspace.rate_ > 0; }
 
-    /// Demands of a workspace at the hosts that are heard.
-    std::vector<double> heardDemands(const std::vector<const HostReport*>& reports, uint32_t workspace)
-    {
-        std::vector<double> demands;
-        demands.reserve(reports.size());
-        for (const HostReport* report : reports) {
-            const auto found = std::find_if(report->demands_.begin(), report->demands_.end(),
-                [&](const Demand& demand) { return demand.workspace_ == workspace; });
-            demands.push_back(found == report->demands_.end() ? 0 : found->rate_);
-        }
-        return demands;
-    }
+    struct PeerSums {
+        double demand_ = 0; ///< Requests/s.
+        int64_t admitted_ = 0; ///< Since the last update; taken back ones count as negative.
+    };
 
-    void measure(WorkspaceQuota& quota, double elapsed, double window)
+    /// Sums of the peers' reports by workspace; what is new of each peer counts once.
+    std::unordered_map<uint32_t, PeerSums> sumReports(Quotas& quotas, const Fleet& fleet, TimePoint now)
     {
-        if (elapsed <= 0)
-            return;
-        const double weight = 1 - std::exp(-elapsed / window);
-        quota.demand_ += weight * (quota.asked_ / elapsed - quota.demand_);
-        quota.asked_ = 0;
+        std::unordered_map<uint32_t, PeerSums> sums;
+        for (const auto& [name, peer] : fleet.peers_) {
+            if (!isHeard(peer, now))
+                continue;
+            PeerAdmissions& counted = quotas.counted_[name];
+            const bool sameRun = counted.incarnation_ == peer.report_.incarnation_;
+            if (!sameRun)
+                counted = { peer.report_.incarnation_, {} };
+            for (const Demand& demand : peer.report_.demands_) {
+                PeerSums& sum = sums[demand.workspace_];
+                sum.demand_ += demand.rate_;
+                const auto [known, added]
+                    = counted.admitted_.try_emplace(demand.workspace_, demand.admitted_);
+                // The first report of a peer tells what it admitted before, which is over.
+                if (!added)
+                    sum.admitted_ += static_cast<int32_t>(demand.admitted_ - known->second);
+                known->second = demand.admitted_;
+            }
+        }
+        return sums;
     }
 
 } // namespace detail
 
-bool takeQuota(Quotas& quotas, TimePoint now, const WorkspaceSpec& workspace)
+bool takeQuota(Quotas& quotas, const WorkspaceSpec& workspace, Random& random)
 {
     if (!detail::isLimited(workspace))
         return true;
-    WorkspaceQuota& quota = quotas.workspaces_[workspace.name_];
-    quota.asked_ += 1;
-    return limits::takeTokens(quota.bucket_, 1, now);
+    return limits::admit(quotas.workspaces_[workspace.name_], quotas.options_, random);
 }
 
-void putBackQuota(Quotas& quotas, TimePoint now, const WorkspaceSpec& workspace)
+void putBackQuota(Quotas& quotas, const WorkspaceSpec& workspace)
 {
     if (detail::isLimited(workspace))
-        limits::putBackTokens(quotas.workspaces_[workspace.name_].bucket_, 1, now);
+        limits::putBackAdmission(quotas.workspaces_[workspace.name_]);
 }
 
-TimePoint quotaReadyAt(const Quotas& quotas, TimePoint now, const WorkspaceSpec& workspace)
+double quotaRecovery(const Quotas& quotas, const WorkspaceSpec& workspace)
 {
     const auto quota = quotas.workspaces_.find(workspace.name_);
-    return quota == quotas.workspaces_.end() ? now : limits::tokensReadyAt(quota->second.bucket_, 1, now);
+    return quota == quotas.workspaces_.end() ? 0 : limits::recoverySeconds(quota->second);
 }
 
 void updateQuotas(Quotas& quotas, TimePoint now, const Configuration& configuration, const Fleet& fleet)
 {
-    const double elapsed = seconds(now - quotas.updated_);
-    quotas.updated_ = now;
-    const auto reports = heardReports(fleet, now);
-    const size_t unheard = fleet.peers_.size() - reports.size();
+    const auto sums = detail::sumReports(quotas, fleet, now);
+    const double hosts = 1 + static_cast<double>(fleet.peers_.size());
+    const double heardPart = 1 - static_cast<double>(unheardCount(fleet, now)) / hosts;
     for (const WorkspaceSpec& workspace : configuration.workspaces_) {
         if (!detail::isLimited(workspace))
             continue;
-        const auto [entry, added] = quotas.workspaces_.try_emplace(workspace.name_);
-        WorkspaceQuota& quota = entry->second;
-        detail::measure(quota, elapsed, seconds(quotas.options_.demandWindow_));
-        const auto heard = detail::heardDemands(reports, shortHash(workspace.name_));
-        const double share
-            = limits::hostShare(quotas.options_.share_, workspace.rate_, quota.demand_, heard, unheard);
-        const limits::BucketLimits limits { share,
-            std::max(1.0, workspace.burst_ * share / workspace.rate_) };
-        // A new bucket starts empty: a host that restarts must not spend its burst again.
-        if (added)
-            quota.bucket_ = limits::makeEmptyBucket(limits, now - std::chrono::milliseconds(200));
-        else
-            limits::setLimits(quota.bucket_, limits, now);
+        const auto found = sums.find(shortHash(workspace.name_));
+        const detail::PeerSums sum = found == sums.end() ? detail::PeerSums() : found->second;
+        limits::updateQuota(quotas.workspaces_[workspace.name_], quotas.options_, now,
+            { workspace.rate_, workspace.burst_ }, heardPart, sum.demand_, sum.admitted_);
     }
 }
 
@@ -84,8 +77,8 @@
 {
     std::vector<Demand> list;
     for (const auto& [name, quota] : quotas.workspaces_) {
-        if (quota.demand_ > 0.05)
-            list.push_back({ shortHash(name), quota.demand_ });
+        if (quota.admitted_ > 0 || quota.demand_ > 0)
+            list.push_back({ shortHash(name), quota.demand_, quota.admitted_ });
     }
     return list;
 }
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -104,7 +104,7 @@
         for (const json& entry : value.at(next++))
             report.inFlight_.push_back({ entry.at(0), entry.at(1) });
         for (const json& entry : value.at(next++))
-            report.demands_.push_back({ entry.at(0), entry.at(1) });
+            report.demands_.push_back({ entry.at(0), entry.at(1), entry.at(2) });
         for (const json& entry : value.at(next++))
             report.services_.push_back(decodeService(entry));
         for (const json& entry : value.at(next++))
@@ -125,7 +125,8 @@
         inFlight.push_back(json::array({ entry.upstream_, entry.count_ }));
     json demands = json::array();
     for (const Demand& entry : report.demands_)
-        demands.push_back(json::array({ entry.workspace_, static_cast<float>(entry.rate_) }));
+        demands.push_back(
+            json::array({ entry.workspace_, static_cast<float>(entry.rate_), entry.admitted_ }));
     json services = json::array();
     for (const ServiceReport& entry : report.services_)
         services.push_back(detail::encode(entry));
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -36,7 +36,7 @@
     constexpr double demandWindow = 1.5; ///< Seconds; time constant of the measured demand.
     constexpr double initialHeld = 0.3; ///< Seconds at an upstream before any was measured.
     /// Before any demand is known, regions are taken to ask for equal parts of this utilisation.
-    constexpr double initialUtilisation = 0.5;
+    constexpr double initialUtilisation = 0.35;
 
     void measureDemand(ServiceDemand& demand, double elapsed)
     {
--- a/src/gateway/watch.cc
+++ b/src/gateway/watch.cc
@@ -37,6 +37,7 @@
     uint32_t failures_ = 0;
 
     void next();
+    void nextAfter(Duration pause);
     void onAnswer(const Result<TableRead>&);
     void onFailure(const Error&);
     void onSuccess(const TableRead&);
@@ -78,7 +79,7 @@
     known_ = true;
     version_ = std::max(version_, read.version_);
     (whole ? handlers_.replaced_ : handlers_.changed_)(read);
-    next();
+    nextAfter(read.rows_.empty() ? Duration::zero() : options_.gap_);
 }
 
 void TableWatch::State::onFailure(const Error& error)
@@ -87,8 +88,15 @@
         lost_ = true;
         handlers_.lost_(error);
     }
-    timer_.expires_after(watchPause(options_, failures_, random_));
+    nextAfter(watchPause(options_, failures_, random_));
     ++failures_;
+}
+
+void TableWatch::State::nextAfter(Duration pause)
+{
+    if (pause <= Duration::zero())
+        return next();
+    timer_.expires_after(pause);
     timer_.async_wait([self = shared_from_this()](boost::system::error_code cancelled) {
         if (!cancelled)
             self->next();
--- /dev/null
+++ b/src/limits/fleetquota.cc
@@ -0,0 +1,60 @@
+// A workspace's rate over all hosts.
+#include "turmericwing/limits/fleetquota.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmericwing::limits {
+
+void updateQuota(FleetQuota& quota, const FleetQuotaOptions& options, TimePoint now, BucketLimits fleet,
+    double heardPart, double peerDemand, int64_t peersAdmitted)
+{
+    const double elapsed = std::max(0.0, seconds(now - quota.updated_));
+    const bool first = quota.updated_ == TimePoint();
+    quota.updated_ = now;
+    quota.limits_ = { fleet.rate_ * heardPart, fleet.burst_ * heardPart };
+    quota.peerDemand_ = peerDemand;
+    if (first)
+        return;
+    if (elapsed > 0) {
+        const double weight = 1 - std::exp(-elapsed / options.demandWindow_);
+        quota.demand_ += weight * (quota.asked_ / elapsed - quota.demand_);
+        quota.asked_ = 0;
+    }
+    quota.level_ = std::min(quota.limits_.burst_, quota.level_ + quota.limits_.rate_ * elapsed);
+    quota.level_ = std::min(quota.limits_.burst_, quota.level_ - static_cast<double>(peersAdmitted));
+}
+
+double admitProbability(const FleetQuota& quota, const FleetQuotaOptions& options)
+{
+    const double allowed = quota.limits_.rate_ + quota.level_ / options.recoveryTime_;
+    const double demand = quota.demand_ + quota.peerDemand_;
+    if (allowed <= 0)
+        return 0;
+    return demand <= allowed ? 1 : allowed / demand;
+}
+
+bool admit(FleetQuota& quota, const FleetQuotaOptions& options, Random& random)
+{
+    quota.asked_ += 1;
+    if (uniform(random) >= admitProbability(quota, options))
+        return false;
+    quota.level_ -= 1;
+    ++quota.admitted_;
+    return true;
+}
+
+void putBackAdmission(FleetQuota& quota)
+{
+    quota.level_ = std::min(quota.limits_.burst_, quota.level_ + 1);
+    --quota.admitted_;
+}
+
+double recoverySeconds(const FleetQuota& quota)
+{
+    if (quota.limits_.rate_ <= 0)
+        return 3600;
+    return std::max(0.0, -quota.level_ / quota.limits_.rate_);
+}
+
+} // namespace turmericwing::limits
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -106,6 +106,7 @@
     const Configuration configuration { .workspaces_ = { workspace } };
     Fleet fleets[2] = { { .self_ = "h1" }, { .self_ = "h2" } };
     Quotas quotas[2];
+    Random random(4);
     uint64_t admitted = 0;
     const int seconds = 20;
     for (int step = 0; step < seconds * 10; ++step) {
@@ -116,9 +117,30 @@
             hear(fleets[1 - host], now, report);
             updateQuotas(quotas[host], now, configuration, fleets[host]);
             for (int i = 0; i < (host == 0 ? 80 : 2); ++i)
-                admitted += takeQuota(quotas[host], now, workspace) ? 1 : 0;
+                admitted += takeQuota(quotas[host], workspace, random) ? 1 : 0;
         }
     }
     CHECK(admitted <= 100 * seconds + 100);
     CHECK(admitted >= 90 * seconds);
 }
+
+TEST_CASE("admissions that a peer took back between two reports are given back")
+{
+    // A count that fell wrapped around, and one refused request blocked a workspace on all other hosts.
+    const WorkspaceSpec workspace { .name_ = "w", .rate_ = 100, .burst_ = 100 };
+    const Configuration configuration { .workspaces_ = { workspace } };
+    Fleet fleet { .self_ = "h1" };
+    Quotas quotas;
+    Random random(4);
+    HostReport report = makeReport("h2", 1);
+    const uint32_t counts[] = { 10, 12, 11, 11, 10 };
+    for (const uint32_t count : counts) {
+        ++report.serial_;
+        report.demands_ = { { shortHash("w"), 5, count } };
+        const TimePoint now = start + std::chrono::milliseconds(100) * report.serial_;
+        hear(fleet, now, report);
+        updateQuotas(quotas, now, configuration, fleet);
+    }
+    CHECK(quotas.workspaces_["w"].level_ > 30);
+    CHECK(takeQuota(quotas, workspace, random));
+}
--- a/test/gateway/report-test.cc
+++ b/test/gateway/report-test.cc
@@ -24,7 +24,7 @@
         .reachesStore_ = true,
         .storeHeldMs_ = 1500,
         .inFlight_ = { { shortHash("u1"), 3 } },
-        .demands_ = { { shortHash("w"), 12.5 } },
+        .demands_ = { { shortHash("w"), 12.5, 99 } },
         .services_ = { { shortHash("s"), 12.5, { { shortHash("a"), 0.75 }, { shortHash("b"), 0.25 } } } },
         .ramps_ = { { { "s", "v2", 5, 9, rollout::RampState::Reverted }, 44, true, { 1, 2, 3, 4, 5, 6 } } },
         .crashes_ = { { { "h1", 3, 1 }, "u1", { 1000 }, { { { 1, 2 }, { 990 } } } } } };
