Remember where objects were sent, and name hosts of the caller's failure domain

Look-ups name the hosts of the caller's failure domain when there are two, which saves bytes between domains. The test of look-ups names the failure domains now; its expectations are as strict.

--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -88,7 +88,8 @@
 /// Seconds to an upstream and back.
 double roundTrip(const State&, const routing::Target&);
 
-/// Caller addresses of the hosts that a caller should use, nearest ones only.
+/// Caller addresses of the hosts that a caller should use: those of its failure domain if there are two or
+/// more, else of its region, else all.
 std::vector<std::string> lookupAddresses(const State&, TimePoint now, const LookupQuery&);
 
 /// What this host tells its peers now. `inFlight` is taken from the directory.
--- a/include/turmericwing/routing/pick.h
+++ b/include/turmericwing/routing/pick.h
@@ -17,8 +17,10 @@
 namespace turmericwing::routing {
 
 struct PickOptions {
-    /// Part of the full work that is left for an object's first, second and third upstream of a region.
-    double warmWork_[3] = { 0.35, 0.5, 0.8 };
+    double knownWork_ = 0.3; ///< Part of the full work that is left where the object is known.
+    /// The same for an object's first, second and third upstream of a region, when this host has not sent it
+    /// there lately but others may have.
+    double warmWork_[3] = { 0.35, 0.8, 0.9 };
     double slownessWeight_ = 0.2; ///< Weight of a new sample of an upstream's slowness.
     Duration slownessHalfLife_ = std::chrono::seconds(3); ///< So that a slow upstream is tried again.
     double failureWeight_ = 0.15; ///< Weight of a new answer in an upstream's failure rate.
@@ -57,6 +59,8 @@
     std::optional<uint64_t> object_; ///< Hash of the object that the request concerns.
     const std::vector<std::string>* homeRegions_ = nullptr; ///< Empty or absent: any region.
     const std::vector<std::string>* except_ = nullptr; ///< Ids that were tried already.
+    /// Hashes of the upstreams to which this host has sent the object lately.
+    const std::vector<uint64_t>* known_ = nullptr;
     bool strangers_ = false; ///< Whether upstreams that do not know the object may be taken.
     double work_ = 0.4; ///< Seconds that an idle upstream needs for an object that it does not know.
 };
@@ -118,7 +122,8 @@
     };
 
     /// Factor of the work for the object at this target, given the preferred ones of its region.
-    double workFactor(const std::vector<Preferred>&, const Target&, const PickOptions&);
+    double workFactor(
+        const std::vector<Preferred>&, const Target&, const PickOptions&, const std::vector<uint64_t>* known);
 
     /// Takes the target into its region's list if its weight is high enough; true if so.
     bool prefer(std::vector<Preferred>&, const Target&, uint64_t object);
@@ -156,7 +161,7 @@
         if (!isCandidate(target))
             continue;
         anyUsable = true;
-        const double factor = sticky ? detail::workFactor(preferred, target, options) : 1;
+        const double factor = sticky ? detail::workFactor(preferred, target, options, request.known_) : 1;
         const bool stranger = sticky && anyKnows && factor >= 1;
         if (stranger && (!request.strangers_ || load(target) >= options.strangerLoad_ * target.slots_))
             continue;
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -4,6 +4,7 @@
 #include "turmericwing/base/hash.h"
 #include "turmericwing/host/log.h"
 #include "turmericwing/host/problem.h"
+#include "turmericwing/routing/objectmemory.h"
 #include "turmericwing/routing/waitline.h"
 
 #include <boost/asio/io_context.hpp>
@@ -64,6 +65,7 @@
 
     struct ServiceState {
         routing::WaitLine line_;
+        routing::ObjectMemory memory_;
         double work_ = 0; ///< Seconds for an object that an upstream does not know; 0 until known.
         bool serveSoon_ = false; ///< A pass over the line is due.
     };
@@ -344,10 +346,14 @@
     const Ticket& ticket, ServicePool& pool, const std::vector<std::string>& regions, bool strangers)
 {
     const TimePoint now = monotonicNow();
+    std::vector<uint64_t> known;
+    if (ticket.object_)
+        known = routing::knownUpstreams(services_[ticket.service_].memory_, now, *ticket.object_);
     const routing::PickRequest request { .region_ = state_.settings_.region_,
         .object_ = ticket.object_,
         .homeRegions_ = &regions,
         .except_ = &ticket.tried_,
+        .known_ = &known,
         .strangers_ = strangers,
         .work_ = work(ticket.service_, *ticket.route_) };
     const auto permit = [&](const routing::Target& target) {
@@ -433,6 +439,8 @@
     if (record.coldBucket_ && now < target.coldUntil_)
         limits::takeTokens(*record.coldBucket_, 1, now);
     routing::recordStart(services_[ticket->service_].line_, now);
+    if (ticket->object_)
+        routing::rememberUse(services_[ticket->service_].memory_, now, *ticket->object_, target.hash_);
     ++target.inFlight_;
     ticket->upstream_ = target.id_;
     ticket->tried_.push_back(target.id_);
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -14,18 +14,19 @@
 
     constexpr size_t mostAddresses = 64; ///< In an answer to a lookup.
 
-    std::vector<std::string> addressesWhere(const State& state, TimePoint now, const std::string& region)
+    constexpr size_t leastNear = 2; ///< Hosts of a failure domain, so that callers have another one.
+
+    /// Addresses of the hosts that `matches` takes, by region and failure domain.
+    template <typename Matches>
+    std::vector<std::string> addressesWhere(const State& state, TimePoint now, const Matches& matches)
     {
         std::vector<std::string> addresses;
-        const auto add = [&](const std::string& hostRegion, const Address& address) {
-            if (region.empty() || hostRegion == region)
-                addresses.push_back(addressText(address));
-        };
-        if (isReady(state))
-            add(state.settings_.region_, state.settings_.callerAddress_);
+        const Settings& own = state.settings_;
+        if (isReady(state) && matches(own.region_, own.failureDomain_))
+            addresses.push_back(addressText(own.callerAddress_));
         for (const HostReport* report : heardReports(state.fleet_, now)) {
-            if (report->ready_)
-                add(report->region_, report->callerAddress_);
+            if (report->ready_ && matches(report->region_, report->failureDomain_))
+                addresses.push_back(addressText(report->callerAddress_));
         }
         return addresses;
     }
@@ -200,9 +201,14 @@
 
 std::vector<std::string> lookupAddresses(const State& state, TimePoint now, const LookupQuery& query)
 {
-    auto addresses = detail::addressesWhere(state, now, query.region_);
+    auto addresses = detail::addressesWhere(state, now,
+        [&](const std::string&, const std::string& domain) { return domain == query.failureDomain_; });
+    if (addresses.size() < detail::leastNear)
+        addresses = detail::addressesWhere(state, now,
+            [&](const std::string& region, const std::string&) { return region == query.region_; });
     if (addresses.empty())
-        addresses = detail::addressesWhere(state, now, {});
+        addresses
+            = detail::addressesWhere(state, now, [](const std::string&, const std::string&) { return true; });
     if (addresses.size() > detail::mostAddresses)
         addresses.resize(detail::mostAddresses);
     return addresses;
--- a/src/routing/pick.cc
+++ b/src/routing/pick.cc
@@ -36,12 +36,14 @@
         return candidate != &target;
     }
 
-    double workFactor(const std::vector<Preferred>& regions, const Target& target, const PickOptions& options)
+    double workFactor(const std::vector<Preferred>& regions, const Target& target, const PickOptions& options,
+        const std::vector<uint64_t>* known)
     {
+        const bool isKnown = known && std::find(known->begin(), known->end(), target.hash_) != known->end();
         for (const Preferred& region : regions) {
             for (size_t rank = 0; rank < std::size(region.targets_); ++rank) {
                 if (region.targets_[rank] == &target)
-                    return options.warmWork_[rank];
+                    return isKnown ? options.knownWork_ : options.warmWork_[rank];
             }
         }
         return 1;
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -63,26 +63,37 @@
     CHECK(isFirst(fleet, start + fleet.options_.life_));
 }
 
-TEST_CASE("lookups name the live hosts of the caller's region, and others only without them")
+TEST_CASE("lookups name the live hosts near the caller, and others only without them")
 {
     State state;
     state.settings_.name_ = "h1";
     state.settings_.region_ = "a";
+    state.settings_.failureDomain_ = "a1";
     state.settings_.callerAddress_ = { "10.0.0.1", 80 };
     state.fleet_.self_ = "h1";
     state.catalog_ = std::make_shared<const Catalog>(Configuration());
     state.directory_.loaded_ = true;
-    hear(state.fleet_, start, makeReport("h2", 1));
-    hear(state.fleet_, start, makeReport("h3", 1, "b"));
-    CHECK(lookupAddresses(state, start, { "a", "" })
-        == std::vector<std::string> { "10.0.0.1:80", "10.0.0.2:80" });
-    CHECK(lookupAddresses(state, start, { "b", "" }) == std::vector<std::string> { "10.0.0.3:80" });
-    CHECK(lookupAddresses(state, start, { "c", "" }).size() == 3);
-    HostReport leaving = makeReport("h2", 2);
+    const auto report = [](const std::string& name, uint64_t serial, const char* region, const char* domain) {
+        HostReport made = makeReport(name, serial, region);
+        made.failureDomain_ = domain;
+        return made;
+    };
+    hear(state.fleet_, start, report("h2", 1, "a", "a1"));
+    hear(state.fleet_, start, report("h3", 1, "a", "a2"));
+    hear(state.fleet_, start, report("h4", 1, "b", "b1"));
+    using Addresses = std::vector<std::string>;
+    // Two hosts of the failure domain are enough; one has no other host to go to.
+    CHECK(lookupAddresses(state, start, { "a", "a1" }) == Addresses { "10.0.0.1:80", "10.0.0.2:80" });
+    CHECK(lookupAddresses(state, start, { "a", "a2" })
+        == Addresses { "10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80" });
+    CHECK(lookupAddresses(state, start, { "b", "b1" }) == Addresses { "10.0.0.4:80" });
+    CHECK(lookupAddresses(state, start, { "c", "c1" }).size() == 4);
+    HostReport leaving = report("h2", 2, "a", "a1");
     leaving.leaving_ = true;
     hear(state.fleet_, start, leaving);
+    CHECK(lookupAddresses(state, start, { "a", "a1" }) == Addresses { "10.0.0.1:80", "10.0.0.3:80" });
     state.draining_ = true;
-    CHECK(lookupAddresses(state, start, { "a", "" }) == std::vector<std::string> { "10.0.0.3:80" });
+    CHECK(lookupAddresses(state, start, { "a", "a1" }) == Addresses { "10.0.0.3:80" });
 }
 
 TEST_CASE("a short break of one connection to the store is no outage")
--- a/test/routing/pick-test.cc
+++ b/test/routing/pick-test.cc
@@ -2,6 +2,7 @@
 #include "turmericwing/routing/pick.h"
 
 #include "turmericwing/base/hash.h"
+#include "turmericwing/routing/objectmemory.h"
 
 #include <doctest/doctest.h>
 
@@ -124,6 +125,30 @@
     CHECK(pickTarget(targets, {}, request, start, anyTarget, noDistance).failure_ == PickFailure::AllFull);
 }
 
+TEST_CASE("an object that left a crowded upstream is known at the next one")
+{
+    // The pattern: two objects whose first upstream is the same and busy. Once one of them was sent to its
+    // second upstream, that one serves it as well as the first.
+    auto targets = makeTargets(6, "a");
+    ObjectMemory memory;
+    const uint64_t object = hash64("object");
+    const auto pick = [&] {
+        const auto known = knownUpstreams(memory, start, object);
+        const PickRequest request { .region_ = "a", .object_ = object, .known_ = &known };
+        return pickTarget(targets, {}, request, start, anyTarget, noDistance).pick_->index_;
+    };
+    const size_t first = pick();
+    targets[first].inFlight_ = 3;
+    CHECK(pick() == first);
+    targets[first].inFlight_ = 4;
+    const size_t second = pick();
+    CHECK(second != first);
+    rememberUse(memory, start, object, targets[second].hash_);
+    targets[first].inFlight_ = 2;
+    CHECK(pick() == second);
+    CHECK(knownUpstreams(memory, start + std::chrono::minutes(1), object).empty());
+}
+
 TEST_CASE("a target that is never permitted does not count as full")
 {
     auto targets = makeTargets(2, "a");
