Let the split follow the entries at once until there are requests

Until any host has requests the split is the target now. Lines of the log are written whole, in parts that a pipe takes at once.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -15,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cmath>
 #include <filesystem>
 
 namespace turmericwing::gateway {
@@ -92,6 +93,7 @@
     TimePoint exitBy_ {};
     bool accepting_ = true;
     std::set<std::string> lostWatches_;
+    std::map<std::string, std::string> loggedSplits_; ///< By service.
 
     Result<void> start();
     Result<void> listen(const Address&, RequestHandler);
@@ -112,6 +114,7 @@
     void removeForgotten(TimePoint now);
     void onTick();
     void onHousekeeping();
+    void logSplits();
     void scheduleTick();
     void scheduleHousekeeping();
     void onLookup(const Request&, const std::shared_ptr<Exchange>&);
@@ -459,9 +462,30 @@
     host::flushLog();
 }
 
+/// Logs splits that have moved, at most once a second for each service.
+void Gateway::Core::logSplits()
+{
+    for (const auto& [service, demand] : state_.demand_) {
+        std::string shares;
+        for (const routing::RegionShare& entry : demand.split_) {
+            const auto percent = static_cast<int>(std::lround(entry.share_ * 100));
+            shares += (shares.empty() ? "" : ",") + entry.region_ + ":" + std::to_string(percent);
+        }
+        std::string& logged = loggedSplits_[service];
+        if (shares == logged)
+            continue;
+        logged = shares;
+        logEvent(LogLevel::Info, "split",
+            { { "service", service }, { "percent", shares },
+                { "asked_per_s", std::to_string(static_cast<int>(demand.rate_)) },
+                { "held_ms", std::to_string(static_cast<int>(demand.held_ * 1000)) } });
+    }
+}
+
 void Gateway::Core::onHousekeeping()
 {
     const TimePoint now = monotonicNow();
+    logSplits();
     upstreams_.closeExpired();
     removeForgotten(now);
     routing::expireQuarantine(state_.quarantine_, wallNow());
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -39,6 +39,8 @@
     /// Before any demand is known, regions are taken to ask for equal parts of this utilisation.
     constexpr double initialUtilisation = 0.35;
 
+    constexpr double leastDemand = 0.05; ///< Slots; below it there are no requests.
+
     void measureDemand(ServiceDemand& demand, double elapsed)
     {
         if (elapsed <= 0)
@@ -104,17 +106,20 @@
         }
     }
 
-    /// Equal demand of all regions that have hosts, where none was measured.
+    double totalDemand(const std::map<std::string, RegionLoad>& regions)
+    {
+        double demand = 0;
+        for (const auto& [name, region] : regions)
+            demand += region.demand_;
+        return demand;
+    }
+
+    /// Equal demand of all regions, where none was measured.
     void assumeDemand(std::map<std::string, RegionLoad>& regions)
     {
         double capacity = 0;
-        double demand = 0;
-        for (const auto& [name, region] : regions) {
+        for (const auto& [name, region] : regions)
             capacity += region.capacity_;
-            demand += region.demand_;
-        }
-        if (demand >= 1)
-            return;
         for (auto& [name, region] : regions)
             region.demand_ = capacity * initialUtilisation / static_cast<double>(regions.size());
     }
@@ -155,13 +160,20 @@
                 lost.push_back(name);
         }
         detail::addDemand(state, service, now, regions);
-        detail::assumeDemand(regions);
+        // Nothing moves before there are requests, so the split may follow the entries as they come in.
+        const bool calm = detail::totalDemand(regions) < detail::leastDemand;
+        if (calm)
+            detail::assumeDemand(regions);
         std::vector<routing::RegionLoad> loads;
         for (const auto& [name, region] : regions)
             loads.push_back(region);
         const auto target = routing::targetSplit(state.splitOptions_, state.settings_.region_, loads);
         if (demand.split_.empty())
             demand.split_ = detail::peerSplit(state, service, now, regions);
+        if (calm) {
+            demand.split_ = target;
+            continue;
+        }
         demand.split_ = routing::approachSplit(
             state.splitOptions_, demand.split_, target, lost, std::min(elapsed, 1.0));
     }
--- a/src/host/log.cc
+++ b/src/host/log.cc
@@ -3,6 +3,7 @@
 
 #include <easylogging++.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <fcntl.h>
 #include <unistd.h>
@@ -17,6 +18,8 @@
 
     constexpr size_t largestBacklog = 256 * 1024; ///< Bytes of lines that wait for standard output.
 
+    constexpr size_t largestWrite = 4096; ///< Bytes; PIPE_BUF of Linux.
+
     /// Lines of a buffered log. Used on the event loop only.
     struct Backlog {
         std::string lines_;
@@ -81,7 +84,11 @@
 {
     std::string& lines = detail::backlog.lines_;
     while (!lines.empty()) {
-        const ssize_t written = ::write(STDOUT_FILENO, lines.data(), lines.size());
+        // Whole lines of a size that a pipe takes at once, so that lines of several processes do not mix.
+        size_t size = std::min(lines.size(), detail::largestWrite);
+        if (size < lines.size())
+            size = lines.rfind('\n', size - 1) == std::string::npos ? size : lines.rfind('\n', size - 1) + 1;
+        const ssize_t written = ::write(STDOUT_FILENO, lines.data(), size);
         if (written < 0 && errno == EINTR)
             continue;
         if (written <= 0)
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -155,3 +155,32 @@
     CHECK(quotas.workspaces_["w"].level_ > 30);
     CHECK(takeQuota(quotas, workspace, random));
 }
+
+TEST_CASE("the split follows the entries at once until there are requests, and in steps afterwards")
+{
+    // At a start with 660 upstreams the first entries all stood in one region; the split began there and
+    // moved for half a minute.
+    State state;
+    state.settings_.name_ = "h1";
+    state.settings_.region_ = "a";
+    state.fleet_.self_ = "h1";
+    state.directory_.regionOf_ = { { "a1", "a" }, { "b1", "b" } };
+    const auto put = [&](const std::string& id, const std::string& domain) {
+        putEntry(state.directory_, start,
+            { .id_ = id, .service_ = "s", .failureDomain_ = domain, .version_ = "v1", .slots_ = 9 });
+    };
+    put("u1", "b1");
+    updateSplits(state, start);
+    CHECK(state.demand_["s"].split_.back() == routing::RegionShare { "b", 1 });
+    put("u2", "a1");
+    updateSplits(state, start + std::chrono::milliseconds(100));
+    CHECK(state.demand_["s"].split_.front() == routing::RegionShare { "a", 1 });
+    // Requests for twice the room of the own region: the split moves by the step only.
+    state.demand_["s"].held_ = 0.3;
+    for (int tick = 2; tick <= 12; ++tick) {
+        state.demand_["s"].asked_ = 6;
+        updateSplits(state, start + std::chrono::milliseconds(100) * tick);
+    }
+    CHECK(state.demand_["s"].split_.front().share_ < 1);
+    CHECK(state.demand_["s"].split_.front().share_ >= 1 - state.splitOptions_.stepPerSecond_ * 1.2);
+}
