Follow the store through relays in a large fleet, and report less between regions

From 24 hosts on, two hosts of each region follow the store and the others follow them over the same versions; a relay answers only while its own last answer is fresh. Reports name the workspaces that changed, and go to other regions less often unless a workspace is near its rate.

Ruled out: longer waits alone, which leave one call for each change and host.

--- a/include/turmericwing/gateway/quotas.h
+++ b/include/turmericwing/gateway/quotas.h
@@ -12,16 +12,30 @@
 
 namespace turmericwing::gateway {
 
-/// What a peer had admitted at its last report that was counted.
-struct PeerAdmissions {
+/// What a peer told last of a workspace.
+struct PeerDemand {
+    uint32_t admitted_ = 0;
+    double rate_ = 0; ///< Requests/s.
+    TimePoint until_ {}; ///< End of its life; a peer repeats it before.
+};
+
+struct PeerDemands {
     uint64_t incarnation_ = 0;
-    std::unordered_map<uint32_t, uint32_t> admitted_; ///< By shortHash of the workspace.
+    uint64_t serial_ = 0; ///< Of the last report that was counted.
+    std::unordered_map<uint32_t, PeerDemand> workspaces_; ///< By shortHash.
+};
+
+/// What this host told last of a workspace.
+struct ToldDemand {
+    uint32_t admitted_ = 0;
+    double rate_ = 0;
 };
 
 struct Quotas {
     limits::FleetQuotaOptions options_ {};
     std::map<std::string, limits::FleetQuota> workspaces_ {};
-    std::map<std::string, PeerAdmissions> counted_ {}; ///< By peer.
+    std::map<std::string, PeerDemands> counted_ {}; ///< By peer.
+    std::map<std::string, ToldDemand> told_ {}; ///< By workspace.
 };
 
 /// Admits one request of the workspace or not.
@@ -36,7 +50,11 @@
 /// Takes the reports of the peers and lets the rates of the configuration apply.
 void updateQuotas(Quotas&, TimePoint now, const Configuration&, const Fleet&);
 
-/// For the host's report.
-std::vector<Demand> demands(const Quotas&);
+/// For the host's report: workspaces that changed, and a part of the others, so that a report that is lost is
+/// made up for.
+std::vector<Demand> demands(Quotas&, uint64_t serial);
+
+/// Whether peers should hear of this host's admissions soon, because a workspace comes near its rate.
+bool isPressed(const Quotas&);
 
 } // namespace turmericwing::gateway
--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -92,8 +92,8 @@
 /// more, else of its region, else all.
 std::vector<std::string> lookupAddresses(const State&, TimePoint now, const LookupQuery&);
 
-/// What this host tells its peers now. `inFlight` is taken from the directory.
-HostReport makeReport(const State&, TimePoint now, uint64_t serial);
+/// What this host tells its peers now.
+HostReport makeReport(State&, TimePoint now, uint64_t serial);
 
 /// Measures the demand since the last update and moves the splits of all services towards what demand and
 /// room of the regions ask for.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -6,6 +6,7 @@
 
 #include "turmericwing/gateway/dispatcher.h"
 #include "turmericwing/gateway/listener.h"
+#include "turmericwing/gateway/relay.h"
 #include "turmericwing/gateway/state.h"
 #include "turmericwing/gateway/upstreams.h"
 #include "turmericwing/gateway/watch.h"
@@ -29,6 +30,7 @@
     constexpr Duration reportInterval = std::chrono::milliseconds(100);
     /// A larger fleet reports less often, so that a host receives at most this many reports a second.
     constexpr size_t reportsPerSecond = 200;
+    constexpr size_t remoteReportsPerSecond = 70; ///< The same for reports between regions.
     constexpr Duration housekeepingInterval = std::chrono::seconds(1);
     constexpr Duration registrationPause = std::chrono::milliseconds(500); ///< After a failed registration.
     constexpr Duration lookupLife = std::chrono::seconds(3); ///< Of an answer to a lookup.
@@ -59,6 +61,8 @@
         , upstreams_(loop)
         , dispatcher_(loop, state_, upstreams_, metrics_)
         , peers_(loop, [this](const std::string& bytes) { onReport(bytes); })
+        , relayedStore_(makeRelayedStore(loop, store_, relayOptions_, [this] { return relayChoice_; }))
+        , relayServer_(relayOptions_, [this] { return isRelayFresh(); })
         , rollouts_(state_, store_)
         , tick_(loop)
         , housekeeping_(loop)
@@ -78,6 +82,10 @@
     UpstreamClient upstreams_;
     Dispatcher dispatcher_;
     detail::PeerSocket peers_;
+    const RelayOptions relayOptions_ {};
+    RelayChoice relayChoice_;
+    TableStore relayedStore_; ///< For followed tables.
+    RelayServer relayServer_;
     detail::RolloutWriter rollouts_;
     std::unique_ptr<Listener> callers_;
     std::vector<std::unique_ptr<Listener>> services_; ///< Readiness, lookups, metrics.
@@ -89,6 +97,7 @@
     std::filesystem::file_time_type settingsChanged_;
     uint64_t reportSerial_ = 0;
     TimePoint nextReport_ {};
+    TimePoint nextRemoteReport_ {};
     TimePoint stopAcceptingAt_ {};
     TimePoint exitBy_ {};
     bool accepting_ = true;
@@ -99,6 +108,8 @@
     Result<void> listen(const Address&, RequestHandler);
     void follow(const std::string& table, std::function<void(const TableRead&, bool whole)>);
     void takeStoreTime(const TableRead&);
+    void updateRelay(TimePoint now);
+    bool isRelayFresh() const;
     void onStore(const std::string& table, bool reached, const std::string& reason);
     void onOrders(const TableRead&, bool whole);
     void onOrder(const StoredRow&);
@@ -164,6 +175,8 @@
         exchange->respond(
             request.target_ == "/metrics" ? detail::plain(200, metrics_.text()) : detail::plain(404));
     }));
+    BOOST_OUTCOME_TRY(listen(settings.peerAddress_,
+        [this](Request&& request, const auto& exchange) { relayServer_.handle(request, exchange); }));
     BOOST_OUTCOME_TRY(peers_.open(settings.peerAddress_));
     follow(
         state_.protocol_.ordersTable_, [this](const TableRead& read, bool whole) { onOrders(read, whole); });
@@ -184,19 +197,21 @@
     const std::string& table, std::function<void(const TableRead&, bool whole)> handler)
 {
     WatchHandlers handlers { .replaced_ =
-                                 [this, handler](const TableRead& read) {
+                                 [this, table, handler](const TableRead& read) {
                                      takeStoreTime(read);
+                                     relayServer_.replaced(table, read);
                                      handler(read, true);
                                  },
         .changed_ =
-            [this, handler](const TableRead& read) {
+            [this, table, handler](const TableRead& read) {
                 takeStoreTime(read);
+                relayServer_.changed(table, read);
                 handler(read, false);
             },
         .lost_ = [this, table](const Error& error) { onStore(table, false, error.message_); },
         .regained_ = [this, table] { onStore(table, true, {}); } };
-    watches_.push_back(
-        std::make_unique<TableWatch>(loop_, store_, WatchOptions { .table_ = table }, std::move(handlers)));
+    watches_.push_back(std::make_unique<TableWatch>(
+        loop_, relayedStore_, WatchOptions { .table_ = table }, std::move(handlers)));
     watches_.back()->start();
 }
 
@@ -210,6 +225,27 @@
     state_.storeReadAt_ = monotonicNow();
 }
 
+/// Changes the relay as hosts come and go. Calls to one that is no longer heard are broken off.
+void Gateway::Core::updateRelay(TimePoint now)
+{
+    relayServer_.expire(now);
+    const bool usable = state_.reachesStore_ && !state_.draining_;
+    const RelayChoice choice
+        = chooseRelay(relayOptions_, state_.fleet_, now, state_.settings_.region_, usable);
+    if (choice == relayChoice_)
+        return;
+    const std::string relay = choice.relay_ ? addressText(*choice.relay_) : std::string();
+    logEvent(LogLevel::Info, "relay", { { "relay", relay }, { "self", choice.isRelay_ ? "yes" : "no" } });
+    relayChoice_ = choice;
+    relayedStore_.reset_();
+}
+
+bool Gateway::Core::isRelayFresh() const
+{
+    return relayChoice_.isRelay_ && state_.reachesStore_
+        && monotonicNow() - state_.storeAnsweredAt_ <= relayOptions_.freshness_;
+}
+
 void Gateway::Core::onStore(const std::string& table, bool reached, const std::string& reason)
 {
     if (reached)
@@ -356,13 +392,25 @@
     if (now < nextReport_)
         return;
     const size_t peers = state_.fleet_.peers_.size();
-    const Duration spread = std::chrono::microseconds(1'000'000 * peers / detail::reportsPerSecond);
-    nextReport_ = now + std::max(detail::reportInterval, spread) - std::chrono::milliseconds(5);
+    const auto spread = [&](size_t perSecond) {
+        return std::max<Duration>(
+            detail::reportInterval, std::chrono::microseconds(1'000'000 * peers / perSecond));
+    };
+    const bool urgent = isPressed(state_.quotas_) || state_.draining_ || !state_.ownCrashes_.empty();
+    // Hosts of other regions share few upstreams with this one, and bytes between regions are dear.
+    const bool everywhere = now >= nextRemoteReport_;
+    nextReport_ = now + spread(detail::reportsPerSecond) - detail::reportInterval / 20;
+    if (everywhere)
+        nextRemoteReport_ = now + spread(urgent ? detail::reportsPerSecond : detail::remoteReportsPerSecond)
+            - detail::reportInterval / 20;
     while (!state_.ownCrashes_.empty() && now >= state_.ownCrashes_.front().toldUntil_)
         state_.ownCrashes_.pop_front();
     const std::string bytes = encodeReport(makeReport(state_, now, ++reportSerial_));
-    for (const auto& [name, peer] : state_.fleet_.peers_)
-        peers_.send(peer.peerAddress_, bytes);
+    for (const auto& [name, peer] : state_.fleet_.peers_) {
+        const bool near = peer.report_.region_ == state_.settings_.region_ || !isHeard(peer, now);
+        if (near || everywhere)
+            peers_.send(peer.peerAddress_, bytes);
+    }
 }
 
 void Gateway::Core::registerHost()
@@ -449,6 +497,7 @@
     for (const std::string& id : expireEntries(state_.directory_, now))
         upstreams_.forget(id);
     applyPeerLoads(state_, now);
+    updateRelay(now);
     updateSplits(state_, now);
     if (state_.catalog_)
         updateQuotas(state_.quotas_, now, state_.catalog_->configuration(), state_.fleet_);
@@ -537,6 +586,7 @@
     logEvent(LogLevel::Info, "drain", { { "running", std::to_string(dispatcher_.running()) } });
     callers_->closeAfterAnswers();
     nextReport_ = {};
+    nextRemoteReport_ = {};
     sendReports(now);
     store_.transact_({ .removals_ = { { detail::hostsTable, state_.settings_.name_ } } },
         [](const Result<TableRead>& answer) {
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -1,6 +1,9 @@
 // Rates of the workspaces on this host.
 #include "turmericwing/gateway/quotas.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace turmericwing::gateway {
 
 namespace detail {
@@ -12,26 +15,42 @@
         int64_t admitted_ = 0; ///< Since the last update; taken back ones count as negative.
     };
 
-    /// Sums of the peers' reports by workspace; what is new of each peer counts once.
+    constexpr Duration demandLife = std::chrono::seconds(15); ///< A peer repeats its demands sooner.
+    constexpr uint64_t repeatEvery = 8; ///< Reports in which each workspace stands at least once.
+    constexpr double demandChange = 0.1; ///< Relative change of a demand that is told at once.
+    constexpr double pressedLevel = 0.5; ///< Part of the burst below which a workspace is near its rate.
+
+    /// Takes what is new in a peer's report.
+    void countReport(PeerDemands& counted, const HostReport& report, TimePoint now,
+        std::unordered_map<uint32_t, PeerSums>& sums)
+    {
+        if (counted.incarnation_ != report.incarnation_)
+            counted = { report.incarnation_, 0, {} };
+        if (counted.serial_ == report.serial_)
+            return;
+        counted.serial_ = report.serial_;
+        for (const Demand& demand : report.demands_) {
+            const auto [known, added] = counted.workspaces_.try_emplace(demand.workspace_);
+            // The first report of a peer tells what it admitted before, which is over.
+            if (!added)
+                sums[demand.workspace_].admitted_
+                    += static_cast<int32_t>(demand.admitted_ - known->second.admitted_);
+            known->second = { demand.admitted_, demand.rate_, now + demandLife };
+        }
+    }
+
+    /// Sums over the peers by workspace; what is new of each peer counts once.
     std::unordered_map<uint32_t, PeerSums> sumReports(Quotas& quotas, const Fleet& fleet, TimePoint now)
     {
         std::unordered_map<uint32_t, PeerSums> sums;
         for (const auto& [name, peer] : fleet.peers_) {
             if (!isHeard(peer, now))
                 continue;
-            PeerAdmissions& counted = quotas.counted_[name];
-            const bool sameRun = counted.incarnation_ == peer.report_.incarnation_;
-            if (!sameRun)
-                counted = { peer.report_.incarnation_, {} };
-            for (const Demand& demand : peer.report_.demands_) {
-                PeerSums& sum = sums[demand.workspace_];
-                sum.demand_ += demand.rate_;
-                const auto [known, added]
-                    = counted.admitted_.try_emplace(demand.workspace_, demand.admitted_);
-                // The first report of a peer tells what it admitted before, which is over.
-                if (!added)
-                    sum.admitted_ += static_cast<int32_t>(demand.admitted_ - known->second);
-                known->second = demand.admitted_;
+            PeerDemands& counted = quotas.counted_[name];
+            countReport(counted, peer.report_, now, sums);
+            for (const auto& [workspace, demand] : counted.workspaces_) {
+                if (now < demand.until_)
+                    sums[workspace].demand_ += demand.rate_;
             }
         }
         return sums;
@@ -73,14 +92,31 @@
     }
 }
 
-std::vector<Demand> demands(const Quotas& quotas)
+std::vector<Demand> demands(Quotas& quotas, uint64_t serial)
 {
     std::vector<Demand> list;
+    uint64_t index = serial;
     for (const auto& [name, quota] : quotas.workspaces_) {
-        if (quota.admitted_ > 0 || quota.demand_ > 0)
-            list.push_back({ shortHash(name), quota.demand_, quota.admitted_ });
+        ToldDemand& told = quotas.told_[name];
+        const bool changed = quota.admitted_ != told.admitted_
+            || std::abs(quota.demand_ - told.rate_) > detail::demandChange * std::max(1.0, told.rate_);
+        const bool repeated
+            = ++index % detail::repeatEvery == 0 && (quota.admitted_ > 0 || quota.demand_ > 0);
+        if (!changed && !repeated)
+            continue;
+        told = { quota.admitted_, quota.demand_ };
+        list.push_back({ shortHash(name), quota.demand_, quota.admitted_ });
     }
     return list;
 }
 
+bool isPressed(const Quotas& quotas)
+{
+    return std::any_of(quotas.workspaces_.begin(), quotas.workspaces_.end(), [](const auto& entry) {
+        const limits::FleetQuota& quota = entry.second;
+        return quota.demand_ + quota.peerDemand_ > quota.limits_.rate_
+            || quota.level_ < detail::pressedLevel * quota.limits_.burst_;
+    });
+}
+
 } // namespace turmericwing::gateway
--- /dev/null
+++ b/src/gateway/relay.cc
@@ -0,0 +1,317 @@
+// Reading the store through another host of the region.
+#include "turmericwing/gateway/relay.h"
+
+#include "turmericwing/base/hash.h"
+#include "turmericwing/gateway/httpchannel.h"
+#include "turmericwing/host/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace turmericwing::gateway {
+
+using nlohmann::json;
+
+namespace detail {
+
+    constexpr std::string_view followPath = "/follow/";
+    constexpr std::string_view readPath = "/read/";
+    constexpr Duration relayAnswerLimit = std::chrono::milliseconds(800); ///< Beyond the wait of a call.
+
+    Response relayAnswer(const Result<TableRead>& read)
+    {
+        if (read)
+            return { .status_ = 200,
+                .headers_ = { { "Content-Type", "application/cbor" } },
+                .body_ = encodeTableRead(read.value()) };
+        return { .status_ = read.error().code_ == ErrorCode::NotFound ? 410U : 503U };
+    }
+
+    /// "/follow/TABLE/VERSION" or "/read/TABLE".
+    struct RelayCall {
+        bool follow_ = false;
+        std::string table_;
+        uint64_t version_ = 0;
+    };
+
+    std::optional<RelayCall> parseCall(std::string_view target)
+    {
+        if (target.starts_with(readPath))
+            return RelayCall { false, std::string(target.substr(readPath.size())), 0 };
+        if (!target.starts_with(followPath))
+            return std::nullopt;
+        target.remove_prefix(followPath.size());
+        const size_t slash = target.rfind('/');
+        if (slash == std::string_view::npos)
+            return std::nullopt;
+        RelayCall call { true, std::string(target.substr(0, slash)), 0 };
+        const std::string_view version = target.substr(slash + 1);
+        const auto [rest, status]
+            = std::from_chars(version.data(), version.data() + version.size(), call.version_);
+        const bool whole = status == std::errc() && rest == version.data() + version.size();
+        return whole ? std::optional(call) : std::nullopt;
+    }
+
+    Result<TableRead> readRelayAnswer(const Result<HttpAnswer>& answer)
+    {
+        if (!answer)
+            return answer.error();
+        if (answer.value().status_ == 200)
+            return decodeTableRead(answer.value().body_);
+        if (answer.value().status_ == 410)
+            return makeError(ErrorCode::NotFound, "the relay does not reach back so far");
+        return makeError(ErrorCode::Unavailable,
+            "the relay refused with status " + std::to_string(answer.value().status_));
+    }
+
+    /// Connections of a follower to its relays.
+    struct RelayClient {
+        boost::asio::io_context& loop_;
+        TableStore direct_;
+        RelayOptions options_;
+        std::function<RelayChoice()> choice_;
+        std::map<std::string, std::unique_ptr<HttpChannel>> channels_; ///< By table; to `address_`.
+        Address address_;
+        TimePoint avoidedUntil_ {};
+
+        /// The channel for a table to the present relay; nullptr when the store is to be asked.
+        HttpChannel* channel(const std::string& table)
+        {
+            const auto relay = choice_().relay_;
+            if (!relay || monotonicNow() < avoidedUntil_)
+                return nullptr;
+            if (*relay != address_) {
+                channels_.clear();
+                address_ = *relay;
+            }
+            auto& channel = channels_[table];
+            if (!channel)
+                channel = std::make_unique<HttpChannel>(loop_, address_);
+            return channel.get();
+        }
+
+        void failed(const Error& error)
+        {
+            avoidedUntil_ = monotonicNow() + options_.avoided_;
+            host::logEvent(host::LogLevel::Info, "relay-failed",
+                { { "relay", addressText(address_) }, { "reason", error.message_ } });
+        }
+    };
+
+} // namespace detail
+
+std::vector<std::string> regionRelays(const RelayOptions& options, const Fleet& fleet, TimePoint now,
+    const std::string& ownRegion, bool ownUsable)
+{
+    if (fleet.peers_.size() + 1 < options.leastHosts_)
+        return {};
+    std::vector<std::string> names;
+    if (ownUsable)
+        names.push_back(fleet.self_);
+    for (const HostReport* report : heardReports(fleet, now)) {
+        if (report->region_ == ownRegion && report->reachesStore_)
+            names.push_back(report->name_);
+    }
+    std::sort(names.begin(), names.end(), [&](const std::string& a, const std::string& b) {
+        return rendezvousWeight(ownRegion, a) > rendezvousWeight(ownRegion, b);
+    });
+    if (names.size() > options.relaysPerRegion_)
+        names.resize(options.relaysPerRegion_);
+    return names;
+}
+
+RelayChoice chooseRelay(const RelayOptions& options, const Fleet& fleet, TimePoint now,
+    const std::string& ownRegion, bool ownUsable)
+{
+    const auto relays = regionRelays(options, fleet, now, ownRegion, ownUsable);
+    if (relays.empty())
+        return {};
+    if (std::find(relays.begin(), relays.end(), fleet.self_) != relays.end())
+        return { .isRelay_ = true };
+    const std::string& name = relays[hash64(fleet.self_) % relays.size()];
+    return { .relay_ = fleet.peers_.at(name).peerAddress_ };
+}
+
+void replaceCopy(TableCopy& copy, const TableRead& read)
+{
+    std::map<std::string, StoredRow> rows;
+    for (const StoredRow& row : read.rows_)
+        rows.emplace(row.key_, row);
+    copy = { std::move(rows), read.version_, read.version_, read.storeMs_ };
+}
+
+void changeCopy(TableCopy& copy, const TableRead& read)
+{
+    for (const StoredRow& row : read.rows_)
+        copy.rows_[row.key_] = row;
+    copy.version_ = std::max(copy.version_, read.version_);
+    copy.storeMs_ = read.storeMs_;
+}
+
+Result<TableRead> changesAfter(const TableCopy& copy, uint64_t version)
+{
+    if (version < copy.historyFrom_ || copy.version_ == 0)
+        return makeError(ErrorCode::NotFound, "the copy does not reach back so far");
+    TableRead read { {}, std::max(version, copy.version_), copy.storeMs_ };
+    for (const auto& [key, row] : copy.rows_) {
+        if (row.version_ > version)
+            read.rows_.push_back(row);
+    }
+    std::sort(read.rows_.begin(), read.rows_.end(),
+        [](const StoredRow& a, const StoredRow& b) { return a.version_ < b.version_; });
+    return read;
+}
+
+TableRead wholeTable(const TableCopy& copy)
+{
+    TableRead read { {}, copy.version_, copy.storeMs_ };
+    for (const auto& [key, row] : copy.rows_) {
+        if (!row.removed_)
+            read.rows_.push_back(row);
+    }
+    return read;
+}
+
+std::string encodeTableRead(const TableRead& read)
+{
+    json rows = json::array();
+    for (const StoredRow& row : read.rows_) {
+        rows.push_back(json::array(
+            { row.table_, row.key_, json::binary(std::vector<uint8_t>(row.value_.begin(), row.value_.end())),
+                row.version_, row.removed_ }));
+    }
+    std::string bytes;
+    json::to_cbor(json::array({ read.version_, read.storeMs_, rows }), bytes);
+    return bytes;
+}
+
+Result<TableRead> decodeTableRead(const std::string& bytes)
+{
+    try {
+        const json value = json::from_cbor(bytes);
+        TableRead read { {}, value.at(0), value.at(1) };
+        for (const json& row : value.at(2)) {
+            const auto& content = row.at(2).get_binary();
+            read.rows_.push_back(
+                { row.at(0), row.at(1), std::string(content.begin(), content.end()), row.at(3), row.at(4) });
+        }
+        return read;
+    } catch (const json::exception& fault) {
+        return makeError(ErrorCode::Invalid, std::string("answer of a relay: ") + fault.what());
+    }
+}
+
+RelayServer::RelayServer(RelayOptions options, std::function<bool()> isFresh)
+    : options_(options)
+    , isFresh_(std::move(isFresh))
+{
+}
+
+void RelayServer::replaced(const std::string& table, const TableRead& read)
+{
+    replaceCopy(copies_[table], read);
+    answerWaiting(table);
+}
+
+void RelayServer::changed(const std::string& table, const TableRead& read)
+{
+    changeCopy(copies_[table], read);
+    if (!read.rows_.empty())
+        answerWaiting(table);
+}
+
+void RelayServer::answerWaiting(const std::string& table)
+{
+    std::vector<Waiting> rest;
+    for (Waiting& waiting : std::exchange(waiting_, {})) {
+        if (waiting.table_ == table)
+            waiting.exchange_->respond(detail::relayAnswer(changesAfter(copies_[table], waiting.version_)));
+        else
+            rest.push_back(std::move(waiting));
+    }
+    waiting_ = std::move(rest);
+}
+
+void RelayServer::handle(const Request& request, const std::shared_ptr<Exchange>& exchange)
+{
+    const auto call = detail::parseCall(request.target_);
+    if (!call)
+        return exchange->respond({ .status_ = 404 });
+    const auto copy = copies_.find(call->table_);
+    if (!isFresh_() || copy == copies_.end())
+        return exchange->respond({ .status_ = 503 });
+    if (!call->follow_)
+        return exchange->respond(detail::relayAnswer(wholeTable(copy->second)));
+    const auto changes = changesAfter(copy->second, call->version_);
+    if (!changes || !changes.value().rows_.empty())
+        return exchange->respond(detail::relayAnswer(changes));
+    waiting_.push_back({ call->table_, call->version_, monotonicNow() + options_.followerWait_, exchange });
+}
+
+void RelayServer::expire(TimePoint now)
+{
+    const bool fresh = isFresh_();
+    std::vector<Waiting> rest;
+    for (Waiting& waiting : std::exchange(waiting_, {})) {
+        if (!fresh)
+            waiting.exchange_->respond({ .status_ = 503 });
+        else if (now >= waiting.until_)
+            waiting.exchange_->respond(
+                detail::relayAnswer(changesAfter(copies_[waiting.table_], waiting.version_)));
+        else
+            rest.push_back(std::move(waiting));
+    }
+    waiting_ = std::move(rest);
+}
+
+TableStore makeRelayedStore(boost::asio::io_context& loop, TableStore direct, RelayOptions options,
+    std::function<RelayChoice()> choice)
+{
+    const auto client = std::make_shared<detail::RelayClient>(
+        detail::RelayClient { loop, direct, options, std::move(choice), {}, {}, {} });
+    TableStore store = direct;
+    store.read_ = [client](const std::string& table, TableStore::Handler<TableRead> handler) {
+        HttpChannel* channel = client->channel(table);
+        if (!channel)
+            return client->direct_.read_(table, std::move(handler));
+        channel->call({ .target_ = std::string(detail::readPath) + table },
+            [client, table, handler = std::move(handler)](const Result<HttpAnswer>& answer) {
+                auto read = detail::readRelayAnswer(answer);
+                if (read)
+                    return handler(std::move(read));
+                client->failed(read.error());
+                client->direct_.read_(table, handler);
+            });
+    };
+    store.follow_ = [client](const std::string& table, uint64_t version, Duration wait,
+                        TableStore::Handler<TableRead> handler) {
+        HttpChannel* channel = client->channel(table);
+        if (!channel) {
+            const bool isRelay = client->choice_().isRelay_;
+            return client->direct_.follow_(table, version,
+                isRelay ? std::min(wait, client->options_.relayWait_) : wait, std::move(handler));
+        }
+        const std::string target = std::string(detail::followPath) + table + "/" + std::to_string(version);
+        channel->call(
+            { .target_ = target, .timeout_ = client->options_.followerWait_ + detail::relayAnswerLimit },
+            [client, table, version, wait, handler = std::move(handler)](const Result<HttpAnswer>& answer) {
+                auto read = detail::readRelayAnswer(answer);
+                const bool behind = !read && read.error().code_ == ErrorCode::NotFound;
+                if (read || behind)
+                    return handler(std::move(read));
+                client->failed(read.error());
+                client->direct_.follow_(table, version, wait, handler);
+            });
+    };
+    store.reset_ = [client] {
+        // Handlers call again at once, possibly over another relay.
+        const auto channels = std::exchange(client->channels_, {});
+        for (const auto& [table, channel] : channels)
+            channel->reset();
+    };
+    return store;
+}
+
+} // namespace turmericwing::gateway
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -226,7 +226,7 @@
     return addresses;
 }
 
-HostReport makeReport(const State& state, TimePoint now, uint64_t serial)
+HostReport makeReport(State& state, TimePoint now, uint64_t serial)
 {
     HostReport report { .name_ = state.settings_.name_,
         .incarnation_ = state.incarnation_,
@@ -239,7 +239,7 @@
         .leaving_ = state.draining_,
         .reachesStore_ = state.reachesStore_,
         .storeHeldMs_ = storeHeldMs(state, now),
-        .demands_ = demands(state.quotas_),
+        .demands_ = demands(state.quotas_, serial),
         .ramps_ = rampReports(state.rollouts_) };
     for (const auto& [name, pool] : state.directory_.services_) {
         for (const routing::Target& target : pool.targets_) {
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -124,7 +124,7 @@
         const TimePoint now = start + std::chrono::milliseconds(100) * step;
         for (int host = 0; host < 2; ++host) {
             HostReport report = makeReport(host == 0 ? "h1" : "h2", static_cast<uint64_t>(step) + 1);
-            report.demands_ = demands(quotas[host]);
+            report.demands_ = demands(quotas[host], report.serial_);
             hear(fleets[1 - host], now, report);
             updateQuotas(quotas[host], now, configuration, fleets[host]);
             for (int i = 0; i < (host == 0 ? 80 : 2); ++i)
--- /dev/null
+++ b/test/gateway/relay-test.cc
@@ -0,0 +1,172 @@
+// Guards against followers that know less than the store, or wait for a relay that no longer knows.
+#include "turmericwing/gateway/relay.h"
+
+#include "turmericwing/gateway/listener.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <doctest/doctest.h>
+
+#include <unistd.h>
+
+using namespace turmericwing;
+using namespace turmericwing::gateway;
+
+namespace {
+
+const TimePoint start { std::chrono::seconds(100) };
+
+StoredRow makeRow(const std::string& key, uint64_t version, bool removed = false)
+{
+    return { "servers", key, removed ? "" : "value of " + key, version, removed };
+}
+
+Fleet makeFleet(size_t hosts, const std::string& region)
+{
+    Fleet fleet { .self_ = "h0" };
+    for (size_t i = 1; i < hosts; ++i) {
+        hear(fleet, start,
+            { .name_ = "h" + std::to_string(i),
+                .incarnation_ = 1,
+                .serial_ = 1,
+                .peerAddress_ = { "10.0.0." + std::to_string(i), 80 },
+                .region_ = region,
+                .ready_ = true,
+                .reachesStore_ = true });
+    }
+    return fleet;
+}
+
+/// A store, a relay in front of a copy, and a follower, on one loop.
+struct Chain {
+    boost::asio::io_context loop_ { 1 };
+    bool fresh_ = true;
+    int directCalls_ = 0;
+    Address address_ { "127.0.0.1", static_cast<uint16_t>(11'000 + getpid() % 900) };
+    RelayChoice choice_ { .relay_ = address_ };
+    RelayServer server_ { {}, [this] { return fresh_; } };
+    Listener listener_ { loop_,
+        { .address_ = address_,
+            .handler_ = [this](Request&& request, const std::shared_ptr<Exchange>& exchange) {
+                server_.handle(request, exchange);
+            } } };
+    TableStore direct_ { .read_
+        = [this](const std::string&, TableStore::Handler<TableRead> handler) { answerDirect(handler); },
+        .follow_ = [this](const std::string&, uint64_t, Duration,
+                       TableStore::Handler<TableRead> handler) { answerDirect(handler); },
+        .transact_ = {},
+        .reset_ = [] {} };
+    TableStore follower_ = makeRelayedStore(loop_, direct_, {}, [this] { return choice_; });
+
+    Chain()
+    {
+        REQUIRE(listener_.start());
+        server_.replaced("servers", { { makeRow("u1", 5), makeRow("u2", 7) }, 7, 1000 });
+    }
+
+    void answerDirect(const TableStore::Handler<TableRead>& handler)
+    {
+        ++directCalls_;
+        handler(TableRead { { makeRow("direct", 9) }, 9, 1 });
+    }
+
+    /// Runs the loop until the follower has an answer; `meanwhile` runs 100 ms after the call.
+    Result<TableRead> follow(
+        uint64_t version, const std::function<void()>& meanwhile = [] {})
+    {
+        std::optional<Result<TableRead>> answer;
+        boost::asio::steady_timer timer(loop_, std::chrono::milliseconds(100));
+        timer.async_wait([&](boost::system::error_code cancelled) {
+            if (!cancelled)
+                meanwhile();
+        });
+        follower_.follow_("servers", version, std::chrono::seconds(3), [&](Result<TableRead> read) {
+            answer = std::move(read);
+            loop_.stop();
+        });
+        loop_.restart();
+        loop_.run_for(std::chrono::seconds(10));
+        REQUIRE(answer);
+        return *answer;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a small fleet has no relays, a large one has the same ones everywhere")
+{
+    CHECK(regionRelays({}, makeFleet(11, "a"), start, "a", true).empty());
+    const Fleet fleet = makeFleet(30, "a");
+    const auto relays = regionRelays({}, fleet, start, "a", true);
+    CHECK(relays.size() == 2);
+    const auto choice = chooseRelay({}, fleet, start, "a", true);
+    CHECK(choice.isRelay_ != choice.relay_.has_value());
+    // Without any host that reaches the store the follower asks the store itself.
+    CHECK(chooseRelay({}, fleet, start + std::chrono::minutes(1), "a", false) == RelayChoice());
+}
+
+TEST_CASE("a copy names what changed, also rows that are gone")
+{
+    TableCopy copy;
+    CHECK_FALSE(changesAfter(copy, 0));
+    replaceCopy(copy, { { makeRow("u1", 5), makeRow("u2", 7) }, 7, 1 });
+    CHECK_FALSE(changesAfter(copy, 6));
+    CHECK(changesAfter(copy, 7).value().rows_.empty());
+    changeCopy(copy, { { makeRow("u1", 9, true), makeRow("u3", 8) }, 9, 2 });
+    const auto changes = changesAfter(copy, 7).value();
+    CHECK(changes.rows_ == std::vector<StoredRow> { makeRow("u3", 8), makeRow("u1", 9, true) });
+    CHECK(changes.version_ == 9);
+    CHECK(wholeTable(copy).rows_ == std::vector<StoredRow> { makeRow("u2", 7), makeRow("u3", 8) });
+    // A follower that has read the store itself may be ahead.
+    CHECK(changesAfter(copy, 12).value().version_ == 12);
+}
+
+TEST_CASE("a relay's answer survives its encoding")
+{
+    const TableRead read { { makeRow("u1", 5), { "t", "k", std::string("\0\xff", 2), 6, false } }, 7, 99 };
+    const auto decoded = decodeTableRead(encodeTableRead(read));
+    REQUIRE(decoded);
+    CHECK(decoded.value().rows_ == read.rows_);
+    CHECK(decoded.value().version_ == 7);
+    CHECK(decoded.value().storeMs_ == 99);
+    CHECK_FALSE(decodeTableRead("nonsense"));
+}
+
+TEST_CASE("a follower hears of a change at once, over its relay")
+{
+    Chain chain;
+    const bool behind = chain.follow(5).error().code_ == ErrorCode::NotFound;
+    CHECK(behind);
+    const TimePoint begin = monotonicNow();
+    const auto changes = chain.follow(7, [&] {
+        chain.server_.changed("servers", { { makeRow("u3", 8) }, 8, 1100 });
+    });
+    CHECK(changes.value().rows_ == std::vector<StoredRow> { makeRow("u3", 8) });
+    CHECK(monotonicNow() - begin < std::chrono::seconds(1));
+    CHECK(chain.directCalls_ == 0);
+}
+
+TEST_CASE("a follower asks the store when its relay no longer knows, also in the middle of a wait")
+{
+    Chain chain;
+    SUBCASE("before the call") { chain.fresh_ = false; }
+    const auto answer = chain.follow(7, [&] {
+        chain.fresh_ = false;
+        chain.server_.expire(monotonicNow());
+    });
+    CHECK(answer.value().rows_.front().key_ == "direct");
+    CHECK(chain.directCalls_ == 1);
+}
+
+TEST_CASE("a follower asks the store when its relay is gone or no longer heard")
+{
+    Chain chain;
+    SUBCASE("gone") { chain.listener_.stop(); }
+    SUBCASE("no longer heard") { }
+    const auto answer = chain.follow(7, [&] { chain.follower_.reset_(); });
+    CHECK(answer.value().rows_.front().key_ == "direct");
+    // It is not asked again for a while.
+    CHECK(chain.follow(7).value().rows_.front().key_ == "direct");
+    CHECK(chain.directCalls_ == 2);
+}
