Begin splits with the share that a small region can bear; confirm crashes by a probe

The assumed demand now is a floor for 3 s and higher (0.6), and a broken connection counts as a crash only if a probe is refused.

Ruled out: the rate of starts in the line, and slots (tunis and sousse had room).

--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -38,6 +38,7 @@
     double asked_ = 0; ///< Requests since the last update.
     double rate_ = 0; ///< Requests/s.
     double held_ = 0; ///< Mean seconds that a request holds a slot; 0 until known.
+    TimePoint busySince_ {}; ///< Last moment without requests anywhere.
     routing::RegionSplit split_; ///< Empty until the first update.
     uint64_t drawn_ = 0; ///< Requests without an object, which spread evenly over the line of shares.
 };
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -175,7 +175,8 @@
     void onResponse(const TicketPtr&, Response, double observed);
     void onNotRun(const TicketPtr&, const Response&);
     void onBroken(const TicketPtr&, const UpstreamAnswer&);
-    void reportCrash(const std::string& upstream, TimePoint now);
+    void suspectCrash(const std::string& upstream, TimePoint now);
+    void reportCrash(routing::CrashReport);
     bool mayRepeat(const Ticket&, TimePoint now);
     bool takeRepeat(const Ticket&);
     void repeatOr(const TicketPtr&, Reason);
@@ -557,7 +558,7 @@
     if (sent && known.target_)
         countAnswer(state_.rollouts_, ticket->service_, known.target_->version_, true, false);
     if (sent && !answer.answerBegun_ && !answer.reused_)
-        reportCrash(ticket->upstream_, now);
+        suspectCrash(ticket->upstream_, now);
     upstreams_.forget(ticket->upstream_);
     endAttempt(*ticket);
     ticket->mayHaveRun_ = ticket->mayHaveRun_ || sent;
@@ -565,8 +566,9 @@
     repeatOr(ticket, ticket->mayHaveRun_ ? Reason::UpstreamFailed : Reason::Overloaded);
 }
 
-/// An upstream that ends takes all its requests with it: one report names all that were in flight there.
-void Dispatcher::Core::reportCrash(const std::string& upstream, TimePoint now)
+/// An upstream that ends takes all its requests with it: one report names all that were in flight there. A
+/// connection that broke alone is no crash, so a probe has to be refused before it counts as one.
+void Dispatcher::Core::suspectCrash(const std::string& upstream, TimePoint now)
 {
     const auto last = lastCrash_.find(upstream);
     if (last != lastCrash_.end() && now < last->second + detail::sameCrash)
@@ -583,11 +585,22 @@
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - ticket->sentAt_);
         report.suspects_.push_back({ detail::fingerprintOf(*ticket), { wall.ms_ - age.count() } });
     }
-    const auto change = routing::addCrash(state_.quarantine_, wall, report);
-    if (!change.records_.empty())
-        logEvent(LogLevel::Warning, "request-quarantined",
-            { { "upstream", upstream }, { "suspects", std::to_string(report.suspects_.size()) } });
-    state_.ownCrashes_.push_back({ std::move(report), now + detail::crashTold });
+    const Located known = locate(state_.directory_, upstream);
+    if (!known.record_)
+        return;
+    upstreams_.probe(known.record_->entry_.address_, [this, report = std::move(report)](bool refused) {
+        if (refused)
+            reportCrash(report);
+    });
+}
+
+void Dispatcher::Core::reportCrash(routing::CrashReport report)
+{
+    const auto change = routing::addCrash(state_.quarantine_, wallNow(), report);
+    logEvent(LogLevel::Info, "upstream-crashed",
+        { { "upstream", report.upstream_ }, { "suspects", std::to_string(report.suspects_.size()) },
+            { "quarantined", std::to_string(change.records_.size()) } });
+    state_.ownCrashes_.push_back({ std::move(report), monotonicNow() + detail::crashTold });
 }
 
 routing::RetryOptions Dispatcher::Core::retryOptions() const
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -37,7 +37,8 @@
     constexpr double demandWindow = 1.5; ///< Seconds; time constant of the measured demand.
     constexpr double initialHeld = 0.3; ///< Seconds at an upstream before any was measured.
     /// Before any demand is known, regions are taken to ask for equal parts of this utilisation.
-    constexpr double initialUtilisation = 0.35;
+    constexpr double initialUtilisation = 0.6;
+    constexpr Duration assumedTime = std::chrono::seconds(3); ///< After the first requests.
 
     constexpr double leastDemand = 0.05; ///< Slots; below it there are no requests.
 
@@ -114,14 +115,17 @@
         return demand;
     }
 
-    /// Equal demand of all regions, where none was measured.
+    /// At least equal demand of all regions at the initial utilisation. What is measured rises only slowly at
+    /// first, and a region that keeps too much refuses requests, while one that keeps too little only adds a
+    /// round trip.
     void assumeDemand(std::map<std::string, RegionLoad>& regions)
     {
         double capacity = 0;
         for (const auto& [name, region] : regions)
             capacity += region.capacity_;
+        const double assumed = capacity * initialUtilisation / static_cast<double>(regions.size());
         for (auto& [name, region] : regions)
-            region.demand_ = capacity * initialUtilisation / static_cast<double>(regions.size());
+            region.demand_ = std::max(region.demand_, assumed);
     }
 
     /// The split of a peer in this region, for a host that has just started.
@@ -163,6 +167,8 @@
         // Nothing moves before there are requests, so the split may follow the entries as they come in.
         const bool calm = detail::totalDemand(regions) < detail::leastDemand;
         if (calm)
+            demand.busySince_ = now;
+        if (now < demand.busySince_ + detail::assumedTime)
             detail::assumeDemand(regions);
         std::vector<routing::RegionLoad> loads;
         for (const auto& [name, region] : regions)
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -360,6 +360,26 @@
     };
 }
 
+void UpstreamClient::probe(const Address& address, std::function<void(bool refused)> handler)
+{
+    error_code error;
+    const auto socket = std::make_shared<tcp::socket>(state_->loop_);
+    const auto timer = std::make_shared<asio::steady_timer>(state_->loop_, state_->options_.connectTimeout_);
+    const auto ip = asio::ip::make_address(address.ip_, error);
+    if (error)
+        return handler(false);
+    ++state_->opened_;
+    timer->async_wait([socket](error_code cancelled) {
+        error_code ignored; // The connection set-up then ends with an error.
+        if (!cancelled)
+            socket->close(ignored);
+    });
+    socket->async_connect({ ip, address.port_ }, [socket, timer, handler](error_code result) {
+        timer->cancel();
+        handler(result == asio::error::connection_refused);
+    });
+}
+
 void UpstreamClient::forget(const std::string& upstream) { state_->kept_.erase(upstream); }
 
 void UpstreamClient::closeExpired()
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -175,12 +175,42 @@
     put("u2", "a1");
     updateSplits(state, start + std::chrono::milliseconds(100));
     CHECK(state.demand_["s"].split_.front() == routing::RegionShare { "a", 1 });
+    // The first requests, which are few as measured, move nothing.
+    state.demand_["s"].asked_ = 3;
+    updateSplits(state, start + std::chrono::milliseconds(200));
+    CHECK(state.demand_["s"].split_.front() == routing::RegionShare { "a", 1 });
     // Requests for twice the room of the own region: the split moves by the step only.
     state.demand_["s"].held_ = 0.3;
-    for (int tick = 2; tick <= 12; ++tick) {
+    for (int tick = 3; tick <= 13; ++tick) {
         state.demand_["s"].asked_ = 6;
         updateSplits(state, start + std::chrono::milliseconds(100) * tick);
     }
     CHECK(state.demand_["s"].split_.front().share_ < 1);
     CHECK(state.demand_["s"].split_.front().share_ >= 1 - state.splitOptions_.stepPerSecond_ * 1.2);
 }
+
+TEST_CASE("a small region begins with the share that it can bear, before its demand is measured")
+{
+    // After all hosts had restarted, a region with a ninth of the upstreams kept all of its requests for
+    // seconds and refused most of them.
+    State state;
+    state.settings_.name_ = "h1";
+    state.settings_.region_ = "a";
+    state.fleet_.self_ = "h1";
+    state.directory_.regionOf_ = { { "a1", "a" }, { "b1", "b" }, { "c1", "c" } };
+    int next = 0;
+    for (const auto& [domain, count] : { std::pair("a1", 2), std::pair("b1", 8), std::pair("c1", 8) }) {
+        for (int i = 0; i < count; ++i)
+            putEntry(state.directory_, start,
+                { .id_ = "u" + std::to_string(++next),
+                    .service_ = "s",
+                    .failureDomain_ = domain,
+                    .version_ = "v1",
+                    .slots_ = 9 });
+    }
+    for (int tick = 0; tick < 20; ++tick) {
+        state.demand_["s"].asked_ = tick < 5 ? 0 : 10;
+        updateSplits(state, start + std::chrono::milliseconds(100) * tick);
+        CHECK(state.demand_["s"].split_.front().share_ < 0.5);
+    }
+}
--- a/test/gateway/live-test.cc
+++ b/test/gateway/live-test.cc
@@ -104,6 +104,45 @@
     CHECK(broken.requests_ > 0);
 }
 
+TEST_CASE("a request that ends its upstreams is kept from the others, one whose answers are lost is not")
+{
+    // Lost answers of a popular request on two upstreams counted as two crashes, and it was refused for a
+    // minute.
+    Bed bed;
+    std::vector<std::unique_ptr<Upstream>> upstreams;
+    for (int i = 1; i <= 6; ++i)
+        upstreams.push_back(std::make_unique<Upstream>(bed.store_, "u" + std::to_string(i)));
+    bool ends = false;
+    SUBCASE("lost answers") { ends = false; }
+    SUBCASE("crashes") { ends = true; }
+    std::atomic<int> ran = 0;
+    for (const auto& upstream : upstreams) {
+        upstream->handler_
+            = [&ran, ends, &upstream](const httplib::Request& request, httplib::Response& response) {
+                  if (request.body != "poison") {
+                      response.set_content("fine", "text/plain");
+                      return;
+                  }
+                  ++ran;
+                  if (ends)
+                      upstream->server_.stop();
+                  standin::Server::currentConnection().dropped_ = true;
+              };
+    }
+    bed.start();
+    REQUIRE(eventually([&] { return bed.isReady(); }));
+    const auto client = bed.client();
+    for (int i = 0; i < 12; ++i) {
+        client->Post("/write/x", bed.headers("id-" + std::to_string(i)), "poison", "text/plain");
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+    if (ends)
+        CHECK(ran <= 3);
+    else
+        CHECK(ran >= 10);
+    CHECK(client->Post("/write/x", bed.headers("id-last"), "other", "text/plain")->status == 200);
+}
+
 TEST_CASE("a refusal that says not run is repeated, and passed on as not run with a time to come back")
 {
     Bed bed;
