Share the room at an upstream among hosts, and count requests bound to a region

All ten hosts filled the same room within the tenth of a second in which they do not hear of each other, and a workspace whose only home is sfax fills them from all regions, which the split did not know. Hosts now send their part of the room until the next report, up to 2.2 requests a slot, and requests with one home leave less of its room to others.

Ruled out: reports that get lost (each host's counts agreed after 100 ms).

--- a/include/turmericwing/gateway/report.h
+++ b/include/turmericwing/gateway/report.h
@@ -33,8 +33,10 @@
 /// Demand for a service at the sender, and where its region's requests go.
 struct ServiceReport {
     uint32_t service_ = 0; ///< shortHash of its name.
-    double slots_ = 0; ///< Slots that the sender's callers need: requests/s x seconds at an upstream.
+    double slots_ = 0; ///< Slots that the sender's callers need in any region: requests/s x seconds.
     std::vector<std::pair<uint32_t, double>> split_; ///< Share by shortHash of the region.
+    std::vector<std::pair<uint32_t, double>>
+        bound_; ///< Slots by shortHash of the only region that may run them.
     friend bool operator==(const ServiceReport&, const ServiceReport&) = default;
 };
 
--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -33,10 +33,16 @@
     TimePoint toldUntil_ {};
 };
 
+/// Requests/s, measured between updates.
+struct DemandRate {
+    double asked_ = 0; ///< Requests since the last update.
+    double rate_ = 0;
+};
+
 /// Demand for one service at this host, and where its requests go.
 struct ServiceDemand {
-    double asked_ = 0; ///< Requests since the last update.
-    double rate_ = 0; ///< Requests/s.
+    DemandRate free_; ///< Of requests that more than one region may run.
+    std::map<std::string, DemandRate> bound_; ///< Of those with one home region, by that region.
     double held_ = 0; ///< Mean seconds that a request holds a slot; 0 until known.
     TimePoint busySince_ {}; ///< Last moment without requests anywhere.
     routing::RegionSplit split_; ///< Empty until the first update.
@@ -100,7 +106,7 @@
 /// room of the regions ask for.
 void updateSplits(State&, TimePoint now);
 
-/// Counts what peers have in flight at each upstream.
-void applyPeerLoads(State&, TimePoint now);
+/// Counts what peers have in flight at each upstream, and renews this host's allowances.
+void applyPeerLoads(State&, TimePoint now, const routing::PickOptions&);
 
 } // namespace turmericwing::gateway
--- a/include/turmericwing/routing/pick.h
+++ b/include/turmericwing/routing/pick.h
@@ -32,6 +32,10 @@
     double strangerLoad_ = 0.6;
     /// Requests per slot that may be in flight before an upstream counts as full.
     double occupancy_ = 1.34;
+    /// Requests per slot up to which hosts share the room. Upstreams queue three times their slots, and a
+    /// host that is too careful leaves slots free.
+    double sharedOccupancy_ = 2.2;
+    double sharersKept_ = 0.93; ///< Part of the sharers that is kept from one report to the next.
     bool affinity_ = true; ///< False ignores the object. Only for tests, as a baseline.
 };
 
@@ -46,6 +50,10 @@
     bool usable_ = true; ///< False once it leaves, or its entry is gone.
     uint32_t inFlight_ = 0; ///< Of this host.
     uint32_t peerInFlight_ = 0; ///< Of the other hosts, as last heard.
+    double sharers_ = 1; ///< Hosts that have sent to it lately, this one included.
+    /// Requests that this host may send until it hears of its peers again. Without it all hosts would fill
+    /// the same room at once, because reports are a tenth of a second old.
+    uint32_t allowance_ = UINT32_MAX;
     TimePoint coldUntil_ {}; ///< Admission while cold is up to the caller.
     TimePoint pausedUntil_ {};
     uint32_t failuresInRow_ = 0;
@@ -112,6 +120,14 @@
 /// Largest load at which another request is sent.
 uint32_t capacity(const Target&, const PickOptions&);
 
+/// New reports of the peers were taken, of which `peers` have requests there: this host's part of the room,
+/// the rest by chance. Peers that had requests lately count for a while.
+void renewAllowance(Target&, const PickOptions&, uint32_t peers, Random&);
+
+/// A request was sent, or has ended. A place that this host frees is its own to fill.
+void recordSent(Target&);
+void recordEnded(Target&);
+
 namespace detail {
 
     /// The up to three upstreams of one region with the highest weights for an object.
@@ -165,7 +181,7 @@
         const bool stranger = sticky && anyKnows && factor >= 1;
         if (stranger && (!request.strangers_ || load(target) >= options.strangerLoad_ * target.slots_))
             continue;
-        if (now < target.pausedUntil_ || load(target) >= capacity(target, options)
+        if (now < target.pausedUntil_ || target.allowance_ == 0 || load(target) >= capacity(target, options)
             || permit(target) != Permission::Now)
             continue;
         const double expected
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -335,7 +335,12 @@
 void Dispatcher::Core::drawRegion(Ticket& ticket)
 {
     ServiceDemand& demand = state_.demand_[ticket.service_];
-    demand.asked_ += 1;
+    if (ticket.homes_.size() == 1) {
+        demand.bound_[ticket.homes_.front()].asked_ += 1;
+        ticket.region_ = ticket.homes_.front();
+        return;
+    }
+    demand.free_.asked_ += 1;
     // Multiples of the golden ratio fill the line evenly at any time.
     constexpr double goldenRatio = 0.6180339887498949;
     const double evenly = std::fmod(static_cast<double>(++demand.drawn_) * goldenRatio, 1.0);
@@ -442,7 +447,7 @@
     routing::recordStart(services_[ticket->service_].line_, now);
     if (ticket->object_)
         routing::rememberUse(services_[ticket->service_].memory_, now, *ticket->object_, target.hash_);
-    ++target.inFlight_;
+    routing::recordSent(target);
     ticket->upstream_ = target.id_;
     ticket->tried_.push_back(target.id_);
     ticket->expected_ = pick.expected_;
@@ -466,8 +471,8 @@
 void Dispatcher::Core::endAttempt(Ticket& ticket)
 {
     const Located upstream = locate(state_.directory_, ticket.upstream_);
-    if (upstream.target_ && upstream.target_->inFlight_ > 0)
-        --upstream.target_->inFlight_;
+    if (upstream.target_)
+        routing::recordEnded(*upstream.target_);
     ticket.upstream_.clear();
     ticket.cancel_ = nullptr;
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -496,7 +496,7 @@
     const TimePoint now = monotonicNow();
     for (const std::string& id : expireEntries(state_.directory_, now))
         upstreams_.forget(id);
-    applyPeerLoads(state_, now);
+    applyPeerLoads(state_, now, routing::PickOptions());
     updateRelay(now);
     updateSplits(state_, now);
     if (state_.catalog_)
@@ -526,7 +526,7 @@
         logged = shares;
         logEvent(LogLevel::Info, "split",
             { { "service", service }, { "percent", shares },
-                { "asked_per_s", std::to_string(static_cast<int>(demand.rate_)) },
+                { "asked_per_s", std::to_string(static_cast<int>(demand.free_.rate_)) },
                 { "held_ms", std::to_string(static_cast<int>(demand.held_ * 1000)) } });
     }
 }
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -20,20 +20,33 @@
             counts.oldSlow_ });
     }
 
+    using RegionNumbers = std::vector<std::pair<uint32_t, double>>;
+
+    json encode(const RegionNumbers& numbers)
+    {
+        json list = json::array();
+        for (const auto& [region, number] : numbers)
+            list.push_back(json::array({ region, static_cast<float>(number) }));
+        return list;
+    }
+
+    RegionNumbers decodeNumbers(const json& value)
+    {
+        RegionNumbers numbers;
+        for (const json& entry : value)
+            numbers.emplace_back(entry.at(0).get<uint32_t>(), entry.at(1).get<double>());
+        return numbers;
+    }
+
     json encode(const ServiceReport& report)
     {
-        json split = json::array();
-        for (const auto& [region, share] : report.split_)
-            split.push_back(json::array({ region, static_cast<float>(share) }));
-        return json::array({ report.service_, static_cast<float>(report.slots_), split });
+        return json::array({ report.service_, static_cast<float>(report.slots_), encode(report.split_),
+            encode(report.bound_) });
     }
 
     ServiceReport decodeService(const json& value)
     {
-        ServiceReport report { value.at(0), value.at(1), {} };
-        for (const json& entry : value.at(2))
-            report.split_.emplace_back(entry.at(0).get<uint32_t>(), entry.at(1).get<double>());
-        return report;
+        return { value.at(0), value.at(1), decodeNumbers(value.at(2)), decodeNumbers(value.at(3)) };
     }
 
     json encode(const RampReport& report)
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -40,9 +40,11 @@
     constexpr double initialUtilisation = 0.6;
     constexpr Duration assumedTime = std::chrono::seconds(3); ///< After the first requests.
 
+    /// Of a region's room that counts as free however much is bound to it, so that its share moves in steps.
+    constexpr double leastFreePart = 0.1;
     constexpr double leastDemand = 0.05; ///< Slots; below it there are no requests.
 
-    void measureDemand(ServiceDemand& demand, double elapsed)
+    void measure(DemandRate& demand, double elapsed)
     {
         if (elapsed <= 0)
             return;
@@ -51,9 +53,9 @@
         demand.asked_ = 0;
     }
 
-    double slotsAsked(const ServiceDemand& demand)
+    double slots(const ServiceDemand& demand, const DemandRate& rate)
     {
-        return demand.rate_ * (demand.held_ > 0 ? demand.held_ : initialHeld);
+        return rate.rate_ * (demand.held_ > 0 ? demand.held_ : initialHeld);
     }
 
     const ServiceReport* findService(const HostReport& report, uint32_t service)
@@ -91,20 +93,41 @@
         return regions;
     }
 
-    void addDemand(const State& state, const std::string& service, TimePoint now,
-        std::map<std::string, RegionLoad>& regions)
+    using Regions = std::map<std::string, RegionLoad>;
+
+    void addFree(Regions& regions, const std::string& name, double slots)
+    {
+        regions[name].region_ = name;
+        regions[name].demand_ += slots;
+    }
+
+    /// Requests that only one region may run leave less room there for those that may go anywhere.
+    void takeRoom(Regions& regions, uint32_t regionHash, double slots)
+    {
+        for (auto& [name, region] : regions) {
+            if (shortHash(name) == regionHash)
+                region.capacity_ = std::max(region.capacity_ * leastFreePart, region.capacity_ - slots);
+        }
+    }
+
+    void addDemand(const State& state, const std::string& service, TimePoint now, Regions& regions)
     {
-        const auto add = [&](const std::string& name, double slots) {
-            RegionLoad& region = regions[name];
-            region.region_ = name;
-            region.demand_ += slots;
-        };
-        if (const auto own = state.demand_.find(service); own != state.demand_.end())
-            add(state.settings_.region_, slotsAsked(own->second));
+        std::map<uint32_t, double> bound;
+        if (const auto own = state.demand_.find(service); own != state.demand_.end()) {
+            addFree(regions, state.settings_.region_, slots(own->second, own->second.free_));
+            for (const auto& [home, rate] : own->second.bound_)
+                bound[shortHash(home)] += slots(own->second, rate);
+        }
         for (const HostReport* report : heardReports(state.fleet_, now)) {
-            if (const ServiceReport* entry = findService(*report, shortHash(service)))
-                add(report->region_, entry->slots_);
+            const ServiceReport* entry = findService(*report, shortHash(service));
+            if (!entry)
+                continue;
+            addFree(regions, report->region_, entry->slots_);
+            for (const auto& [home, number] : entry->bound_)
+                bound[home] += number;
         }
+        for (const auto& [home, number] : bound)
+            takeRoom(regions, home, number);
     }
 
     double totalDemand(const std::map<std::string, RegionLoad>& regions)
@@ -156,7 +179,9 @@
     state.demandAt_ = now;
     for (const auto& [service, pool] : state.directory_.services_) {
         ServiceDemand& demand = state.demand_[service];
-        detail::measureDemand(demand, elapsed);
+        detail::measure(demand.free_, elapsed);
+        for (auto& [home, rate] : demand.bound_)
+            detail::measure(rate, elapsed);
         auto regions = detail::regionRoom(state, service, pool, now);
         std::vector<std::string> lost;
         for (const auto& [name, region] : regions) {
@@ -254,7 +279,9 @@
         }
     }
     for (const auto& [name, demand] : state.demand_) {
-        ServiceReport service { shortHash(name), detail::slotsAsked(demand), {} };
+        ServiceReport service { shortHash(name), detail::slots(demand, demand.free_), {}, {} };
+        for (const auto& [home, rate] : demand.bound_)
+            service.bound_.emplace_back(shortHash(home), detail::slots(demand, rate));
         for (const routing::RegionShare& entry : demand.split_)
             service.split_.emplace_back(shortHash(entry.region_), entry.share_);
         report.services_.push_back(std::move(service));
@@ -266,19 +293,27 @@
     return report;
 }
 
-void applyPeerLoads(State& state, TimePoint now)
+void applyPeerLoads(State& state, TimePoint now, const routing::PickOptions& options)
 {
-    std::unordered_map<uint32_t, uint32_t> loads;
+    struct PeerLoad {
+        uint32_t inFlight_ = 0;
+        uint32_t hosts_ = 0;
+    };
+    std::unordered_map<uint32_t, PeerLoad> loads;
     for (const auto& [name, peer] : state.fleet_.peers_) {
         if (!isHeard(peer, now))
             continue;
-        for (const InFlight& entry : peer.report_.inFlight_)
-            loads[entry.upstream_] += entry.count_;
+        for (const InFlight& entry : peer.report_.inFlight_) {
+            PeerLoad& load = loads[entry.upstream_];
+            load.inFlight_ += entry.count_;
+            ++load.hosts_;
+        }
     }
     for (auto& [name, pool] : state.directory_.services_) {
         for (routing::Target& target : pool.targets_) {
-            const auto load = loads.find(shortHash(target.id_));
-            target.peerInFlight_ = load == loads.end() ? 0 : load->second;
+            const PeerLoad load = loads[shortHash(target.id_)];
+            target.peerInFlight_ = load.inFlight_;
+            routing::renewAllowance(target, options, load.hosts_, state.random_);
         }
     }
 }
--- a/src/routing/pick.cc
+++ b/src/routing/pick.cc
@@ -83,6 +83,30 @@
     return std::max(bound, std::max<uint32_t>(target.slots_, 1));
 }
 
+void renewAllowance(Target& target, const PickOptions& options, uint32_t peers, Random& random)
+{
+    target.sharers_ = std::max(1.0 + peers, target.sharers_ * options.sharersKept_);
+    const double room = std::max(0.0, target.slots_ * options.sharedOccupancy_ - load(target));
+    const double part = room / target.sharers_;
+    const double whole = std::floor(part);
+    target.allowance_ = static_cast<uint32_t>(whole) + (uniform(random) < part - whole ? 1 : 0);
+}
+
+void recordSent(Target& target)
+{
+    ++target.inFlight_;
+    if (target.allowance_ > 0 && target.allowance_ != UINT32_MAX)
+        --target.allowance_;
+}
+
+void recordEnded(Target& target)
+{
+    if (target.inFlight_ > 0)
+        --target.inFlight_;
+    if (target.allowance_ != UINT32_MAX)
+        ++target.allowance_;
+}
+
 void recordAnswer(
     Target& target, const PickOptions& options, TimePoint now, double observed, double expected, bool failed)
 {
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -176,13 +176,13 @@
     updateSplits(state, start + std::chrono::milliseconds(100));
     CHECK(state.demand_["s"].split_.front() == routing::RegionShare { "a", 1 });
     // The first requests, which are few as measured, move nothing.
-    state.demand_["s"].asked_ = 3;
+    state.demand_["s"].free_.asked_ = 3;
     updateSplits(state, start + std::chrono::milliseconds(200));
     CHECK(state.demand_["s"].split_.front() == routing::RegionShare { "a", 1 });
     // Requests for twice the room of the own region: the split moves by the step only.
     state.demand_["s"].held_ = 0.3;
     for (int tick = 3; tick <= 13; ++tick) {
-        state.demand_["s"].asked_ = 6;
+        state.demand_["s"].free_.asked_ = 6;
         updateSplits(state, start + std::chrono::milliseconds(100) * tick);
     }
     CHECK(state.demand_["s"].split_.front().share_ < 1);
@@ -209,8 +209,34 @@
                     .slots_ = 9 });
     }
     for (int tick = 0; tick < 20; ++tick) {
-        state.demand_["s"].asked_ = tick < 5 ? 0 : 10;
+        state.demand_["s"].free_.asked_ = tick < 5 ? 0 : 10;
         updateSplits(state, start + std::chrono::milliseconds(100) * tick);
         CHECK(state.demand_["s"].split_.front().share_ < 0.5);
     }
 }
+
+TEST_CASE("requests that only one region may run leave less of it to the others")
+{
+    // One workspace was bound to the region with the fewest upstreams; callers of that region went on to fill
+    // them.
+    State state;
+    state.settings_.name_ = "h1";
+    state.settings_.region_ = "a";
+    state.fleet_.self_ = "h1";
+    state.directory_.regionOf_ = { { "a1", "a" }, { "b1", "b" } };
+    for (const auto& [id, domain] : { std::pair("u1", "a1"), std::pair("u2", "b1"), std::pair("u3", "b1") })
+        putEntry(state.directory_, start,
+            { .id_ = id, .service_ = "s", .failureDomain_ = domain, .version_ = "v1", .slots_ = 10 });
+    const auto shareAfter = [&](double boundPerSecond) {
+        state.demand_.clear();
+        state.demand_["s"].held_ = 0.2;
+        for (int tick = 0; tick < 400; ++tick) {
+            state.demand_["s"].free_.asked_ = 3;
+            state.demand_["s"].bound_["a"].asked_ = boundPerSecond / 10;
+            updateSplits(state, start + std::chrono::milliseconds(100) * tick);
+        }
+        return state.demand_["s"].split_.front().share_;
+    };
+    CHECK(shareAfter(0) > 0.95);
+    CHECK(shareAfter(40) < 0.5);
+}
--- a/test/gateway/report-test.cc
+++ b/test/gateway/report-test.cc
@@ -25,7 +25,8 @@
         .storeHeldMs_ = 1500,
         .inFlight_ = { { shortHash("u1"), 3 } },
         .demands_ = { { shortHash("w"), 12.5, 99 } },
-        .services_ = { { shortHash("s"), 12.5, { { shortHash("a"), 0.75 }, { shortHash("b"), 0.25 } } } },
+        .services_ = { { shortHash("s"), 12.5, { { shortHash("a"), 0.75 }, { shortHash("b"), 0.25 } },
+            { { shortHash("a"), 1.5 } } } },
         .ramps_ = { { { "s", "v2", 5, 9, rollout::RampState::Reverted }, 44, true, { 1, 2, 3, 4, 5, 6 } } },
         .crashes_ = { { { "h1", 3, 1 }, "u1", { 1000 }, { { { 1, 2 }, { 990 } } } } } };
 }
--- a/test/routing/pick-test.cc
+++ b/test/routing/pick-test.cc
@@ -174,6 +174,61 @@
     CHECK(pickTarget(targets, {}, again, start, anyTarget, noDistance).failure_ == PickFailure::NoneUsable);
 }
 
+namespace {
+
+/// Most requests at once at one upstream of 9 slots, when `hosts` hosts with a queue each see each other's
+/// loads 100 ms late.
+uint32_t worstLoad(size_t hosts, bool withAllowance)
+{
+    const PickOptions options;
+    Random random(3);
+    std::vector<Target> views(hosts, makeTarget("u", "a", 9));
+    std::vector<std::vector<int>> ends(hosts); // Ticks of 10 ms at which requests end.
+    uint32_t worst = 0;
+    for (int tick = 0; tick < 3000; ++tick) {
+        if (tick % 10 == 0) {
+            std::vector<uint32_t> loads;
+            for (const Target& view : views)
+                loads.push_back(view.inFlight_);
+            for (size_t i = 0; i < hosts; ++i) {
+                views[i].peerInFlight_ = 0;
+                uint32_t peers = 0;
+                for (size_t j = 0; j < hosts; ++j) {
+                    views[i].peerInFlight_ += j == i ? 0 : loads[j];
+                    peers += j != i && loads[j] > 0 ? 1 : 0;
+                }
+                if (withAllowance)
+                    renewAllowance(views[i], options, peers, random);
+            }
+        }
+        uint32_t total = 0;
+        for (size_t i = 0; i < hosts; ++i) {
+            for (size_t done = std::erase(ends[i], tick); done > 0; --done)
+                recordEnded(views[i]);
+            while (
+                pickTarget({ views[i] }, options, { .region_ = "a" }, start, anyTarget, noDistance).pick_) {
+                recordSent(views[i]);
+                ends[i].push_back(tick + 15 + static_cast<int>(random() % 20));
+            }
+            total += views[i].inFlight_;
+        }
+        if (tick > 200)
+            worst = std::max(worst, total);
+    }
+    return worst;
+}
+
+} // namespace
+
+TEST_CASE("hosts that see each other late do not fill the same room together")
+{
+    // // The pattern: ten hosts with requests waiting for one upstream. 20 to 37 requests stood at upstreams
+    // of 9 slots, which queue 27 more and then refuse.
+    CHECK(worstLoad(10, true) <= 27);
+    CHECK(worstLoad(10, false) > 36);
+    CHECK(worstLoad(1, true) == 12);
+}
+
 TEST_CASE("a slow upstream is avoided and tried again later")
 {
     auto targets = makeTargets(2, "a");
