--- a/include/turmericwing/gateway/relay.h
+++ b/include/turmericwing/gateway/relay.h
@@ -98,6 +98,6 @@
 /// A store whose reads go where `choice` says, and to `direct` when a relay fails. Its reset_ breaks off
 /// calls to a relay, which then go to `direct`.
 TableStore makeRelayedStore(
-    boost::asio::io_context&, TableStore direct, RelayOptions, std::function<RelayChoice()> choice);
+    boost::asio::io_context&, const TableStore& direct, RelayOptions, std::function<RelayChoice()> choice);
 
 } // namespace turmericwing::gateway
--- a/include/turmericwing/gateway/upstreams.h
+++ b/include/turmericwing/gateway/upstreams.h
@@ -71,7 +71,7 @@
 
     /// Whether a new connection to the address is refused, which an upstream that has ended does. Not
     /// answering is not refusing: the way to the upstream may be cut.
-    void probe(const Address&, std::function<void(bool refused)>);
+    void probe(const Address&, const std::function<void(bool refused)>&);
 
     /// Closes the kept connections of an upstream that is gone.
     void forget(const std::string& upstream);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -106,7 +106,7 @@
 
     Result<void> start();
     Result<void> listen(const Address&, RequestHandler);
-    void follow(const std::string& table, std::function<void(const TableRead&, bool whole)>);
+    void follow(const std::string& table, const std::function<void(const TableRead&, bool whole)>&);
     void takeStoreTime(const TableRead&);
     void updateRelay(TimePoint now);
     bool isRelayFresh() const;
@@ -148,8 +148,8 @@
 
 Result<void> Gateway::Core::listen(const Address& address, RequestHandler handler)
 {
-    services_.push_back(
-        std::make_unique<Listener>(loop_, ListenerOptions { .address_ = address, .handler_ = handler }));
+    services_.push_back(std::make_unique<Listener>(
+        loop_, ListenerOptions { .address_ = address, .handler_ = std::move(handler) }));
     return services_.back()->start();
 }
 
@@ -194,7 +194,7 @@
 }
 
 void Gateway::Core::follow(
-    const std::string& table, std::function<void(const TableRead&, bool whole)> handler)
+    const std::string& table, const std::function<void(const TableRead&, bool whole)>& handler)
 {
     WatchHandlers handlers { .replaced_ =
                                  [this, table, handler](const TableRead& read) {
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -266,7 +266,7 @@
     waiting_ = std::move(rest);
 }
 
-TableStore makeRelayedStore(boost::asio::io_context& loop, TableStore direct, RelayOptions options,
+TableStore makeRelayedStore(boost::asio::io_context& loop, const TableStore& direct, RelayOptions options,
     std::function<RelayChoice()> choice)
 {
     const auto client = std::make_shared<detail::RelayClient>(
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -196,6 +196,7 @@
         if (now < demand.busySince_ + detail::assumedTime)
             detail::assumeDemand(regions);
         std::vector<routing::RegionLoad> loads;
+        loads.reserve(regions.size());
         for (const auto& [name, region] : regions)
             loads.push_back(region);
         const auto target = routing::targetSplit(state.splitOptions_, state.settings_.region_, loads);
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -360,7 +360,7 @@
     };
 }
 
-void UpstreamClient::probe(const Address& address, std::function<void(bool refused)> handler)
+void UpstreamClient::probe(const Address& address, const std::function<void(bool refused)>& handler)
 {
     error_code error;
     const auto socket = std::make_shared<tcp::socket>(state_->loop_);
--- a/src/host/log.cc
+++ b/src/host/log.cc
@@ -16,7 +16,7 @@
 
     LogLevel minimumLevel = LogLevel::Info;
 
-    constexpr size_t largestBacklog = 256 * 1024; ///< Bytes of lines that wait for standard output.
+    constexpr size_t largestBacklog = 262'144; ///< Bytes of lines that wait for standard output.
 
     constexpr size_t largestWrite = 4096; ///< Bytes; PIPE_BUF of Linux.
 
--- a/src/routing/pick.cc
+++ b/src/routing/pick.cc
@@ -90,6 +90,10 @@
     const double part = room / target.sharers_;
     const double whole = std::floor(part);
     target.allowance_ = static_cast<uint32_t>(whole) + (uniform(random) < part - whole ? 1 : 0);
+    // In a large fleet a host rarely has two requests for one upstream, and parts of the room are far below
+    // one.
+    if (load(target) < capacity(target, options))
+        target.allowance_ = std::max<uint32_t>(target.allowance_, 1);
 }
 
 void recordSent(Target& target)
