--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -1,6 +1,8 @@
 // Connections of callers, on Boost.Asio with the parser of Boost.Beast.
 #include "turmericwing/gateway/listener.h"
 
+#include "parsedheaders.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -32,17 +34,6 @@
 
     using Parser = http::request_parser<http::string_body>;
 
-    Headers headersOf(const http::fields& fields)
-    {
-        Headers headers;
-        for (const auto& field : fields) {
-            const auto name = field.name_string();
-            const auto value = field.value();
-            headers.push_back({ { name.data(), name.size() }, { value.data(), value.size() } });
-        }
-        return headers;
-    }
-
     class Connection;
 
 } // namespace detail
@@ -261,7 +252,7 @@
         const auto method = message.method_string();
         const auto target = message.target();
         Request request { { method.data(), method.size() }, { target.data(), target.size() },
-            headersOf(message), std::move(message.body()), receivedAt_ };
+            copyHeaders(message), std::move(message.body()), receivedAt_ };
         headRequest_ = request.method_ == "HEAD";
         owner_->options_.handler_(std::move(request), shared_from_this());
     }
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -1,6 +1,7 @@
 // Connections to upstreams, on Boost.Asio with the parser of Boost.Beast.
 #include "turmericwing/gateway/upstreams.h"
 
+#include "parsedheaders.h"
 #include "tcpoptions.h"
 
 #include <boost/asio/io_context.hpp>
@@ -37,17 +38,6 @@
 
     using AnswerParser = http::response_parser<http::string_body>;
 
-    Headers headersOfAnswer(const http::fields& fields)
-    {
-        Headers headers;
-        for (const auto& field : fields) {
-            const auto name = field.name_string();
-            const auto value = field.value();
-            headers.push_back({ { name.data(), name.size() }, { value.data(), value.size() } });
-        }
-        return headers;
-    }
-
     /// Seconds of "timeout=N" in a Keep-Alive field; nothing if it names none.
     std::optional<int> keepAliveSeconds(std::string_view field)
     {
@@ -253,7 +243,7 @@
         }
         auto message = parser_->release();
         Response response { message.result_int(), { message.reason().data(), message.reason().size() },
-            headersOfAnswer(message), {} };
+            copyHeaders(message), {} };
         const bool stray = !call_.echoValue_.empty()
             && headerValue(response.headers_, call_.echoName_) != call_.echoValue_;
         if (stray) {
