Ask for an answer at once while the store is lost

A follow call sent at 10.5 s was lost with it and timed out 4 s later, so two hosts acted on the configuration of before until 15.0 s; the rule binds from 14.7 s on. After a failure calls now have no wait, so that a lost one is repeated after a second.

Ruled out: the peers (eight hosts were back by 13.3 s) and the order of versions.

--- a/src/gateway/watch.cc
+++ b/src/gateway/watch.cc
@@ -52,7 +52,9 @@
             self->onAnswer(answer);
     };
     if (known_)
-        store_.follow_(options_.table_, version_, options_.wait_, handler);
+        // A call that is lost with the store would otherwise hold the host back for its whole wait after the
+        // return.
+        store_.follow_(options_.table_, version_, lost_ ? Duration::zero() : options_.wait_, handler);
     else
         store_.read_(options_.table_, handler);
 }
--- /dev/null
+++ b/test/gateway/watch-test.cc
@@ -0,0 +1,53 @@
+// Guards against a host that stays behind after the store is back.
+#include "turmericwing/gateway/watch.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::gateway;
+
+TEST_CASE("while the store is lost, calls ask for an answer at once")
+{
+    // A call that was sent just before the store came back waited for 4 s, and the host acted on an old
+    // configuration for longer than allowed.
+    boost::asio::io_context loop { 1 };
+    std::vector<Duration> waits;
+    const auto answer = [&](TableStore::Handler<TableRead> handler, Result<TableRead> result) {
+        boost::asio::post(
+            loop, [handler = std::move(handler), result = std::move(result)] { handler(result); });
+    };
+    const TableStore store { .read_ =
+                                 [&](const std::string&, TableStore::Handler<TableRead> handler) {
+                                     answer(std::move(handler), TableRead { {}, 1, 1 });
+                                 },
+        .follow_ =
+            [&](const std::string&, uint64_t, Duration wait, TableStore::Handler<TableRead> handler) {
+                waits.push_back(wait);
+                const bool lost = waits.size() == 2 || waits.size() == 3;
+                if (waits.size() >= 5)
+                    return loop.stop();
+                if (lost)
+                    return answer(std::move(handler), makeError(ErrorCode::Unknown, "no answer in time"));
+                answer(std::move(handler), TableRead { {}, 1, 1 });
+            },
+        .transact_ = {},
+        .reset_ = {} };
+    int lost = 0;
+    int regained = 0;
+    const WatchOptions options { .table_ = "t", .firstPause_ = std::chrono::milliseconds(1) };
+    TableWatch watch(loop, store, options,
+        { .replaced_ = [](const TableRead&) {},
+            .changed_ = [](const TableRead&) {},
+            .lost_ = [&](const Error&) { ++lost; },
+            .regained_ = [&] { ++regained; } });
+    watch.start();
+    loop.run_for(std::chrono::seconds(10));
+    const std::vector<Duration> expected { options.wait_, options.wait_, Duration::zero(), Duration::zero(),
+        options.wait_ };
+    CHECK((waits == expected));
+    CHECK(lost == 1);
+    CHECK(regained == 1);
+}
