Share the checks, the parse loop and the options that stood twice in the gateway

Ruled out: sharing the two loadSettings (only the identity of the host is alike), and removing Protocol::load_ and maxConnections_, which tests check and the choice should use.

--- a/include/turmericwing/gateway/directory.h
+++ b/include/turmericwing/gateway/directory.h
@@ -31,7 +31,6 @@
     UpstreamEntry entry_;
     std::optional<TimePoint> goneAt_; ///< The entry is missing; the upstream is used until then.
     std::optional<limits::Bucket> coldBucket_; ///< While cold, if this host is an owner.
-    bool coldOwner_ = false;
 };
 
 /// All upstreams of a service. targets_ and records_ have the same order.
--- a/include/turmericwing/gateway/http.h
+++ b/include/turmericwing/gateway/http.h
@@ -3,6 +3,8 @@
 
 #include "turmericwing/base/time.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +40,9 @@
 /// Value of the first field with that name; empty if there is none.
 std::string_view headerValue(const Headers&, std::string_view name);
 
+/// A whole decimal number and nothing else.
+std::optional<uint64_t> parseCount(std::string_view);
+
 /// Fields that concern more than one connection: without hop-by-hop fields, those that Connection lists, and
 /// the length, which is set anew.
 Headers endToEndHeaders(const Headers&);
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -60,7 +60,6 @@
     {
         upstream.target_->coldUntil_ = now + coldLeft;
         upstream.record_->coldBucket_.reset();
-        upstream.record_->coldOwner_ = false;
     }
 
 } // namespace detail
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -104,8 +104,8 @@
     void wait(const TicketPtr&);
     void send(const TicketPtr&, ServicePool&, const routing::Pick&);
     std::string attemptHead(const Ticket&, const routing::Target&, TimePoint now) const;
-    routing::Permission permission(
-        const Ticket&, const routing::Target&, const UpstreamRecord&, TimePoint now) const;
+    routing::Permission permission(const Ticket&, const ServiceSpec*, const routing::Target&,
+        const UpstreamRecord&, TimePoint now) const;
     void drawRegion(Ticket&);
     void coolDown(ServicePool&, size_t index, TimePoint now);
     void onAnswer(const TicketPtr&, UpstreamAnswer);
@@ -114,8 +114,8 @@
     void onBroken(const TicketPtr&, const UpstreamAnswer&);
     void suspectCrash(const std::string& upstream, TimePoint now);
     void reportCrash(routing::CrashReport);
-    bool mayRepeat(const Ticket&, TimePoint now);
     bool takeRepeat(const Ticket&);
+    static Reason reasonWithoutRoom(const Ticket&);
     void repeatOr(const TicketPtr&, Reason);
     void giveUp(const TicketPtr&);
     void callerGone(const TicketPtr&);
@@ -126,7 +126,7 @@
     void serveWaiting(const std::string& service);
     void serveWaitingSoon(const std::string& service);
     Duration retryAfter(const Ticket&, Reason);
-    routing::RetryOptions retryOptions() const;
+    routing::RetryOptions retryOptions(uint32_t attempts) const;
     double work(const std::string& service, const Route&);
 };
 
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 
 namespace turmericwing::gateway {
@@ -15,14 +14,6 @@
 
     constexpr size_t mostUnplaced = 12; ///< Waiting requests that a pass tries in vain.
 
-    std::optional<uint64_t> parseCount(std::string_view text)
-    {
-        uint64_t value = 0;
-        const auto [rest, status] = std::from_chars(text.data(), text.data() + text.size(), value);
-        const bool whole = status == std::errc() && rest == text.data() + text.size() && !text.empty();
-        return whole ? std::optional(value) : std::nullopt;
-    }
-
     std::string milliseconds(Duration time)
     {
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
@@ -119,7 +110,7 @@
         return Reason::NotReady;
     const std::string_view deadline = headerValue(headers, state_.protocol_.headers_.deadline_);
     Duration time = ticket.route_->timeout_;
-    if (const auto ms = detail::parseCount(deadline))
+    if (const auto ms = parseCount(deadline))
         time = std::min<Duration>(time, std::chrono::milliseconds(std::min<uint64_t>(*ms, 86'400'000)));
     else if (!deadline.empty())
         return Reason::BadRequest;
@@ -157,7 +148,7 @@
         if (const auto left = weak.lock())
             callerGone(left);
     });
-    routing::earnRetry(state_.retries_[ticket->service_], retryOptions());
+    routing::earnRetry(state_.retries_[ticket->service_], retryOptions(ticket->route_->attempts_));
     ticket->homes_ = detail::homeRegions(*ticket);
     drawRegion(*ticket);
     place(ticket);
@@ -171,13 +162,12 @@
     return known;
 }
 
-routing::Permission Dispatcher::Core::permission(
-    const Ticket& ticket, const routing::Target& target, const UpstreamRecord& record, TimePoint now) const
+routing::Permission Dispatcher::Core::permission(const Ticket& ticket, const ServiceSpec* service,
+    const routing::Target& target, const UpstreamRecord& record, TimePoint now) const
 {
     if (!ticket.version_.allows(target.version_)
         || state_.directory_.evacuated_.contains(target.failureDomain_))
         return routing::Permission::Never;
-    const ServiceSpec* service = ticket.catalog_->findService(ticket.service_);
     if (now >= target.coldUntil_ || !service || service->coldRate_ <= 0)
         return routing::Permission::Now;
     // Upstreams that other hosts warm up are not for this one.
@@ -198,7 +188,7 @@
     if (!service || service->coldRate_ <= 0)
         return;
     std::vector<std::string> hosts;
-    bool regional = state_.settings_.region_ == target.region_;
+    const bool regional = state_.settings_.region_ == target.region_;
     for (const auto& [name, peer] : state_.fleet_.peers_) {
         if (peer.report_.region_ == target.region_)
             hosts.push_back(name);
@@ -209,9 +199,7 @@
         for (const auto& [name, peer] : state_.fleet_.peers_)
             hosts.push_back(name);
     }
-    record.coldOwner_
-        = routing::ownsColdStart(options_.coldStart_, target.id_, state_.settings_.name_, hosts);
-    if (record.coldOwner_)
+    if (routing::ownsColdStart(options_.coldStart_, target.id_, state_.settings_.name_, hosts))
         record.coldBucket_ = routing::makeColdStartBucket(options_.coldStart_, service->coldRate_, now);
 }
 
@@ -246,9 +234,10 @@
         .known_ = &known,
         .strangers_ = strangers,
         .work_ = work(ticket.service_, *ticket.route_) };
+    const ServiceSpec* service = ticket.catalog_->findService(ticket.service_);
     const auto permit = [&](const routing::Target& target) {
         const auto index = static_cast<size_t>(&target - pool.targets_.data());
-        return permission(ticket, target, pool.records_[index], now);
+        return permission(ticket, service, target, pool.records_[index], now);
     };
     const auto distance = [&](const routing::Target& target) { return roundTrip(state_, target); };
     return routing::pickTarget(pool.targets_, options_.pick_, request, now, permit, distance);
@@ -282,7 +271,7 @@
     case routing::PickFailure::None:
         return;
     case routing::PickFailure::NoneUsable:
-        return refuse(ticket, ticket->mayHaveRun_ ? Reason::UpstreamFailed : Reason::Overloaded);
+        return refuse(ticket, reasonWithoutRoom(*ticket));
     case routing::PickFailure::AllFull:
         return wait(ticket);
     }
@@ -299,7 +288,7 @@
     if (routing::joinLine(services_[ticket->service_].line_, waiter, now))
         return;
     if (tryPlace(ticket, true) != routing::PickFailure::None)
-        refuse(ticket, ticket->mayHaveRun_ ? Reason::UpstreamFailed : Reason::Overloaded);
+        refuse(ticket, reasonWithoutRoom(*ticket));
 }
 
 std::string Dispatcher::Core::attemptHead(
@@ -351,13 +340,13 @@
           });
 }
 
-routing::RetryOptions Dispatcher::Core::retryOptions() const
+routing::RetryOptions Dispatcher::Core::retryOptions(uint32_t attempts) const
 {
     const Bounds& bounds = state_.settings_.bounds_;
     const double hosts = 1 + static_cast<double>(state_.fleet_.peers_.size());
     return { .ratio_ = bounds.retryRatio_ * options_.useOfRetries_,
         .burst_ = std::max(1.0, bounds.retrySlack_ * options_.useOfRetries_ / hosts),
-        .maxAttempts_ = 1000 };
+        .maxAttempts_ = attempts };
 }
 
 /// Starts waiting requests in order while there is room, and refuses those that can no longer start in time.
@@ -373,7 +362,7 @@
             continue;
         const TicketPtr ticket = found->second;
         if (tryPlace(ticket, true) != routing::PickFailure::None)
-            refuse(ticket, ticket->mayHaveRun_ ? Reason::UpstreamFailed : Reason::Overloaded);
+            refuse(ticket, reasonWithoutRoom(*ticket));
     }
     const std::vector<routing::Waiter> waiters = line.waiters_;
     size_t unplaced = 0;
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -34,8 +34,7 @@
 void Dispatcher::Core::onAnswer(const TicketPtr& ticket, UpstreamAnswer answer)
 {
     const TimePoint now = monotonicNow();
-    const std::string upstream = ticket->upstream_;
-    const Located known = locate(state_.directory_, upstream);
+    const Located known = locate(state_.directory_, ticket->upstream_);
     if (known.target_ && answer.connectTime_ > Duration::zero()
         && known.target_->region_ != state_.settings_.region_) {
         const double sample = seconds(answer.connectTime_);
@@ -72,11 +71,10 @@
     detail::ServiceState& service = services_[ticket->service_];
     if (known.target_) {
         routing::recordAnswer(*known.target_, options_.pick_, now, observed, ticket->expected_, failed);
-        const double sample = service.work_ * observed / std::max(ticket->expected_, 0.001);
-        if (!failed)
-            service.work_ += detail::workWeight * (std::clamp(sample, 0.02, 5.0) - service.work_);
     }
     if (!failed && known.target_) {
+        const double sample = service.work_ * observed / std::max(ticket->expected_, 0.001);
+        service.work_ += detail::workWeight * (std::clamp(sample, 0.02, 5.0) - service.work_);
         const double held = std::max(0.001, observed - roundTrip(state_, *known.target_));
         double& mean = state_.demand_[ticket->service_].held_;
         mean = mean > 0 ? mean + detail::heldWeight * (held - mean) : held;
@@ -102,7 +100,7 @@
     logEvent(LogLevel::Info, "attempt-refused",
         { { "request", ticket->requestId_ }, { "upstream", ticket->tried_.back() },
             { "status", std::to_string(response.status_) } });
-    repeatOr(ticket, ticket->mayHaveRun_ ? Reason::UpstreamFailed : Reason::Overloaded);
+    repeatOr(ticket, reasonWithoutRoom(*ticket));
 }
 
 void Dispatcher::Core::onBroken(const TicketPtr& ticket, const UpstreamAnswer& answer)
@@ -122,7 +120,7 @@
     endAttempt(*ticket);
     ticket->mayHaveRun_ = ticket->mayHaveRun_ || sent;
     ticket->lastFault_ = answer.detail_;
-    repeatOr(ticket, ticket->mayHaveRun_ ? Reason::UpstreamFailed : Reason::Overloaded);
+    repeatOr(ticket, reasonWithoutRoom(*ticket));
 }
 
 /// An upstream that ends takes all its requests with it: one report names all that were in flight there. A
@@ -162,25 +160,27 @@
     state_.ownCrashes_.push_back({ std::move(report), monotonicNow() + detail::crashTold });
 }
 
-bool Dispatcher::Core::mayRepeat(const Ticket& ticket, TimePoint now)
+bool Dispatcher::Core::takeRepeat(const Ticket& ticket)
 {
-    const bool repeatable = ticket.route_->kind_ == RequestKind::Idempotent || !ticket.mayHaveRun_;
-    return repeatable && ticket.tried_.size() < ticket.route_->attempts_
-        && now + detail::leastUsefulTime < ticket.giveUpAt_;
+    const routing::FailedAttempt failed { .idempotent_ = ticket.route_->kind_ == RequestKind::Idempotent,
+        .byteMayBeSent_ = ticket.mayHaveRun_,
+        .attempts_ = static_cast<uint32_t>(ticket.tried_.size()),
+        .deadline_ = ticket.giveUpAt_,
+        .expected_ = detail::leastUsefulTime };
+    return routing::takeRetry(
+        state_.retries_[ticket.service_], retryOptions(ticket.route_->attempts_), monotonicNow(), failed);
 }
 
-bool Dispatcher::Core::takeRepeat(const Ticket& ticket)
+/// Only what no upstream can have run is refused as not run.
+Reason Dispatcher::Core::reasonWithoutRoom(const Ticket& ticket)
 {
-    const routing::FailedAttempt failed { .idempotent_ = true,
-        .attempts_ = static_cast<uint32_t>(ticket.tried_.size()),
-        .deadline_ = ticket.giveUpAt_ };
-    return routing::takeRetry(state_.retries_[ticket.service_], retryOptions(), monotonicNow(), failed);
+    return ticket.mayHaveRun_ ? Reason::UpstreamFailed : Reason::Overloaded;
 }
 
 /// Sends the request to another upstream if that is allowed, and else gives the final answer.
 void Dispatcher::Core::repeatOr(const TicketPtr& ticket, Reason reason)
 {
-    if (mayRepeat(*ticket, monotonicNow()) && takeRepeat(*ticket)) {
+    if (takeRepeat(*ticket)) {
         metrics_.countRetry(ticket->service_);
         return place(ticket);
     }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -59,7 +59,7 @@
         , store_(std::move(options.store_))
         , state_(makeState(options))
         , upstreams_(loop)
-        , dispatcher_(loop, state_, upstreams_, metrics_)
+        , dispatcher_(loop, state_, upstreams_, metrics_, dispatchOptions_)
         , peers_(loop, [this](const std::string& bytes) { onReport(bytes); })
         , relayedStore_(makeRelayedStore(loop, store_, relayOptions_, [this] { return relayChoice_; }))
         , relayServer_(relayOptions_, [this] { return isRelayFresh(); })
@@ -80,6 +80,7 @@
     State state_;
     host::Metrics metrics_;
     UpstreamClient upstreams_;
+    const DispatchOptions dispatchOptions_ {};
     Dispatcher dispatcher_;
     detail::PeerSocket peers_;
     const RelayOptions relayOptions_ {};
@@ -496,7 +497,7 @@
     const TimePoint now = monotonicNow();
     for (const std::string& id : expireEntries(state_.directory_, now))
         upstreams_.forget(id);
-    applyPeerLoads(state_, now, routing::PickOptions());
+    applyPeerLoads(state_, now, dispatchOptions_.pick_);
     updateRelay(now);
     updateSplits(state_, now);
     if (state_.catalog_)
--- a/src/gateway/http.cc
+++ b/src/gateway/http.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <strings.h>
 
 namespace turmericwing::gateway {
@@ -59,6 +60,15 @@
     return found == headers.end() ? std::string_view() : std::string_view(found->value_);
 }
 
+std::optional<uint64_t> parseCount(std::string_view text)
+{
+    uint64_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto [rest, status] = std::from_chars(text.data(), end, value);
+    const bool whole = !text.empty() && status == std::errc() && rest == end;
+    return whole ? std::optional(value) : std::nullopt;
+}
+
 Headers endToEndHeaders(const Headers& headers)
 {
     const std::string_view options = headerValue(headers, "Connection");
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -1,7 +1,7 @@
 // Connections of callers, on Boost.Asio with the parser of Boost.Beast.
 #include "turmericwing/gateway/listener.h"
 
-#include "parsedheaders.h"
+#include "parsing.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -214,13 +214,7 @@
         if (phase_ == Phase::Idle)
             startReading();
         error_code error;
-        size_t used = 0;
-        while (used < ahead_.size() && !parser_->is_done()) {
-            used += parser_->put(asio::buffer(ahead_.data() + used, ahead_.size() - used), error);
-            if (error)
-                break;
-        }
-        ahead_.erase(0, used);
+        feed(*parser_, ahead_, error);
         if (error == http::error::header_limit)
             return refuse(431);
         if (error == http::error::body_limit)
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -8,7 +8,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace turmericwing::gateway {
 
@@ -46,12 +45,10 @@
         const size_t slash = target.rfind('/');
         if (slash == std::string_view::npos)
             return std::nullopt;
-        RelayCall call { true, std::string(target.substr(0, slash)), 0 };
-        const std::string_view version = target.substr(slash + 1);
-        const auto [rest, status]
-            = std::from_chars(version.data(), version.data() + version.size(), call.version_);
-        const bool whole = status == std::errc() && rest == version.data() + version.size();
-        return whole ? std::optional(call) : std::nullopt;
+        const auto version = parseCount(target.substr(slash + 1));
+        if (!version)
+            return std::nullopt;
+        return RelayCall { true, std::string(target.substr(0, slash)), *version };
     }
 
     Result<TableRead> readRelayAnswer(const Result<HttpAnswer>& answer)
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -12,8 +12,9 @@
 
 namespace detail {
 
-    constexpr size_t mostAddresses = 64; ///< In an answer to a lookup.
+    using Regions = std::map<std::string, RegionLoad>; ///< By name.
 
+    constexpr size_t mostAddresses = 64; ///< In an answer to a lookup.
     constexpr size_t leastNear = 2; ///< Hosts of a failure domain, so that callers have another one.
 
     /// Addresses of the hosts that `matches` takes, by region and failure domain.
@@ -78,10 +79,9 @@
                          : VersionFilter { .except_ = ramp->second.ramp_.version_ };
     }
 
-    std::map<std::string, RegionLoad> regionRoom(
-        const State& state, const std::string& service, const ServicePool& pool, TimePoint now)
+    Regions regionRoom(const State& state, const std::string& service, const ServicePool& pool, TimePoint now)
     {
-        std::map<std::string, RegionLoad> regions;
+        Regions regions;
         const VersionFilter versions = mainVersion(state, service, pool, now);
         for (const routing::Target& target : pool.targets_) {
             const bool room = target.usable_ && versions.allows(target.version_) && now >= target.coldUntil_
@@ -93,8 +93,6 @@
         return regions;
     }
 
-    using Regions = std::map<std::string, RegionLoad>;
-
     void addFree(Regions& regions, const std::string& name, double slots)
     {
         regions[name].region_ = name;
@@ -130,7 +128,7 @@
             takeRoom(regions, home, number);
     }
 
-    double totalDemand(const std::map<std::string, RegionLoad>& regions)
+    double totalDemand(const Regions& regions)
     {
         double demand = 0;
         for (const auto& [name, region] : regions)
@@ -141,7 +139,7 @@
     /// At least equal demand of all regions at the initial utilisation. What is measured rises only slowly at
     /// first, and a region that keeps too much refuses requests, while one that keeps too little only adds a
     /// round trip.
-    void assumeDemand(std::map<std::string, RegionLoad>& regions)
+    void assumeDemand(Regions& regions)
     {
         double capacity = 0;
         for (const auto& [name, region] : regions)
@@ -152,8 +150,8 @@
     }
 
     /// The split of a peer in this region, for a host that has just started.
-    RegionSplit peerSplit(const State& state, const std::string& service, TimePoint now,
-        const std::map<std::string, RegionLoad>& regions)
+    RegionSplit peerSplit(
+        const State& state, const std::string& service, TimePoint now, const Regions& regions)
     {
         for (const HostReport* report : heardReports(state.fleet_, now)) {
             const ServiceReport* entry = findService(*report, shortHash(service));
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -1,7 +1,7 @@
 // Connections to upstreams, on Boost.Asio with the parser of Boost.Beast.
 #include "turmericwing/gateway/upstreams.h"
 
-#include "parsedheaders.h"
+#include "parsing.h"
 #include "tcpoptions.h"
 
 #include <boost/asio/io_context.hpp>
@@ -209,13 +209,7 @@
     void Call::parse()
     {
         error_code error;
-        size_t used = 0;
-        while (used < unparsed_.size() && !parser_->is_done()) {
-            used += parser_->put(asio::buffer(unparsed_.data() + used, unparsed_.size() - used), error);
-            if (error)
-                break;
-        }
-        unparsed_.erase(0, used);
+        feed(*parser_, unparsed_, error);
         if (error && error != http::error::need_more)
             return fail("answer: " + error.message());
         if (parser_->is_done())
