Log the requests that are unfinished when a gateway ends

Cause: a request gets its log line when it ends.

Change: the host writes a line with result=unfinished for each of them before it ends, with upstream, attempts and times, and the stop line tells the number of open connections. No decision changes.

--- a/include/turmericwing/gateway/dispatcher.h
+++ b/include/turmericwing/gateway/dispatcher.h
@@ -44,6 +44,9 @@
     /// Number of requests without a final response.
     size_t pendingCount() const;
 
+    /// Logs each request without a final response, before the process ends.
+    void logUnfinished() const;
+
 private:
     struct Core;
     std::shared_ptr<Core> core_;
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -136,6 +136,7 @@
     void refuse(const PendingRequestPtr&, Reason);
     void completeRequest(
         const PendingRequestPtr&, unsigned status, const char* result, const std::string& detail);
+    void logRequest(const PendingRequest&, unsigned status, const char* result, const std::string& detail);
     void serveWaiting(const std::string& service);
     void scheduleServeWaiting(const std::string& service);
     Duration retryAfter(const PendingRequest&, Reason);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -435,4 +435,12 @@
 
 size_t Dispatcher::pendingCount() const { return core_->pendingRequests_.size(); }
 
+void Dispatcher::logUnfinished() const
+{
+    for (const auto& [id, pending] : core_->pendingRequests_)
+        core_->logRequest(*pending, 0, "unfinished",
+            pending->currentUpstream_.empty() ? "waiting for an upstream"
+                                              : "waiting for the upstream's answer");
+}
+
 } // namespace turmericwing::gateway
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -310,29 +310,36 @@
     completeRequest(pending, status, host::toString(reason), pending->lastError_);
 }
 
-/// Logs and counts the request, and removes it. A status of 0 means that no response was sent.
-void Dispatcher::Core::completeRequest(
-    const PendingRequestPtr& pending, unsigned status, const char* result, const std::string& detail)
+/// Writes the log line of a request. A status of 0 means that no response was sent.
+void Dispatcher::Core::logRequest(
+    const PendingRequest& pending, unsigned status, const char* result, const std::string& detail)
 {
-    const TimePoint now = monotonicNow();
-    const Duration took = now - pending->request_.receivedAt_;
-    const std::string workspace = pending->workspace_ ? pending->workspace_->name_ : std::string();
+    const Duration took = monotonicNow() - pending.request_.receivedAt_;
     const std::string lastUpstream
-        = pending->triedUpstreams_.empty() ? std::string() : pending->triedUpstreams_.back();
-    const auto object = headerValue(pending->request_.headers_, state_.protocol_.headers_.object_);
-    const Duration sent = pending->triedUpstreams_.empty()
-        ? took
-        : Duration(pending->sentAt_ - pending->request_.receivedAt_);
-    const uint64_t version = pending->catalog_ ? pending->catalog_->configuration().version_ : 0;
+        = pending.triedUpstreams_.empty() ? std::string() : pending.triedUpstreams_.back();
+    const auto object = headerValue(pending.request_.headers_, state_.protocol_.headers_.object_);
+    const Duration sent
+        = pending.triedUpstreams_.empty() ? took : Duration(pending.sentAt_ - pending.request_.receivedAt_);
+    const uint64_t version = pending.catalog_ ? pending.catalog_->configuration().version_ : 0;
     logEvent(LogLevel::Info, "request",
-        { { "request", pending->requestId_ }, { "result", result }, { "status", std::to_string(status) },
-            { "route", pending->route_ ? pending->route_->name_ : std::string() }, { "workspace", workspace },
-            { "service", pending->service_ }, { "upstream", lastUpstream },
-            { "attempts", std::to_string(pending->triedUpstreams_.size()) },
+        { { "request", pending.requestId_ }, { "result", result }, { "status", std::to_string(status) },
+            { "route", pending.route_ ? pending.route_->name_ : std::string() },
+            { "workspace", pending.workspace_ ? pending.workspace_->name_ : std::string() },
+            { "service", pending.service_ }, { "upstream", lastUpstream },
+            { "attempts", std::to_string(pending.triedUpstreams_.size()) },
             { "config", std::to_string(version) }, { "object", std::string(object) },
             { "sent_ms", detail::milliseconds(sent) }, { "took_ms", detail::milliseconds(took) },
-            { "expected_ms", std::to_string(static_cast<int>(pending->expectedLatency_ * 1000)) },
+            { "expected_ms", std::to_string(static_cast<int>(pending.expectedLatency_ * 1000)) },
             { "fault", detail } });
+}
+
+/// Logs and counts the request, and removes it. A status of 0 means that no response was sent.
+void Dispatcher::Core::completeRequest(
+    const PendingRequestPtr& pending, unsigned status, const char* result, const std::string& detail)
+{
+    const Duration took = monotonicNow() - pending->request_.receivedAt_;
+    const std::string workspace = pending->workspace_ ? pending->workspace_->name_ : std::string();
+    logRequest(*pending, status, result, detail);
     metrics_.countRequest(pending->service_, workspace, result);
     if (status != 0)
         metrics_.observeLatency(pending->service_, took);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -525,7 +525,10 @@
         = !accepting_ && dispatcher_.pendingCount() == 0 && callerListener_->connections() == 0;
     if (!finished && now < exitBy_)
         return;
-    logEvent(LogLevel::Info, "stop", { { "running", std::to_string(dispatcher_.pendingCount()) } });
+    dispatcher_.logUnfinished();
+    logEvent(LogLevel::Info, "stop",
+        { { "running", std::to_string(dispatcher_.pendingCount()) },
+            { "connections", std::to_string(callerListener_->connections()) } });
     host::flushLog();
     loop_.stop();
 }
