Add failing tests of requests lost by a stopping gateway

The four tests fail on this code: a request read 1.9 s after the stop began (of 3 s) is passed on and cut; one that still runs at the end and one that waits get no answer at all; a listener that stops resets connections whose request has reached the host and was not read yet.

--- /dev/null
+++ b/test/gateway/drain-live-test.cc
@@ -0,0 +1,167 @@
+// A stopping gateway over sockets. Guards against requests that get neither an answer nor a refusal because
+// the process ends.
+#include "live.h"
+
+#include "turmericwing/gateway/listener.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::gateway;
+using namespace turmericwing::gateway::test;
+
+namespace {
+
+/// Makes an upstream work for a time, or until its caller disconnects.
+void workFor(Upstream& upstream, Duration time)
+{
+    upstream.handler_ = [&upstream, time](const httplib::Request&, httplib::Response& response) {
+        if (!standin::Server::waitUntil(monotonicNow() + time))
+            upstream.callerDisconnected_ = true;
+        response.set_content("late answer of " + upstream.id_, "text/plain");
+    };
+}
+
+int connectTo(const Address& address)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in target {};
+    target.sin_family = AF_INET;
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    target.sin_port = htons(address.port_);
+    const timeval limit { 5, 0 };
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&target), sizeof(target)) == 0);
+    return fd;
+}
+
+void sendText(int fd, const std::string& text)
+{
+    REQUIRE(send(fd, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+}
+
+/// Receives until the connection ends, and closes it.
+std::string receiveAll(int fd)
+{
+    std::string received;
+    char buffer[4096];
+    for (ssize_t size = 1; size > 0;) {
+        size = recv(fd, buffer, sizeof(buffer), 0);
+        received.append(buffer, static_cast<size_t>(std::max<ssize_t>(size, 0)));
+    }
+    close(fd);
+    return received;
+}
+
+std::string writeHead(const std::string& id, size_t bodyBytes)
+{
+    return "POST /write/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id
+        + "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Token key-1\r\nContent-Length: "
+        + std::to_string(bodyBytes) + "\r\n\r\n";
+}
+
+} // namespace
+
+TEST_CASE("a request read late in a graceful stop is refused as not run, not passed on and cut")
+{
+    Fixture fixture;
+    Upstream upstream(fixture.store_, "u1");
+    workFor(upstream, std::chrono::milliseconds(2000));
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    const int caller = connectTo(fixture.settings_.callerAddress_);
+    sendText(caller, writeHead("id-1", 8) + "half");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    fixture.drain();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1900));
+    sendText(caller, "rest");
+    const std::string answer = receiveAll(caller);
+    CHECK(answer.starts_with("HTTP/1.1 503 "));
+    CHECK(answer.find("Retry-After: ") != std::string::npos);
+    CHECK(upstream.requests_ == 0);
+}
+
+TEST_CASE("a request that still runs when a graceful stop ends gets an answer without a promise")
+{
+    Fixture fixture;
+    Upstream upstream(fixture.store_, "u1");
+    workFor(upstream, std::chrono::seconds(10));
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    const int caller = connectTo(fixture.settings_.callerAddress_);
+    sendText(caller, writeHead("id-1", 4) + "body");
+    REQUIRE(eventually([&] { return upstream.requests_ == 1; }));
+    fixture.drain();
+    const std::string answer = receiveAll(caller);
+    CHECK(answer.starts_with("HTTP/1.1 502 "));
+    CHECK(answer.find("Turmericwing-Outcome: unknown") != std::string::npos);
+    CHECK(eventually([&] { return upstream.callerDisconnected_.load(); }));
+}
+
+TEST_CASE("a request that waits for an upstream during a graceful stop is refused as not run")
+{
+    Fixture fixture;
+    std::string configured = configuration(1);
+    const std::string objective = "\"slo\":\"1000ms\"";
+    for (size_t at = configured.find(objective); at != std::string::npos; at = configured.find(objective))
+        configured.replace(at, objective.size(), "\"slo\":\"9000ms\"");
+    fixture.store_.put("op", "config", configured);
+    Upstream upstream(fixture.store_, "u1");
+    workFor(upstream, std::chrono::seconds(10));
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    std::vector<int> callers;
+    for (int i = 0; i < 12; ++i) {
+        callers.push_back(connectTo(fixture.settings_.callerAddress_));
+        sendText(callers.back(), writeHead("id-" + std::to_string(i), 4) + "body");
+    }
+    REQUIRE(eventually([&] { return upstream.requests_ >= 4; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    const int running = upstream.requests_;
+    REQUIRE(running < 12);
+    fixture.drain();
+    int refused = 0;
+    int unknown = 0;
+    for (const int caller : callers) {
+        const std::string answer = receiveAll(caller);
+        refused += answer.starts_with("HTTP/1.1 503 ") ? 1 : 0;
+        unknown += answer.starts_with("HTTP/1.1 502 ") ? 1 : 0;
+    }
+    CHECK(refused == 12 - running);
+    CHECK(unknown == running);
+    CHECK(upstream.requests_ == running);
+}
+
+TEST_CASE("a listener that stops answers the requests that have reached the host")
+{
+    // The event loop does not run between the caller's bytes and stop(), as on a busy host.
+    boost::asio::io_context loop(1);
+    const Address address { "127.0.0.1", freePort() };
+    int handled = 0;
+    Listener listener(loop,
+        ListenerOptions {
+            .address_ = address, .handler_ = [&](Request&&, const std::shared_ptr<Exchange>& exchange) {
+                ++handled;
+                exchange->respond({ .status_ = 503 });
+            } });
+    REQUIRE(listener.start());
+    const int accepted = connectTo(address);
+    loop.poll();
+    SUBCASE("on a connection that was not accepted yet")
+    {
+        const int queued = connectTo(address);
+        sendText(queued, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        listener.stop();
+        loop.run_for(std::chrono::milliseconds(300));
+        CHECK(receiveAll(queued).starts_with("HTTP/1.1 503 "));
+        CHECK(receiveAll(accepted).empty());
+    }
+    SUBCASE("on an idle connection that was not read yet")
+    {
+        sendText(accepted, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        listener.stop();
+        loop.run_for(std::chrono::milliseconds(300));
+        CHECK(receiveAll(accepted).starts_with("HTTP/1.1 503 "));
+    }
+    CHECK(handled == 1);
+}
