Answer the requests that have reached a listener when it stops

What callers saw: a connection reset, for a request sent in the last moment before a host stopped accepting. The host closed its acceptor with connections still in the listen queue, and idle connections whose bytes it had not read yet. On a busy host either may be older than the 0.2 s that callers allow.

Change: stop() first accepts what is queued, and counts a connection with unread bytes as not idle; its request is handled and the connection closes after the response.

Evidence: 'a listener that stops answers the requests that have reached the host' failed before in both cases (handled == 0, an empty answer) and passes now.

--- a/include/turmericwing/gateway/listener.h
+++ b/include/turmericwing/gateway/listener.h
@@ -49,7 +49,8 @@
     /// From now on, closes each connection after its next response.
     void closeAfterAnswers();
 
-    /// Stops accepting and closes idle connections; the others close after their response.
+    /// Stops accepting and closes idle connections. Requests that have reached the host, read or not, are
+    /// still handled; their connections close after the response.
     void stop();
 
     /// Returns the number of open connections.
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -57,6 +57,8 @@
     std::unordered_set<detail::Connection*> connections_;
 
     void accept();
+    void addConnection(tcp::socket);
+    void acceptQueued();
 };
 
 namespace detail {
@@ -82,7 +84,8 @@
         void respond(Response) override;
         void onCallerGone(std::function<void()> handler) override { callerGoneHandler_ = std::move(handler); }
 
-        bool isIdle() const { return phase_ == Phase::Idle; }
+        /// Whether the connection has no request, not even one that has not been read yet.
+        bool isIdle() const;
         void close();
 
     private:
@@ -125,6 +128,12 @@
         std::function<void()> callerGoneHandler_;
     };
 
+    bool Connection::isIdle() const
+    {
+        error_code error;
+        return phase_ == Phase::Idle && (socket_.available(error) == 0 || error);
+    }
+
     void Connection::startTimer(Duration time)
     {
         timer_.expires_after(time);
@@ -323,12 +332,7 @@
         if (self->stopped_)
             return;
         if (!error) {
-            // Without no_delay latency is higher; without non-blocking mode, a read could block after a
-            // spurious readiness event.
-            error_code ignored;
-            socket.non_blocking(true, ignored);
-            socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<detail::Connection>(self, std::move(socket))->start();
+            self->addConnection(std::move(socket));
             return self->accept();
         }
         // Usually a lack of file descriptors, which ends when connections close.
@@ -340,6 +344,30 @@
     });
 }
 
+void Listener::State::addConnection(tcp::socket socket)
+{
+    // Without no_delay latency is higher; without non-blocking mode, a read could block after a spurious
+    // readiness event.
+    error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.set_option(tcp::no_delay(true), ignored);
+    std::make_shared<detail::Connection>(shared_from_this(), std::move(socket))->start();
+}
+
+/// Accepts the connections that callers have opened and that wait in the listen queue: closing the acceptor
+/// resets them, with requests that callers may have sent on them.
+void Listener::State::acceptQueued()
+{
+    error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(loop_);
+        acceptor_.accept(socket, error);
+        if (!error)
+            addConnection(std::move(socket));
+    }
+}
+
 Listener::Listener(asio::io_context& loop, ListenerOptions options)
     : state_(std::make_shared<State>(loop, std::move(options)))
 {
@@ -374,6 +402,8 @@
 
 void Listener::stop()
 {
+    if (!state_->stopped_)
+        state_->acceptQueued();
     state_->stopped_ = true;
     state_->closeAfterAnswers_ = true;
     error_code ignored; // The acceptor may not be open.
