Answer every request of a stopping gateway before the process ends

Cause: a graceful stop was two moments without a relation to the work: it took every request for half of the stop time (3 s of 6 s), whatever time it needed, and ended at 5.6 s with whatever was running. Requests took up to 7.7 s at full upstreams. A request read after the first moment, on a connection that was not idle then, was passed on as well. The class: a deadline of the process that is not a deadline of its requests.

Ruled out: requests waiting on the host. A late SIGTERM: the times of drain and stop lines agree with the record.

Change: a schedule of the stop (gateway/drain, pure): requests are taken for two fifths of the stop time, an attempt begins only if one and a half times its expected time is left, waiting and later requests are refused as not run with a short Retry-After, and what still runs 0.2 s before the end gets a 502 that promises nothing.

--- a/include/turmericwing/gateway/dispatcher.h
+++ b/include/turmericwing/gateway/dispatcher.h
@@ -23,6 +23,7 @@
     /// Limits of Retry-After before jitter, which makes it at most twice as long.
     Duration minRetryAfter_ = std::chrono::milliseconds(200);
     Duration maxRetryAfter_ = std::chrono::milliseconds(1500);
+    DrainOptions drain_ {};
 };
 
 /// Serves requests on one event loop; not thread-safe.
@@ -44,8 +45,12 @@
     /// Number of requests without a final response.
     size_t pendingCount() const;
 
-    /// Logs each request without a final response, before the process ends.
-    void logUnfinished() const;
+    /// Refuses the requests that wait for an upstream, because the host takes no more requests.
+    void refuseWaiting();
+
+    /// Ends all requests with a final response: those that run with one that leaves open whether they have
+    /// run, the others with a refusal.
+    void endAll();
 
 private:
     struct Core;
--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -5,6 +5,7 @@
 #include "turmericwing/base/random.h"
 #include "turmericwing/gateway/catalog.h"
 #include "turmericwing/gateway/directory.h"
+#include "turmericwing/gateway/drain.h"
 #include "turmericwing/gateway/fleet.h"
 #include "turmericwing/gateway/protocol.h"
 #include "turmericwing/gateway/quotas.h"
@@ -17,6 +18,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace turmericwing::gateway {
@@ -69,7 +71,7 @@
     RoundTripDefaults roundTripDefaults_;
     uint64_t incarnation_ = 0;
     uint64_t crashSerial_ = 0;
-    bool draining_ = false;
+    std::optional<DrainSchedule> drain_; ///< Set once a graceful stop has begun.
     bool reachesStore_ = false;
     TimePoint storeAnsweredAt_ {}; ///< Last answer from the store.
     /// Since then no gap between answers was long enough for entries to lapse.
@@ -93,10 +95,13 @@
 /// answer now.
 uint32_t storeReachableMs(const State&, TimePoint now);
 
+/// Whether a graceful stop has begun.
+inline bool isDraining(const State& state) { return state.drain_.has_value(); }
+
 /// Whether the host can serve requests: it has a configuration and the upstreams, and is not draining.
 inline bool isReady(const State& state)
 {
-    return state.catalog_ && state.directory_.loaded_ && !state.draining_;
+    return state.catalog_ && state.directory_.loaded_ && !isDraining(state);
 }
 
 /// Round-trip time to an upstream in seconds, measured or the default.
--- a/include/turmericwing/host/problem.h
+++ b/include/turmericwing/host/problem.h
@@ -30,7 +30,7 @@
     Quarantined, ///< The request has crashed upstreams.
     ClaimInProgress, ///< Another request with the same idempotency key is still running.
     ClaimConflict, ///< The idempotency key was used with another request.
-    ClaimUnknown, ///< The request may have run earlier; its outcome was lost.
+    OutcomeUnknown, ///< The request may have run; its outcome was lost.
     UpstreamFailed, ///< The upstream's response was lost; the request may have run.
     UpstreamTimeout, ///< No response before the deadline; the request may have run.
     Draining, ///< The host is stopping.
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -127,7 +127,9 @@
     void checkForCrash(const std::string& upstream, TimePoint now);
     void reportCrash(routing::CrashReport);
     bool consumeRetry(const PendingRequest&);
-    static Reason noUpstreamReason(const PendingRequest&);
+    Reason noUpstreamReason(const PendingRequest&) const;
+    bool isTakingRequests(TimePoint arrivedAt) const;
+    void endAtStop(const PendingRequestPtr&);
     void retryOrFinish(const PendingRequestPtr&, Reason);
     void onDeadline(const PendingRequestPtr&);
     void onCallerDisconnected(const PendingRequestPtr&);
@@ -136,7 +138,6 @@
     void refuse(const PendingRequestPtr&, Reason);
     void completeRequest(
         const PendingRequestPtr&, unsigned status, const char* result, const std::string& detail);
-    void logRequest(const PendingRequest&, unsigned status, const char* result, const std::string& detail);
     void serveWaiting(const std::string& service);
     void scheduleServeWaiting(const std::string& service);
     Duration retryAfter(const PendingRequest&, Reason);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -103,6 +103,8 @@
     pending.catalog_ = state_.catalog_;
     if (!pending.catalog_)
         return Reason::NotReady;
+    if (!isTakingRequests(pending.request_.receivedAt_))
+        return Reason::Draining;
     const Headers& headers = pending.request_.headers_;
     pending.route_ = pending.catalog_->findRoute(headerValue(headers, "Host"), pending.request_.target_);
     if (!pending.route_)
@@ -133,6 +135,11 @@
     return std::nullopt;
 }
 
+bool Dispatcher::Core::isTakingRequests(TimePoint arrivedAt) const
+{
+    return !state_.drain_ || arrivedAt < state_.drain_->acceptUntil_;
+}
+
 void Dispatcher::Core::startDispatch(const PendingRequestPtr& pending)
 {
     const TimePoint now = monotonicNow();
@@ -268,9 +275,14 @@
         result = pickInRegions(*pending, pool, { pending->preferredRegion_ }, allowNonPreferred);
     if (result.failure_ == routing::PickFailure::NoneUsable)
         result = pickInRegions(*pending, pool, pending->allowedRegions_, allowNonPreferred);
-    if (result.pick_)
-        sendAttempt(pending, pool, *result.pick_);
-    return result.failure_;
+    if (!result.pick_)
+        return result.failure_;
+    if (state_.drain_
+        && !mayBeginAttempt(
+            options_.drain_, *state_.drain_, now, result.pick_->expectedSeconds_, pending->expiresAt_))
+        return routing::PickFailure::NoneUsable;
+    sendAttempt(pending, pool, *result.pick_);
+    return routing::PickFailure::None;
 }
 
 /// Sends the request now, queues it, or refuses it.
@@ -435,12 +447,23 @@
 
 size_t Dispatcher::pendingCount() const { return core_->pendingRequests_.size(); }
 
-void Dispatcher::logUnfinished() const
+void Dispatcher::refuseWaiting()
+{
+    for (const auto& [name, service] : core_->services_) {
+        const std::vector<routing::Waiter> waiters = service.waitQueue_.waiters_;
+        for (const routing::Waiter& waiter : waiters) {
+            const auto pending = core_->pendingRequests_.find(waiter.id_);
+            if (pending != core_->pendingRequests_.end())
+                core_->refuse(PendingRequestPtr(pending->second), core_->noUpstreamReason(*pending->second));
+        }
+    }
+}
+
+void Dispatcher::endAll()
 {
-    for (const auto& [id, pending] : core_->pendingRequests_)
-        core_->logRequest(*pending, 0, "unfinished",
-            pending->currentUpstream_.empty() ? "waiting for an upstream"
-                                              : "waiting for the upstream's answer");
+    const auto requests = core_->pendingRequests_;
+    for (const auto& [id, pending] : requests)
+        core_->endAtStop(pending);
 }
 
 } // namespace turmericwing::gateway
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -209,11 +209,13 @@
         retryOptions(pending.route_->attempts_), monotonicNow(), failed);
 }
 
-/// Reason for a refusal without an upstream: Overloaded promises that the request has not run, so it is used
-/// only if no upstream can have run it.
-Reason Dispatcher::Core::noUpstreamReason(const PendingRequest& pending)
+/// Reason for a refusal without an upstream: Overloaded and Draining promise that the request has not run, so
+/// they are used only if no upstream can have run it.
+Reason Dispatcher::Core::noUpstreamReason(const PendingRequest& pending) const
 {
-    return pending.mayHaveRun_ ? Reason::UpstreamFailed : Reason::Overloaded;
+    if (pending.mayHaveRun_)
+        return Reason::UpstreamFailed;
+    return isDraining(state_) ? Reason::Draining : Reason::Overloaded;
 }
 
 /// Retries at another upstream if allowed, else forwards the upstream's failure or refuses with `reason`.
@@ -247,6 +249,21 @@
     refuse(pending, pending->mayHaveRun_ ? Reason::UpstreamTimeout : Reason::DeadlineTooShort);
 }
 
+/// Ends a request because the process is about to end, cancelling the attempt in flight. An attempt may have
+/// reached its upstream even if the upstream has not read it yet.
+void Dispatcher::Core::endAtStop(const PendingRequestPtr& pending)
+{
+    if (pending->cancel_) {
+        pending->cancel_();
+        endAttempt(*pending);
+        pending->mayHaveRun_ = true;
+        pending->lastError_ = "no answer before this host stops";
+    }
+    if (pending->upstreamFailure_)
+        return forwardResponse(pending, std::move(*pending->upstreamFailure_));
+    refuse(pending, pending->mayHaveRun_ ? Reason::OutcomeUnknown : Reason::Draining);
+}
+
 void Dispatcher::Core::onCallerDisconnected(const PendingRequestPtr& pending)
 {
     if (pending->cancel_) {
@@ -278,6 +295,9 @@
 /// that callers do not all retry at the same time.
 Duration Dispatcher::Core::retryAfter(const PendingRequest& pending, Reason reason)
 {
+    if (reason == Reason::Draining)
+        return std::chrono::duration_cast<Duration>(
+            options_.drain_.retryAfter_ * (1 + uniform(state_.random_)));
     Duration wait = options_.minRetryAfter_;
     if (reason == Reason::RateLimited && pending.workspace_) {
         const double recovery = quotaRecoverySeconds(state_.quotas_, *pending.workspace_);
@@ -310,36 +330,29 @@
     completeRequest(pending, status, host::toString(reason), pending->lastError_);
 }
 
-/// Writes the log line of a request. A status of 0 means that no response was sent.
-void Dispatcher::Core::logRequest(
-    const PendingRequest& pending, unsigned status, const char* result, const std::string& detail)
+/// Logs and counts the request, and removes it. A status of 0 means that no response was sent.
+void Dispatcher::Core::completeRequest(
+    const PendingRequestPtr& pending, unsigned status, const char* result, const std::string& detail)
 {
-    const Duration took = monotonicNow() - pending.request_.receivedAt_;
+    const TimePoint now = monotonicNow();
+    const Duration took = now - pending->request_.receivedAt_;
+    const std::string workspace = pending->workspace_ ? pending->workspace_->name_ : std::string();
     const std::string lastUpstream
-        = pending.triedUpstreams_.empty() ? std::string() : pending.triedUpstreams_.back();
-    const auto object = headerValue(pending.request_.headers_, state_.protocol_.headers_.object_);
-    const Duration sent
-        = pending.triedUpstreams_.empty() ? took : Duration(pending.sentAt_ - pending.request_.receivedAt_);
-    const uint64_t version = pending.catalog_ ? pending.catalog_->configuration().version_ : 0;
+        = pending->triedUpstreams_.empty() ? std::string() : pending->triedUpstreams_.back();
+    const auto object = headerValue(pending->request_.headers_, state_.protocol_.headers_.object_);
+    const Duration sent = pending->triedUpstreams_.empty()
+        ? took
+        : Duration(pending->sentAt_ - pending->request_.receivedAt_);
+    const uint64_t version = pending->catalog_ ? pending->catalog_->configuration().version_ : 0;
     logEvent(LogLevel::Info, "request",
-        { { "request", pending.requestId_ }, { "result", result }, { "status", std::to_string(status) },
-            { "route", pending.route_ ? pending.route_->name_ : std::string() },
-            { "workspace", pending.workspace_ ? pending.workspace_->name_ : std::string() },
-            { "service", pending.service_ }, { "upstream", lastUpstream },
-            { "attempts", std::to_string(pending.triedUpstreams_.size()) },
+        { { "request", pending->requestId_ }, { "result", result }, { "status", std::to_string(status) },
+            { "route", pending->route_ ? pending->route_->name_ : std::string() }, { "workspace", workspace },
+            { "service", pending->service_ }, { "upstream", lastUpstream },
+            { "attempts", std::to_string(pending->triedUpstreams_.size()) },
             { "config", std::to_string(version) }, { "object", std::string(object) },
             { "sent_ms", detail::milliseconds(sent) }, { "took_ms", detail::milliseconds(took) },
-            { "expected_ms", std::to_string(static_cast<int>(pending.expectedLatency_ * 1000)) },
+            { "expected_ms", std::to_string(static_cast<int>(pending->expectedLatency_ * 1000)) },
             { "fault", detail } });
-}
-
-/// Logs and counts the request, and removes it. A status of 0 means that no response was sent.
-void Dispatcher::Core::completeRequest(
-    const PendingRequestPtr& pending, unsigned status, const char* result, const std::string& detail)
-{
-    const Duration took = monotonicNow() - pending->request_.receivedAt_;
-    const std::string workspace = pending->workspace_ ? pending->workspace_->name_ : std::string();
-    logRequest(*pending, status, result, detail);
     metrics_.countRequest(pending->service_, workspace, result);
     if (status != 0)
         metrics_.observeLatency(pending->service_, took);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -35,11 +35,6 @@
     constexpr Duration housekeepingInterval = std::chrono::seconds(1);
     /// Limit of the TTL of lookup answers, besides the configured one.
     constexpr Duration maxLookupLifetime = std::chrono::seconds(3);
-    /// Fraction of the stop time (SIGTERM to SIGKILL) during which a draining host still accepts requests,
-    /// while callers switch to other hosts.
-    constexpr double acceptFraction = 0.5;
-    /// Exits at the latest this long before SIGKILL.
-    constexpr Duration exitMargin = std::chrono::milliseconds(400);
 
     std::filesystem::file_time_type modificationTime(const std::string& path)
     {
@@ -107,8 +102,6 @@
     uint64_t reportSerial_ = 0;
     TimePoint nextReport_ {};
     TimePoint nextRemoteReport_ {};
-    TimePoint stopAcceptingAt_ {};
-    TimePoint exitBy_ {};
     bool accepting_ = true;
     std::set<std::string> lostTables_;
 
@@ -232,7 +225,7 @@
 void Gateway::Core::updateRelay(TimePoint now)
 {
     relayServer_.expirePending(now);
-    const bool usable = state_.reachesStore_ && !state_.draining_;
+    const bool usable = state_.reachesStore_ && !isDraining(state_);
     const RelayChoice choice
         = chooseRelay(relayOptions_, state_.fleet_, now, state_.settings_.region_, usable);
     if (choice == relayChoice_)
@@ -399,7 +392,7 @@
         return std::max<Duration>(
             detail::reportInterval, std::chrono::microseconds(1'000'000 * peers / perSecond));
     };
-    const bool urgent = isNearLimit(state_.quotas_) || state_.draining_ || !state_.observedCrashes_.empty();
+    const bool urgent = isNearLimit(state_.quotas_) || isDraining(state_) || !state_.observedCrashes_.empty();
     // Hosts of other regions share few upstreams with this host, and traffic between regions is expensive.
     const bool toAllRegions = now >= nextRemoteReport_;
     nextReport_ = now + sendInterval(detail::reportsPerSecond) - detail::reportInterval / 20;
@@ -448,7 +441,7 @@
     rolloutWriter_.startAndEndRollouts(now);
     sendReports(now);
     dispatcher_.serveWaiting();
-    if (state_.draining_)
+    if (isDraining(state_))
         checkDrained(now);
     host::flushLog();
 }
@@ -500,13 +493,10 @@
 
 void Gateway::Core::drain()
 {
-    if (state_.draining_)
+    if (isDraining(state_))
         return;
     const TimePoint now = monotonicNow();
-    const Duration stopTime = state_.settings_.bounds_.stopTime_;
-    state_.draining_ = true;
-    stopAcceptingAt_ = now + std::chrono::duration_cast<Duration>(stopTime * detail::acceptFraction);
-    exitBy_ = now + stopTime - detail::exitMargin;
+    state_.drain_ = makeDrainSchedule(dispatchOptions_.drain_, now, state_.settings_.bounds_.stopTime_);
     logEvent(LogLevel::Info, "drain", { { "running", std::to_string(dispatcher_.pendingCount()) } });
     callerListener_->closeAfterAnswers();
     nextReport_ = {};
@@ -517,15 +507,17 @@
 
 void Gateway::Core::checkDrained(TimePoint now)
 {
-    if (accepting_ && now >= stopAcceptingAt_) {
+    if (accepting_ && now >= state_.drain_->acceptUntil_) {
         accepting_ = false;
         callerListener_->stop();
+        dispatcher_.refuseWaiting();
     }
+    if (now >= state_.drain_->answerBy_)
+        dispatcher_.endAll();
     const bool finished
         = !accepting_ && dispatcher_.pendingCount() == 0 && callerListener_->connections() == 0;
-    if (!finished && now < exitBy_)
+    if (!finished && now < state_.drain_->exitBy_)
         return;
-    dispatcher_.logUnfinished();
     logEvent(LogLevel::Info, "stop",
         { { "running", std::to_string(dispatcher_.pendingCount()) },
             { "connections", std::to_string(callerListener_->connections()) } });
--- a/src/gateway/hostregistry.cc
+++ b/src/gateway/hostregistry.cc
@@ -57,7 +57,7 @@
 void HostRegistry::retry(const Error& error)
 {
     logEvent(LogLevel::Warning, "registration-failed", { { "reason", error.message_ } });
-    if (state_.draining_)
+    if (isDraining(state_))
         return;
     retryTimer_.expires_after(retryDelay);
     retryTimer_.async_wait([this](boost::system::error_code cancelled) {
--- a/src/gateway/rolloutwriter.cc
+++ b/src/gateway/rolloutwriter.cc
@@ -80,7 +80,7 @@
     {
         if (!tableRead_ && !reading_ && now >= nextReadAt_)
             readRollouts();
-        if (!tableRead_ || !state_.reachesStore_ || state_.draining_
+        if (!tableRead_ || !state_.reachesStore_ || isDraining(state_)
             || !isDesignatedWriter(state_.fleet_, now))
             return;
         for (const OrderRecord& order : unstartedOrders(state_.rollouts_)) {
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -276,7 +276,7 @@
         .region_ = state.settings_.region_,
         .failureDomain_ = state.settings_.failureDomain_,
         .ready_ = isReady(state),
-        .leaving_ = state.draining_,
+        .leaving_ = isDraining(state),
         .reachesStore_ = state.reachesStore_,
         .storeReachableMs_ = storeReachableMs(state, now),
         .demands_ = takeDemandsToReport(state.quotas_, sequence),
--- a/src/host/claimstore.cc
+++ b/src/host/claimstore.cc
@@ -225,7 +225,7 @@
         switch (decision.verdict_) {
         case claims::Verdict::Stored:
         case claims::Verdict::TooLarge:
-            return { ClaimAction::Replay, Reason::ClaimUnknown, storedResponse(*decision.outcome_), {} };
+            return { ClaimAction::Replay, Reason::OutcomeUnknown, storedResponse(*decision.outcome_), {} };
         case claims::Verdict::InProgress:
             return refuseClaim(Reason::ClaimInProgress);
         case claims::Verdict::KeyReused:
@@ -235,7 +235,7 @@
         case claims::Verdict::Unknown:
             break;
         }
-        return refuseClaim(Reason::ClaimUnknown);
+        return refuseClaim(Reason::OutcomeUnknown);
     }
 
 } // namespace detail
@@ -273,7 +273,7 @@
             return detail::refuseClaim(Reason::StoreUnavailable);
         const auto decoded = claims::decodeClaim(written.current_->value_);
         if (!decoded)
-            return detail::refuseClaim(Reason::ClaimUnknown);
+            return detail::refuseClaim(Reason::OutcomeUnknown);
         stored = claims::StoredClaim { written.current_->version_, decoded.value() };
     }
     return detail::refuseClaim(Reason::ClaimInProgress);
--- a/src/host/problem.cc
+++ b/src/host/problem.cc
@@ -33,7 +33,7 @@
         ReasonInfo { Reason::Quarantined, "quarantined", 503, Outcome::NotRun },
         ReasonInfo { Reason::ClaimInProgress, "in-progress", 409, Outcome::Unknown },
         ReasonInfo { Reason::ClaimConflict, "idempotency-key-reused", 422, Outcome::NotRun },
-        ReasonInfo { Reason::ClaimUnknown, "outcome-unknown", 502, Outcome::Unknown },
+        ReasonInfo { Reason::OutcomeUnknown, "outcome-unknown", 502, Outcome::Unknown },
         ReasonInfo { Reason::UpstreamFailed, "upstream-failed", 502, Outcome::Unknown },
         ReasonInfo { Reason::UpstreamTimeout, "upstream-timeout", 504, Outcome::Unknown },
         ReasonInfo { Reason::Draining, "draining", 503, Outcome::NotRun },
--- /dev/null
+++ b/test/gateway/drain-test.cc
@@ -0,0 +1,50 @@
+// Guards against a stopping host that takes requests whose work cannot end before the process does.
+#include "turmericwing/gateway/drain.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::gateway;
+
+namespace {
+
+const TimePoint stopBegins { std::chrono::seconds(100) };
+const TimePoint never = stopBegins + std::chrono::hours(1);
+
+TimePoint after(int ms) { return stopBegins + std::chrono::milliseconds(ms); }
+
+DrainSchedule schedule() { return makeDrainSchedule({}, stopBegins, std::chrono::seconds(6)); }
+
+} // namespace
+
+TEST_CASE("a stop leaves time to finish what was accepted, and to send the last responses")
+{
+    CHECK(schedule().acceptUntil_ == after(2400));
+    CHECK(schedule().answerBy_ == after(5400));
+    CHECK(schedule().exitBy_ == after(5600));
+}
+
+TEST_CASE("an attempt begins only if one that is slower than expected still ends in time")
+{
+    CHECK(mayBeginAttempt({}, schedule(), after(0), 3.5, never));
+    CHECK_FALSE(mayBeginAttempt({}, schedule(), after(0), 3.7, never));
+    CHECK(mayBeginAttempt({}, schedule(), after(2400), 1.9, never));
+    CHECK_FALSE(mayBeginAttempt({}, schedule(), after(2400), 2.1, never));
+    CHECK_FALSE(mayBeginAttempt({}, schedule(), after(5400), 0.1, never));
+}
+
+TEST_CASE("a request that expires before the stop ends may take any time")
+{
+    CHECK(mayBeginAttempt({}, schedule(), after(2000), 60, after(4000)));
+    CHECK_FALSE(mayBeginAttempt({}, schedule(), after(2000), 60, after(5401)));
+}
+
+TEST_CASE("a stop time below the margins leaves no time for requests")
+{
+    const DrainSchedule none = makeDrainSchedule({}, stopBegins, std::chrono::milliseconds(100));
+    CHECK(none == DrainSchedule { stopBegins, stopBegins, stopBegins });
+    CHECK_FALSE(mayBeginAttempt({}, none, stopBegins, 0.1, never));
+    const DrainSchedule shorter = makeDrainSchedule({}, stopBegins, std::chrono::milliseconds(800));
+    CHECK(shorter.acceptUntil_ == after(200));
+    CHECK(shorter.acceptUntil_ <= shorter.answerBy_);
+}
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -94,7 +94,7 @@
     leaving.leaving_ = true;
     receiveReport(state.fleet_, start, leaving);
     CHECK(lookupAddresses(state, start, { "a", "a1" }) == Addresses { "10.0.0.1:80", "10.0.0.3:80" });
-    state.draining_ = true;
+    state.drain_ = DrainSchedule {};
     CHECK(lookupAddresses(state, start, { "a", "a1" }) == Addresses { "10.0.0.3:80" });
 }
 
--- a/test/host/problem-test.cc
+++ b/test/host/problem-test.cc
@@ -12,8 +12,8 @@
 {
     // Guards against a refusal that says "not run" although an upstream may have run the request. Request
     // handling uses these reasons, and only these, once this attempt or an earlier one may have sent a byte.
-    const std::set<Reason> mayHaveRun { Reason::ClaimInProgress, Reason::ClaimUnknown, Reason::UpstreamFailed,
-        Reason::UpstreamTimeout };
+    const std::set<Reason> mayHaveRun { Reason::ClaimInProgress, Reason::OutcomeUnknown,
+        Reason::UpstreamFailed, Reason::UpstreamTimeout };
     std::set<std::string> names;
     for (int i = 0; i <= static_cast<int>(Reason::NotReady); ++i) {
         const auto reason = static_cast<Reason>(i);
