Check the nesting of reports and relay answers before decoding them

A datagram of some 60,000 bytes 0x81 to a host's peer port, or such an answer to a follower of a relay, ended the process: from_cbor recurses for each level of nested arrays and of nested indefinite-length texts, and the stack overflowed. Anyone on the network can send such a datagram. The peer protocol of the product's own front has had a check without recursion before it decodes; the gateway's two decoders had none. JSON documents are not affected: that parser does not recurse, and platform/documents.cc limits the depth besides.

The check moves from src/peer to base/cbor.h and is used by all three decoders. The limit of the peer protocol is as before.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -1,6 +1,7 @@
 // Reads the store through another host of the region.
 #include "turmericwing/gateway/relay.h"
 
+#include "turmericwing/base/cbor.h"
 #include "turmericwing/base/hash.h"
 #include "turmericwing/gateway/httpchannel.h"
 #include "turmericwing/host/log.h"
@@ -15,6 +16,7 @@
 
 namespace detail {
 
+    constexpr size_t maxAnswerDepth = 4; ///< Levels of nested arrays; an encoded table has 3.
     constexpr std::string_view followPath = "/follow/";
     constexpr std::string_view readPath = "/read/";
     /// Added to followerWait_ for the timeout of a follow call, as a relay answers only when its wait has
@@ -190,6 +192,10 @@
 
 Result<TableRead> decodeTableRead(const std::string& bytes)
 {
+    // The decoder recurses for each level.
+    if (const auto fault = checkCborStructure(bytes, detail::maxAnswerDepth))
+        return makeError(
+            ErrorCode::Invalid, std::string("malformed answer from a relay: ") + toString(*fault));
     try {
         const json value = json::from_cbor(bytes);
         TableRead read { {}, value.at(0), value.at(1) };
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -2,6 +2,7 @@
 // small.
 #include "turmericwing/gateway/report.h"
 
+#include "turmericwing/base/cbor.h"
 #include "turmericwing/base/hash.h"
 
 #include <nlohmann/json.hpp>
@@ -13,6 +14,7 @@
 namespace detail {
 
     constexpr size_t maxReportBytes = 60'000; ///< Upper bound; a UDP datagram cannot hold much more.
+    constexpr size_t maxReportDepth = 8; ///< Levels of nested arrays; an encoded report has 5.
     constexpr size_t memberCount = 16; ///< Members of HostReport.
 
     json encode(const rollout::RampCounts& counts)
@@ -163,6 +165,9 @@
 {
     if (bytes.size() > detail::maxReportBytes)
         return makeError(ErrorCode::Invalid, "report is larger than a datagram");
+    // The decoder recurses for each level.
+    if (const auto fault = checkCborStructure(bytes, detail::maxReportDepth))
+        return makeError(ErrorCode::Invalid, std::string("report: ") + toString(*fault));
     try {
         // The decoder throws on array sizes that exceed memory even if exceptions are disabled.
         const json value = json::from_cbor(bytes, true, false);
--- a/src/peer/message.cc
+++ b/src/peer/message.cc
@@ -2,6 +2,8 @@
 // Reader.
 #include "turmericwing/peer/message.h"
 
+#include "turmericwing/base/cbor.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -464,52 +466,6 @@
         std::optional<DecodeError> error_;
     };
 
-    // Checks structure and nesting depth without recursion, and without allocations whose size the input
-    // controls. Rejects tags, indefinite lengths, trailing bytes and items that extend beyond the input.
-    std::optional<DecodeErrorCode> checkStructure(std::string_view bytes)
-    {
-        std::array<uint64_t, maxMessageDepth> itemsLeft {}; // Items left in each unfinished array or map.
-        int depth = 0;
-        size_t offset = 0;
-        do {
-            if (offset == bytes.size())
-                return DecodeErrorCode::Malformed;
-            const auto initial = static_cast<uint8_t>(bytes[offset++]);
-            const int major = initial >> 5;
-            const int info = initial & 31;
-            uint64_t argument = static_cast<uint64_t>(info);
-            if (info >= 28 || major == 6)
-                return DecodeErrorCode::Malformed;
-            if (info >= 24) {
-                const size_t size = size_t { 1 } << (info - 24);
-                if (bytes.size() - offset < size)
-                    return DecodeErrorCode::Malformed;
-                argument = 0;
-                for (size_t i = 0; i < size; ++i)
-                    argument = argument << 8 | static_cast<uint8_t>(bytes[offset++]);
-            }
-            if (depth > 0)
-                --itemsLeft[static_cast<size_t>(depth) - 1];
-            if (major == 2 || major == 3) {
-                if (argument > bytes.size() - offset)
-                    return DecodeErrorCode::Malformed;
-                offset += argument;
-            } else if (major == 4 || major == 5) {
-                if (depth == maxMessageDepth)
-                    return DecodeErrorCode::TooDeep;
-                // Each item takes at least one byte, so a larger count cannot be satisfied.
-                if (argument > bytes.size() - offset)
-                    return DecodeErrorCode::Malformed;
-                itemsLeft[static_cast<size_t>(depth++)] = major == 5 ? argument * 2 : argument;
-            }
-            while (depth > 0 && itemsLeft[static_cast<size_t>(depth) - 1] == 0)
-                --depth;
-        } while (depth > 0);
-        if (offset != bytes.size())
-            return DecodeErrorCode::Malformed;
-        return std::nullopt;
-    }
-
     template <size_t I = 0>
     std::optional<DecodeError> readMessage(const Json& json, size_t type, Message& message)
     {
@@ -570,8 +526,10 @@
 {
     if (bytes.size() > maxMessageBytes)
         return DecodeError { DecodeErrorCode::TooLarge, {} };
-    if (auto error = detail::checkStructure(bytes))
-        return DecodeError { *error, {} };
+    if (const auto fault = checkCborStructure(bytes, maxMessageDepth)) {
+        const bool tooDeep = *fault == CborFault::TooDeep;
+        return DecodeError { tooDeep ? DecodeErrorCode::TooDeep : DecodeErrorCode::Malformed, {} };
+    }
     const detail::Json json = detail::Json::from_cbor(bytes.begin(), bytes.end(), true, false);
     if (!json.is_object())
         return DecodeError { DecodeErrorCode::Malformed, {} };
--- a/test/gateway/relay-test.cc
+++ b/test/gateway/relay-test.cc
@@ -171,3 +171,14 @@
     CHECK(chain.follow(7).value().rows_.front().key_ == "direct");
     CHECK(chain.directCalls_ == 2);
 }
+
+TEST_CASE("a deeply nested answer of a relay is an error")
+{
+    // The CBOR decoder recurses for each level, so an answer of nested arrays overflowed the stack.
+    for (const size_t levels : { size_t { 100 }, size_t { 1'000'000 } }) {
+        CHECK_FALSE(decodeTableRead(std::string(levels, '\x81')));
+        CHECK_FALSE(decodeTableRead(std::string(levels, '\x7f')));
+    }
+    CHECK_FALSE(decodeTableRead("{\"not\": \"CBOR\"}"));
+    CHECK_FALSE(decodeTableRead(""));
+}
--- a/test/gateway/report-test.cc
+++ b/test/gateway/report-test.cc
@@ -54,3 +54,14 @@
     CHECK(rejected > 15'000);
     CHECK_FALSE(decodeReport(std::string(70'000, 'x')));
 }
+
+TEST_CASE("a deeply nested report is rejected")
+{
+    // The CBOR decoder recurses for each level, so a datagram of nested arrays overflowed the stack.
+    const char arrayOfOne = '\x81';
+    const char indefiniteText = '\x7f';
+    for (const size_t levels : { size_t { 100 }, size_t { 59'000 } }) {
+        CHECK_FALSE(decodeReport(std::string(levels, arrayOfOne)));
+        CHECK_FALSE(decodeReport(std::string(levels, indefiniteText)));
+    }
+}
