Reject reports and rollout rows whose texts or numbers are out of range

A report from the network with a name that is not UTF-8 was accepted: CBOR texts are not checked. The host then ended when it wrote that name as JSON to the store, with an uncaught type_error: the removal of a silent peer, or the end of a rollout. The rollout's name also went to all peers in the next report. A demand or a split that is NaN or infinite stayed in the smoothed split of every host that heard it, and times near 2^63 overflowed in the quarantine and the ramp. A row of the rollouts table with a time of 1e300 or a state of 2^32 + 2 was read as another number.

Damaged bytes were tested before, but only for crashes of the decoder itself, not for values that it lets through. JSON documents cannot hold texts that are not UTF-8, so rows of the store are not affected by that part. The conversions of both decoders now check types and ranges.

--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -2,6 +2,8 @@
 // small.
 #include "turmericwing/gateway/report.h"
 
+#include "jsonvalues.h"
+
 #include "turmericwing/base/cbor.h"
 #include "turmericwing/base/hash.h"
 
@@ -37,7 +39,7 @@
     {
         RegionValues values;
         for (const json& entry : value)
-            values.emplace_back(entry.at(0).get<uint32_t>(), entry.at(1).get<double>());
+            values.emplace_back(countValue<uint32_t>(entry.at(0)), amountValue(entry.at(1)));
         return values;
     }
 
@@ -49,7 +51,8 @@
 
     ServiceReport decodeService(const json& value)
     {
-        return { value.at(0), value.at(1), decodeRegionValues(value.at(2)), decodeRegionValues(value.at(3)) };
+        return { countValue<uint32_t>(value.at(0)), amountValue(value.at(1)), decodeRegionValues(value.at(2)),
+            decodeRegionValues(value.at(3)) };
     }
 
     json encode(const RampReport& report)
@@ -72,28 +75,32 @@
 
     rollout::RampCounts decodeCounts(const json& value)
     {
-        return { value.at(0), value.at(1), value.at(2), value.at(3), value.at(4), value.at(5) };
+        const auto count = [&](size_t index) { return countValue<uint64_t>(value.at(index)); };
+        return { count(0), count(1), count(2), count(3), count(4), count(5) };
     }
 
     RampReport decodeRamp(const json& value)
     {
-        const int state = value.at(4);
-        if (state < 0 || state > static_cast<int>(rollout::RampState::Reverted))
-            throw std::out_of_range("state of a rollout");
-        return { .ramp_
-            = { value.at(0), value.at(1), value.at(2), value.at(3), static_cast<rollout::RampState>(state) },
-            .orderVersion_ = value.at(5),
+        const auto state = countValue<uint32_t>(value.at(4));
+        if (state > static_cast<uint32_t>(rollout::RampState::Reverted))
+            throw std::out_of_range("unknown state of a rollout");
+        return { .ramp_ = { textValue(value.at(0)), textValue(value.at(1)), timeValue(value.at(2)),
+                     timeValue(value.at(3)), static_cast<rollout::RampState>(state) },
+            .orderVersion_ = countValue<uint64_t>(value.at(5)),
             .foundBad_ = value.at(6),
             .counts_ = decodeCounts(value.at(7)) };
     }
 
     routing::CrashReport decodeCrash(const json& value)
     {
-        routing::CrashReport crash { .id_ = { value.at(0), value.at(1), value.at(2) },
-            .upstream_ = value.at(3),
-            .at_ = { value.at(4).get<int64_t>() } };
+        routing::CrashReport crash { .id_ = { textValue(value.at(0)), countValue<uint64_t>(value.at(1)),
+                                         countValue<uint64_t>(value.at(2)) },
+            .upstream_ = textValue(value.at(3)),
+            .at_ = { timeValue(value.at(4)) } };
         for (const json& suspect : value.at(5)) {
-            crash.suspects_.push_back({ { suspect.at(0), suspect.at(1) }, { suspect.at(2).get<int64_t>() } });
+            crash.suspects_.push_back(
+                { { countValue<uint64_t>(suspect.at(0)), countValue<uint64_t>(suspect.at(1)) },
+                    { timeValue(suspect.at(2)) } });
         }
         return crash;
     }
@@ -104,23 +111,25 @@
     {
         HostReport report;
         size_t next = 0;
-        report.name_ = value.at(next++);
-        report.incarnation_ = value.at(next++);
-        report.sequence_ = value.at(next++);
+        report.name_ = textValue(value.at(next++));
+        report.incarnation_ = countValue<uint64_t>(value.at(next++));
+        report.sequence_ = countValue<uint64_t>(value.at(next++));
         BOOST_OUTCOME_TRY(callerAddress, decodeAddress(value.at(next++)));
         BOOST_OUTCOME_TRY(peerAddress, decodeAddress(value.at(next++)));
         report.callerAddress_ = std::move(callerAddress);
         report.peerAddress_ = std::move(peerAddress);
-        report.region_ = value.at(next++);
-        report.failureDomain_ = value.at(next++);
+        report.region_ = textValue(value.at(next++));
+        report.failureDomain_ = textValue(value.at(next++));
         report.ready_ = value.at(next++);
         report.leaving_ = value.at(next++);
         report.reachesStore_ = value.at(next++);
-        report.storeReachableMs_ = value.at(next++);
+        report.storeReachableMs_ = countValue<uint32_t>(value.at(next++));
         for (const json& entry : value.at(next++))
-            report.inFlight_.push_back({ entry.at(0), entry.at(1) });
+            report.inFlight_.push_back(
+                { countValue<uint32_t>(entry.at(0)), countValue<uint32_t>(entry.at(1)) });
         for (const json& entry : value.at(next++))
-            report.demands_.push_back({ entry.at(0), entry.at(1), entry.at(2) });
+            report.demands_.push_back({ countValue<uint32_t>(entry.at(0)), amountValue(entry.at(1)),
+                countValue<uint32_t>(entry.at(2)) });
         for (const json& entry : value.at(next++))
             report.services_.push_back(decodeService(entry));
         for (const json& entry : value.at(next++))
@@ -177,7 +186,7 @@
     } catch (const json::exception& parseError) {
         return makeError(ErrorCode::Invalid, std::string("report: ") + parseError.what());
     } catch (const std::out_of_range& rangeError) {
-        return makeError(ErrorCode::Invalid, std::string("report: unknown ") + rangeError.what());
+        return makeError(ErrorCode::Invalid, std::string("report: ") + rangeError.what());
     }
 }
 
--- a/src/gateway/rollouts.cc
+++ b/src/gateway/rollouts.cc
@@ -1,6 +1,8 @@
 // Rollouts on one host: choice of the version, evidence, and the format of the store rows.
 #include "turmericwing/gateway/rollouts.h"
 
+#include "jsonvalues.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -132,14 +134,18 @@
     if (!document.is_object())
         return makeError(ErrorCode::Invalid, "rollout row is not a JSON object");
     try {
-        const int state = document.at("state");
-        if (state < 0 || state > static_cast<int>(RampState::Reverted))
+        const auto state = detail::countValue<uint32_t>(document.at("state"));
+        if (state > static_cast<uint32_t>(RampState::Reverted))
             return makeError(ErrorCode::Invalid, "rollout row has an unknown state");
-        return StoredRamp { { document.at("service"), document.at("version"), document.at("start-ms"),
-                                document.at("deadline-ms"), static_cast<RampState>(state) },
-            document.at("order") };
+        return StoredRamp {
+            { document.at("service"), document.at("version"), detail::timeValue(document.at("start-ms")),
+                detail::timeValue(document.at("deadline-ms")), static_cast<RampState>(state) },
+            detail::countValue<uint64_t>(document.at("order"))
+        };
     } catch (const json::exception& fault) {
         return makeError(ErrorCode::Invalid, std::string("invalid rollout row: ") + fault.what());
+    } catch (const std::out_of_range& fault) {
+        return makeError(ErrorCode::Invalid, std::string("invalid rollout row: ") + fault.what());
     }
 }
 
--- a/test/gateway/report-test.cc
+++ b/test/gateway/report-test.cc
@@ -5,6 +5,9 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
+#include <limits>
+
 using namespace turmericwing;
 using namespace turmericwing::gateway;
 
@@ -65,3 +68,31 @@
         CHECK_FALSE(decodeReport(std::string(levels, indefiniteText)));
     }
 }
+
+TEST_CASE("a report with texts or numbers out of range is rejected")
+{
+    // Names that are not UTF-8 ended the process when it wrote them to the store, and a demand that is not
+    // finite stayed in the smoothed values of this host.
+    const auto isRejected = [](const std::function<void(HostReport&)>& change) {
+        HostReport report = makeReport();
+        change(report);
+        return !decodeReport(encodeReport(report));
+    };
+    const double nan = std::numeric_limits<double>::quiet_NaN();
+    const double infinity = std::numeric_limits<double>::infinity();
+    const int64_t latest = std::numeric_limits<int64_t>::max();
+    CHECK_FALSE(isRejected([](HostReport& report) { report.name_ = "\xc3\xa4"; }));
+    CHECK(isRejected([](HostReport& report) { report.name_ = "\xff"; }));
+    CHECK(isRejected([](HostReport& report) { report.ramps_[0].ramp_.service_ = "\xc3"; }));
+    CHECK(isRejected([](HostReport& report) { report.ramps_[0].ramp_.version_ = "\xff"; }));
+    CHECK(isRejected([&](HostReport& report) { report.ramps_[0].ramp_.deadlineMs_ = latest; }));
+    CHECK(isRejected([](HostReport& report) { report.ramps_[0].ramp_.startMs_ = -1; }));
+    CHECK(isRejected([&](HostReport& report) { report.crashes_[0].at_.ms_ = latest; }));
+    CHECK(isRejected([&](HostReport& report) { report.crashes_[0].suspects_[0].started_.ms_ = latest; }));
+    for (const double odd : { nan, infinity, -infinity, -1.0, 1e30 }) {
+        CHECK(isRejected([&](HostReport& report) { report.demands_[0].rate_ = odd; }));
+        CHECK(isRejected([&](HostReport& report) { report.services_[0].unboundDemand_ = odd; }));
+        CHECK(isRejected([&](HostReport& report) { report.services_[0].split_[0].second = odd; }));
+        CHECK(isRejected([&](HostReport& report) { report.services_[0].boundDemand_[0].second = odd; }));
+    }
+}
--- a/test/gateway/rollouts-test.cc
+++ b/test/gateway/rollouts-test.cc
@@ -87,3 +87,34 @@
     CHECK_FALSE(
         decodeRamp(R"({"service":"s","version":"v","start-ms":1,"deadline-ms":2,"state":9,"order":1})"));
 }
+
+TEST_CASE("odd rows of the rollouts table are errors")
+{
+    // Guards against a row of another writer that ends the host, or is read as another number.
+    const std::string row
+        = R"({"service":"s","version":"v2","start-ms":5,"deadline-ms":9,"state":2,"order":44})";
+    const auto stored = decodeRamp(row);
+    REQUIRE(stored);
+    CHECK(stored.value().ramp_ == rollout::Ramp { "s", "v2", 5, 9, rollout::RampState::Reverted });
+    CHECK(stored.value().orderVersion_ == 44);
+    const std::vector<std::string> odd { "1e400", "1e300", "18446744073709551616", "-1", "2.5", "\"2\"",
+        "[2]", "null", "{}", "4294967298", std::string(100, '['), std::string(100'000, '['),
+        std::string(1000, '[') + std::string(1000, ']') };
+    for (const std::string& value : odd) {
+        for (const std::string field :
+            { "\"start-ms\":5", "\"deadline-ms\":9", "\"state\":2", "\"order\":44" }) {
+            // A version or a time may have more than 32 bits.
+            if (value == "4294967298" && field != "\"state\":2")
+                continue;
+            CAPTURE(field);
+            CAPTURE(value.substr(0, 30));
+            std::string changed = row;
+            changed.replace(changed.find(field), field.size(), field.substr(0, field.find(':') + 1) + value);
+            CHECK_FALSE(decodeRamp(changed));
+        }
+    }
+    for (const std::string& value : { std::string(), std::string("\xff"), std::string("[]"),
+             std::string(65'536, 'x'), std::string(65'536, '\0'), std::string(R"({"service":"\ud800"})"),
+             std::string("{\"service\":\"\xff\",\"version\":\"v\"}") })
+        CHECK_FALSE(decodeRamp(value));
+}
