Read the other rows of a page that has an odd row

One row of the store's answer with a field of another type, such as a version as text, made the whole answer an error. The watch of that table asked again from the same version and got the same row: the host followed neither the configuration nor the upstreams, and counted the store as lost. A version of -4 was read as 2^64 - 4, after which no later change of the table would have been newer.

Rows are now decoded one by one. Versions of rows are at most that of their page. An answer that is malformed outside its rows is an error as before.

--- a/test/adapter/oddentries-test.cc
+++ b/test/adapter/oddentries-test.cc
@@ -2,6 +2,7 @@
 // numbers or ports out of range, of other types, or unreadable. They guard against a row that ends the host
 // or stops the reading of the others.
 #include "platform/documents.h"
+#include "platform/store.h"
 
 #include <doctest/doctest.h>
 
@@ -144,3 +145,34 @@
     for (const std::string& document : unreadableDocuments())
         CHECK(decodeOrder({ .key_ = "evacuate/a1", .value_ = document }).value().subject_ == "a1");
 }
+
+TEST_CASE("an odd row does not hide the other rows of a page")
+{
+    // One row with a field of another type made the whole answer an error, again and again.
+    const std::string good = R"({"table":"servers","part":"","key":"u9","ver":5,"value":"eA=="})";
+    const std::vector<std::string> oddRows { "1", "null", "\"x\"", "[]", "{}", R"({"key":7})",
+        R"({"key":["u1"],"ver":3})", R"({"key":"u1","ver":"4","value":"eA=="})", R"({"key":"u1","ver":-4})",
+        R"({"key":"u1","ver":1e300})", R"({"key":"u1","ver":3,"tombstone":"yes"})",
+        R"({"key":"u1","ver":3,"table":7})", R"({"key":"u1","ver":3,"value":7})",
+        R"({"key":"u1","ver":3,"value":"not base64"})", R"({"key":"u1","ver":18446744073709551615})",
+        R"({"key":"u1","extra":)" + std::string(1000, '[') + std::string(1000, ']') + "}" };
+    for (const std::string& odd : oddRows) {
+        CAPTURE(odd.substr(0, 60));
+        const auto page = decodePage(R"({"now":"5ms","ver":9,"rows":[)" + odd + "," + good + "]}");
+        REQUIRE(page);
+        const auto& rows = page.value().read_.rows_;
+        REQUIRE_FALSE(rows.empty());
+        CHECK(rows.back() == gateway::StoredRow { "servers", "u9", "x", 5, false });
+        CHECK(page.value().read_.version_ == 9);
+        // The row under a known key is kept, so that its own decoder reports it and an older one is replaced.
+        if (rows.size() == 2) {
+            CHECK(rows[0].key_ == "u1");
+            CHECK(rows[0].version_ <= 9);
+            CHECK_FALSE(rows[0].removed_);
+            CHECK_FALSE(decodeUpstream(rows[0].key_, rows[0].value_));
+        }
+    }
+    for (const std::string body : { "", "x", "[]", R"({"ver":"9","now":"5ms"})", R"({"ver":9,"now":5})",
+             R"({"ver":-9,"now":"5ms"})", R"({"ver":9,"now":"5ms","rows":7})" })
+        CHECK_FALSE(decodePage(body));
+}
