--- a/include/turmericwing/gateway/settings.h
+++ b/include/turmericwing/gateway/settings.h
@@ -38,7 +38,7 @@
 /// Errors: Invalid, with all faults, one per line.
 Result<Settings> loadSettings(const std::string& path);
 
-/// Parses a duration such as "1500ms" or "2.5s", of at most one day. Errors: Invalid.
-Result<Duration> parseDuration(const std::string& text);
+/// Parses a duration such as "1500ms" or "2.5s", of at most `longest`. Errors: Invalid.
+Result<Duration> parseDuration(const std::string& text, Duration longest = std::chrono::hours(24));
 
 } // namespace turmericwing::gateway
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -10,8 +10,6 @@
 
 namespace detail {
 
-    constexpr double maxDurationSeconds = 86'400;
-
     /// A non-negative number and the text after it, its unit.
     struct Quantity {
         double number_ = 0;
@@ -87,11 +85,11 @@
 
 } // namespace detail
 
-Result<Duration> parseDuration(const std::string& text)
+Result<Duration> parseDuration(const std::string& text, Duration longest)
 {
     const detail::Quantity quantity = detail::parseQuantity(text);
     const double unit = quantity.unit_ == "s" ? 1 : quantity.unit_ == "ms" ? 0.001 : 0;
-    if (!quantity.valid_ || unit == 0 || quantity.number_ * unit > detail::maxDurationSeconds)
+    if (!quantity.valid_ || unit == 0 || quantity.number_ * unit > seconds(longest))
         return makeError(ErrorCode::Invalid, "'" + text + "' is not a time such as 1500ms or 2.5s");
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(quantity.number_ * unit));
 }
--- a/test/adapter/oddentries-test.cc
+++ b/test/adapter/oddentries-test.cc
@@ -176,3 +176,13 @@
              R"({"ver":-9,"now":"5ms"})", R"({"ver":9,"now":"5ms","rows":7})" })
         CHECK_FALSE(decodePage(body));
 }
+
+TEST_CASE("a store that has been up for more than a day can be read")
+{
+    // Its clock was held to the limit of a setting's time, so every answer was an error from then on.
+    const auto page = decodePage(R"({"ver":9,"now":"172800.5s","rows":[]})");
+    REQUIRE(page);
+    CHECK(page.value().read_.storeMs_ == 172'800'500);
+    CHECK(decodePage(R"({"ver":9,"now":"1796000000000ms","rows":[]})"));
+    CHECK_FALSE(decodePage(R"({"ver":9,"now":"1e300s","rows":[]})"));
+}
