Keep signals that reach a gateway before it serves

A gateway that got SIGHUP, SIGTERM or SIGINT in its first milliseconds was ended by that signal: a reload killed it, and a stop did not end with status 0. Operators saw hosts that had to be started again.

Cause: runGateway installed its handlers after the settings were read and all listeners were open.

runGateway now first blocks the three signals, so that they stay pending. After the settings are read, a pending stop ends the process with status 0 and a pending SIGHUP reads the file again. A signal after that waits until the handlers are set. The mask is then cleared, also of signals that the parent had blocked. Handlers installed before the settings are read were ruled out: they interrupt the reading of the file.

--- a/src/daemon/gateway-front.cc
+++ b/src/daemon/gateway-front.cc
@@ -12,6 +12,8 @@
 #include <csignal>
 #include <functional>
 #include <iostream>
+#include <optional>
+#include <pthread.h>
 
 using namespace turmericwing;
 
@@ -21,6 +23,25 @@
 constexpr int exitInvalidSettings = 1;
 constexpr int exitBindFailed = 3;
 
+/// Returns the signals that the gateway handles.
+sigset_t handledSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
+/// Takes a pending signal of a blocked set. Returns an empty value if none is pending.
+std::optional<int> takePendingSignal(const sigset_t& signals)
+{
+    constexpr timespec noWait {};
+    const int signal = sigtimedwait(&signals, nullptr, &noWait);
+    return signal > 0 ? std::optional(signal) : std::nullopt;
+}
+
 /// Handles signals until the wait is cancelled: SIGTERM and SIGINT start a graceful stop, SIGHUP reloads the
 /// settings.
 void handleSignals(boost::asio::signal_set& signals, gateway::Gateway& gatewayProcess)
@@ -40,12 +61,20 @@
 
 int runGateway(const std::string& settingsPath)
 {
+    std::signal(SIGPIPE, SIG_IGN);
+    // Without a handler these signals end the process. They stay pending until the gateway can handle them.
+    const sigset_t signalsToHandle = handledSignals();
+    pthread_sigmask(SIG_BLOCK, &signalsToHandle, nullptr);
     auto settings = gateway::loadSettings(settingsPath);
+    while (const auto signal = takePendingSignal(signalsToHandle)) {
+        if (*signal != SIGHUP)
+            return exitOk;
+        settings = gateway::loadSettings(settingsPath);
+    }
     if (!settings) {
         std::cerr << settings.error().message_ << "\n";
         return exitInvalidSettings;
     }
-    std::signal(SIGPIPE, SIG_IGN);
     host::startBufferedLog(settings.value().name_, host::LogLevel::Info);
     boost::asio::io_context ioContext(1);
     gateway::TableStore store = platform::makeTableStore(ioContext, settings.value().storeAddress_);
@@ -60,6 +89,7 @@
     }
     boost::asio::signal_set signals(ioContext, SIGTERM, SIGINT, SIGHUP);
     handleSignals(signals, gatewayProcess);
+    pthread_sigmask(SIG_UNBLOCK, &signalsToHandle, nullptr);
     ioContext.run();
     host::flushLog();
     return exitOk;
