Assume demand at a host's first update if no peer knows a split

Cause: demand was assumed only for 3 s after an update at which no host had demand. A host that heard its peers' demand before its own first update never had such an update, took its unmeasured demand for none and began with a share of 1, which its peers then adopted and which moves by 0.04 a second only. Demand bound to a region and the versions of a rollout were ruled out: only the service reported that early was affected.

At an update without a split of its own, and without one of a peer of its region, a host now counts its demand as unmeasured and assumes it for 3 s. Beside a peer that has a split nothing changes, which a second test checks.

Evidence: "a small region starts with a share that fits its capacity where peers report demand before its first update" failed before with "CHECK( 0.95811 < 0.5 )" and passes after; all 41 cases of gateway-test pass.

--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -45,7 +45,8 @@
     DemandRate unbound_; ///< Requests that more than one region may run.
     std::map<std::string, DemandRate> bound_; ///< Requests with one home region, by that region.
     double slotSeconds_ = 0; ///< Mean seconds for which a request occupies a slot; 0 until measured.
-    TimePoint lastIdleAt_ {}; ///< Last update at which no host had demand.
+    /// Last update without measured demand: no host had any, or this host had no split to start from.
+    TimePoint lastUnmeasuredAt_ {};
     routing::RegionSplit split_; ///< Empty until the first update.
     /// Number of requests so far that several regions may run; determines the position in the split of a
     /// request without an object.
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -40,7 +40,8 @@
     constexpr double initialSlotTime = 0.3; ///< Seconds for which a request occupies a slot, until measured.
     /// Utilisation of all capacity that is assumed before demand is measured, in equal parts by region.
     constexpr double assumedUtilisation = 0.6;
-    /// Time after the last idle update for which demand is assumed, while the measured demand lags.
+    /// Time after the last update without measured demand for which demand is assumed, while the measured
+    /// demand lags.
     constexpr Duration assumedDemandPeriod = std::chrono::seconds(3);
 
     /// Fraction of a region's capacity that stays available to unbound requests, however many are bound to
@@ -198,17 +199,19 @@
         detail::addDemand(state, service, now, regions);
         // Without requests no traffic moves, so the split may jump to the target as entries arrive.
         const bool idle = detail::totalDemand(regions) < detail::minDemandSlots;
-        if (idle)
-            demand.lastIdleAt_ = now;
-        if (now < demand.lastIdleAt_ + detail::assumedDemandPeriod)
+        if (demand.split_.empty())
+            demand.split_ = detail::peerSplit(state, service, now, regions);
+        // Without a split to start from, this host's demand is as unmeasured as after an idle update, even if
+        // peers already report theirs.
+        if (idle || demand.split_.empty())
+            demand.lastUnmeasuredAt_ = now;
+        if (now < demand.lastUnmeasuredAt_ + detail::assumedDemandPeriod)
             detail::applyAssumedDemand(regions);
         std::vector<routing::RegionLoad> loads;
         loads.reserve(regions.size());
         for (const auto& [name, region] : regions)
             loads.push_back(region);
         const auto target = routing::targetSplit(state.splitOptions_, state.settings_.region_, loads);
-        if (demand.split_.empty())
-            demand.split_ = detail::peerSplit(state, service, now, regions);
         if (idle) {
             demand.split_ = target;
             continue;
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -219,6 +219,67 @@
     }
 }
 
+TEST_CASE("a small region starts with a share that fits its capacity where peers report demand before its "
+          "first update")
+{
+    // A host that heard its peers' demand before its own first update took its unmeasured demand for none,
+    // and its region kept all requests.
+    for (const bool hasPeerInRegion : { false, true }) {
+        State state;
+        state.settings_.name_ = "h1";
+        state.settings_.region_ = "a";
+        state.fleet_.self_ = "h1";
+        state.directory_.regionOf_ = { { "a1", "a" }, { "b1", "b" }, { "c1", "c" } };
+        int next = 0;
+        for (const auto& [domain, count] : { std::pair("a1", 2), std::pair("b1", 8), std::pair("c1", 8) }) {
+            for (int i = 0; i < count; ++i)
+                upsertEntry(state.directory_, start,
+                    { .id_ = "u" + std::to_string(++next),
+                        .service_ = "s",
+                        .failureDomain_ = domain,
+                        .version_ = "v1",
+                        .slots_ = 9 });
+        }
+        const auto hearPeer = [&](const std::string& name, const std::string& region, uint64_t sequence) {
+            HostReport report = makeReport(name, sequence);
+            report.region_ = region;
+            report.services_ = { { shortHash("s"), 5, {}, {} } };
+            receiveReport(state.fleet_, start + std::chrono::milliseconds(100) * sequence, report);
+        };
+        for (int tick = 0; tick < 20; ++tick) {
+            hearPeer("h2", "b", static_cast<uint64_t>(tick));
+            // A peer of the same region that has just started, too, knows no split.
+            if (hasPeerInRegion)
+                hearPeer("h3", "a", static_cast<uint64_t>(tick));
+            state.demand_["s"].unbound_.requestCount_ = 10;
+            updateSplits(state, start + std::chrono::milliseconds(100) * tick);
+            INFO("tick ", tick, ", peer in the region ", hasPeerInRegion);
+            CHECK(state.demand_["s"].split_.front().share_ < 0.5);
+        }
+    }
+}
+
+TEST_CASE("a host that restarts beside peers of its region begins with their split")
+{
+    // Guards against assumed demand in a host that only restarts: its region's measured split would change.
+    State state;
+    state.settings_.name_ = "h1";
+    state.settings_.region_ = "a";
+    state.fleet_.self_ = "h1";
+    state.directory_.regionOf_ = { { "a1", "a" }, { "b1", "b" } };
+    for (const auto& [id, domain] : { std::pair("u1", "a1"), std::pair("u2", "b1") })
+        upsertEntry(state.directory_, start,
+            { .id_ = id, .service_ = "s", .failureDomain_ = domain, .version_ = "v1", .slots_ = 9 });
+    HostReport report = makeReport("h2", 1);
+    report.region_ = "a";
+    report.services_ = { { shortHash("s"), 1, { { shortHash("a"), 0.7 }, { shortHash("b"), 0.3 } }, {} } };
+    receiveReport(state.fleet_, start, report);
+    updateSplits(state, start);
+    const double share = state.demand_["s"].split_.front().share_;
+    CHECK(share >= 0.7);
+    CHECK(share <= 0.7 + state.splitOptions_.stepPerSecond_);
+}
+
 TEST_CASE("requests bound to one region reduce that region's share of other requests")
 {
     // One workspace was bound to the region with the fewest upstreams, and the unbound requests of that
