Decode what an upstream's answer says about its state

The leaving field counts only with the value 1. A pause counts only on a 503 that says that the request was not run, as a plain decimal number of seconds; a negative, repeated or non-finite value, an exponent, a date or other text is ignored, with a fault for the log.

--- a/include/turmericwing/gateway/protocol.h
+++ b/include/turmericwing/gateway/protocol.h
@@ -4,8 +4,10 @@
 
 #include "turmericwing/base/time.h"
 #include "turmericwing/gateway/catalog.h"
+#include "turmericwing/gateway/http.h"
 #include "turmericwing/gateway/tablestore.h"
 #include "turmericwing/rollout/ramp.h"
+#include "turmericwing/routing/upstreamstate.h"
 
 #include <cstdint>
 #include <functional>
@@ -68,6 +70,8 @@
     std::function<std::string(std::string_view authorization)> parseApiKey_;
     /// Parses the load field; nothing if it is malformed.
     std::function<std::optional<LoadReport>(std::string_view)> parseLoad_;
+    /// Extracts what an answer says about the state of its upstream.
+    std::function<routing::UpstreamNotice(const Response&)> parseNotice_;
     /// Parses the query of a lookup; missing parameters are empty.
     std::function<LookupQuery(std::string_view query)> parseLookupQuery_;
     /// Returns the JSON body of a lookup's answer.
--- a/test/adapter/documents-test.cc
+++ b/test/adapter/documents-test.cc
@@ -127,3 +127,53 @@
     CHECK(protocol.encodeLookupAnswer_({ "10.0.0.1:80" }, std::chrono::seconds(2))
         == R"({"addrs":["10.0.0.1:80"],"ttl":"2000ms"})");
 }
+
+TEST_CASE("an answer of an upstream that leaves is recognised by one value only")
+{
+    // Another value of the field must not take an upstream out of use.
+    const auto parse = [](std::vector<std::string> values, unsigned status) {
+        gateway::Response answer { .status_ = status };
+        for (const std::string& value : values)
+            answer.headers_.push_back({ "server-leaving", value });
+        return makeProtocol().parseNotice_(answer);
+    };
+    for (const unsigned status : { 200U, 404U, 500U, 503U })
+        CHECK(parse({ "1" }, status) == routing::UpstreamNotice { .leaving_ = true });
+    CHECK(parse({ "1", "1" }, 200).leaving_);
+    CHECK(parse({}, 200) == routing::UpstreamNotice {});
+    for (const char* value : { "0", "", "true", "11", "1, 1", "1.0" }) {
+        CHECK_FALSE(parse({ value }, 200).leaving_);
+        CHECK_FALSE(parse({ value }, 200).fault_.empty());
+    }
+    CHECK_FALSE(parse({ "1", "0" }, 200).leaving_);
+}
+
+TEST_CASE("a pause is read from a not-run refusal, and odd values are ignored with a fault")
+{
+    // An odd Retry-After must neither end the process nor take an upstream out of use.
+    const auto parse = [](std::vector<std::string> values, unsigned status = 503, bool notRun = true) {
+        gateway::Response answer { .status_ = status };
+        if (notRun)
+            answer.headers_.push_back({ "X-Not-Run", "1" });
+        for (const std::string& value : values)
+            answer.headers_.push_back({ "retry-after", value });
+        return makeProtocol().parseNotice_(answer);
+    };
+    CHECK(parse({ "2" }).pauseSeconds_ == 2);
+    CHECK(parse({ "0.25" }).pauseSeconds_ == 0.25);
+    CHECK(parse({ "0" }).pauseSeconds_ == 0);
+    CHECK(parse({ "86400" }).pauseSeconds_ == 86400);
+    CHECK(parse({}) == routing::UpstreamNotice {});
+    CHECK(parse({ "2" }, 503, false) == routing::UpstreamNotice {});
+    CHECK(parse({ "2" }, 429) == routing::UpstreamNotice {});
+    CHECK(parse({ "2" }, 200, false) == routing::UpstreamNotice {});
+    for (const char* value : { "", "-1", "-0.0", "nan", "inf", "1e3", "+1", "0x10", "2s", "2,5", "1 2",
+             "soon", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+        INFO("value: ", value);
+        CHECK_FALSE(parse({ value }).pauseSeconds_);
+        CHECK_FALSE(parse({ value }).fault_.empty());
+    }
+    CHECK_FALSE(parse({ std::string(400, '9') }).pauseSeconds_);
+    CHECK_FALSE(parse({ "1", "1" }).pauseSeconds_);
+    CHECK_FALSE(parse({ "1", "1" }).fault_.empty());
+}
