Obey upstreams that announce leaving or a pause in their answers

A host out of touch with the store went on sending to an upstream whose answers said that it leaves, until the upstream ended and requests broke off. One that refused a request and asked for a pause was tried again 60 ms later, each time at the cost of a retry. The dispatcher used only the store's entry and its own backoff.

The announced state now stands in routing::Target, apart from the entry, so that an entry that still says ready, or that lapses and comes back, does not clear it; it is applied when the answer is received, for the incarnation to which the request was sent. Answers of other requests, of misdirected requests and to requests without an id mark nothing. Such an upstream is no candidate for first attempts, retries and waiting requests, its idle connections are closed, its slots no longer count for the split of regions when it leaves, and what runs there ends normally. If no other upstream may run a request, the caller is refused at once, with a Retry-After past the earliest end of the pauses; requests that already wait are refused then too, as new ones were before. Ruled out: clearing usable_ instead, which the next entry of the incarnation would set again.

The field born of live.h's entries is now a member, with the same value by default.

--- a/include/turmericwing/gateway/directory.h
+++ b/include/turmericwing/gateway/directory.h
@@ -36,6 +36,7 @@
     std::optional<TimePoint> unusableAt_;
     /// Rate limit while cold, if this host owns a share of the rate.
     std::optional<limits::Bucket> coldBucket_;
+    bool faultLogged_ = false; ///< A malformed announcement was logged, once for each incarnation.
 };
 
 /// All upstreams of a service. Invariant: targets_ and records_ have the same order.
@@ -52,6 +53,9 @@
     std::map<std::string, std::string> regionOf_ {}; ///< By failure domain.
     std::map<std::string, ServicePool> services_ {};
     std::map<std::string, std::string> serviceOf_ {}; ///< By upstream id.
+    routing::UpstreamStateOptions stateOptions_ {};
+    /// Announced states of incarnations that are not listed now.
+    routing::RememberedStates unlistedStates_ {};
     std::set<std::string> evacuated_ {}; ///< Failure domains that get no new requests.
     bool loaded_ = false; ///< Whether the entries were read once.
     bool storeUnavailable_ = false;
@@ -71,6 +75,11 @@
 /// Adds or updates an upstream. A new run under a known id replaces the old one and what was observed of it.
 void upsertEntry(Directory&, TimePoint now, const UpstreamEntry&);
 
+/// Applies what an answer of the incarnation said about itself, whether it is still listed or not. Returns
+/// its new status if that has changed. Another incarnation under the same id is not affected.
+std::optional<routing::UpstreamStatus> recordNotice(
+    Directory&, TimePoint now, const routing::Incarnation&, const routing::UpstreamNotice&);
+
 /// Handles the removal of an entry from the store: the upstream is unusable at once, or after the settling
 /// time if the entry may have lapsed in an outage.
 void removeEntry(Directory&, TimePoint now, const std::string& id);
--- a/include/turmericwing/host/metrics.h
+++ b/include/turmericwing/host/metrics.h
@@ -22,6 +22,10 @@
     /// Counts an attempt beyond the first one of a request.
     void countRetry(const std::string& service);
 
+    /// Counts a change of an upstream's state, by its new state and by what announced it.
+    void countUpstreamState(
+        const std::string& service, const std::string& upstreamState, const std::string& source);
+
     /// Counts a request of a service in a move, by the version that serves it.
     void countMove(const std::string& move, const std::string& version);
 
--- a/include/turmericwing/routing/pick.h
+++ b/include/turmericwing/routing/pick.h
@@ -9,7 +9,9 @@
 
 #include "turmericwing/base/random.h"
 #include "turmericwing/base/time.h"
+#include "turmericwing/routing/upstreamstate.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -55,7 +57,8 @@
     std::string failureDomain_;
     std::string version_;
     uint32_t slots_ = 1;
-    bool usable_ = true; ///< False once it is leaving or no longer listed.
+    bool usable_ = true; ///< False while its entry says that it is leaving, or is missing.
+    AnnouncedState announced_ {}; ///< What its own answers said; it is used only while Serving.
     uint32_t inFlight_ = 0; ///< Requests of this host.
     uint32_t peerInFlight_ = 0; ///< Requests of the other hosts, as last reported.
     double activeHosts_ = 1; ///< Hosts that have used it recently, this one included; decays.
@@ -117,6 +120,12 @@
 PickResult pickTarget(const std::vector<Target>&, const PickOptions&, const PickRequest&, TimePoint now,
     const Permit&, const RoundTripTo&);
 
+/// The earliest end of a pause, if every target that `isAllowed` admits has announced a pause or its leaving,
+/// and at least one a pause.
+template <typename IsAllowed>
+std::optional<TimePoint> earliestPauseEnd(
+    const std::vector<Target>&, TimePoint now, const IsAllowed& isAllowed);
+
 /// Records a response that took `observed` seconds where `expected` were estimated. `failed` marks a response
 /// that reports a failure of the upstream.
 void recordAnswer(Target&, const PickOptions&, TimePoint now, double observed, double expected, bool failed);
@@ -185,7 +194,8 @@
     const auto isCandidate = [&](const Target& target) {
         const bool home = !request.homeRegions_ || request.homeRegions_->empty()
             || detail::contains(request.homeRegions_, target.region_);
-        return target.usable_ && home && !detail::contains(request.except_, target.id_)
+        const bool serving = statusAt(target.announced_, now) == UpstreamStatus::Serving;
+        return target.usable_ && serving && home && !detail::contains(request.except_, target.id_)
             && permit(target) != Permission::Never;
     };
     const bool byObject = request.object_ && options.affinity_;
@@ -229,4 +239,21 @@
     return result;
 }
 
+template <typename IsAllowed>
+std::optional<TimePoint> earliestPauseEnd(
+    const std::vector<Target>& targets, TimePoint now, const IsAllowed& isAllowed)
+{
+    std::optional<TimePoint> end;
+    for (const Target& target : targets) {
+        if (!target.usable_ || !isAllowed(target))
+            continue;
+        const UpstreamStatus status = statusAt(target.announced_, now);
+        if (status == UpstreamStatus::Serving)
+            return std::nullopt;
+        if (status == UpstreamStatus::Paused)
+            end = std::min(end.value_or(TimePoint::max()), target.announced_.pausedUntil_);
+    }
+    return end;
+}
+
 } // namespace turmericwing::routing
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -18,14 +18,19 @@
         return static_cast<size_t>(found - pool.targets_.begin());
     }
 
-    /// Removes an upstream with all that is known of it.
-    void erase(Directory& directory, const std::string& id)
+    routing::Incarnation incarnationOf(const UpstreamEntry& entry) { return { entry.startedMs_, entry.id_ }; }
+
+    /// Removes an upstream with all that is known of it but the state that it has announced: its entry can
+    /// come back, for example after an outage of the store.
+    void erase(Directory& directory, TimePoint now, const std::string& id)
     {
         const auto service = directory.serviceOf_.find(id);
         if (service == directory.serviceOf_.end())
             return;
         ServicePool& pool = directory.services_[service->second];
         if (const auto index = indexOf(pool, id)) {
+            routing::rememberState(directory.unlistedStates_, directory.stateOptions_, now,
+                incarnationOf(pool.records_[*index].entry_), pool.targets_[*index].announced_);
             pool.targets_.erase(pool.targets_.begin() + static_cast<std::ptrdiff_t>(*index));
             pool.records_.erase(pool.records_.begin() + static_cast<std::ptrdiff_t>(*index));
         }
@@ -47,6 +52,7 @@
     {
         ServicePool& pool = directory.services_[entry.service_];
         pool.targets_.push_back(makeTarget(directory, entry));
+        pool.targets_.back().announced_ = routing::takeState(directory.unlistedStates_, incarnationOf(entry));
         pool.records_.push_back({ .entry_ = entry });
         directory.serviceOf_[entry.id_] = entry.service_;
     }
@@ -81,7 +87,7 @@
 {
     UpstreamRef known = findUpstream(directory, entry.id_);
     if (known.target_ && detail::isOtherRun(known.record_->entry_, entry)) {
-        detail::erase(directory, entry.id_);
+        detail::erase(directory, now, entry.id_);
         known = {};
     }
     const bool added = !known.target_;
@@ -103,6 +109,18 @@
         pool.baseVersion_ = entry.version_;
 }
 
+std::optional<routing::UpstreamStatus> recordNotice(Directory& directory, TimePoint now,
+    const routing::Incarnation& sender, const routing::UpstreamNotice& notice)
+{
+    const UpstreamRef known = findUpstream(directory, sender.id_);
+    if (known.target_ && detail::incarnationOf(known.record_->entry_) == sender)
+        return routing::applyNotice(known.target_->announced_, directory.stateOptions_, now, notice);
+    routing::AnnouncedState state = routing::takeState(directory.unlistedStates_, sender);
+    const auto changed = routing::applyNotice(state, directory.stateOptions_, now, notice);
+    routing::rememberState(directory.unlistedStates_, directory.stateOptions_, now, sender, state);
+    return changed;
+}
+
 void removeEntry(Directory& directory, TimePoint now, const std::string& id)
 {
     const UpstreamRef known = findUpstream(directory, id);
@@ -175,7 +193,7 @@
         }
     }
     for (const std::string& id : removable)
-        detail::erase(directory, id);
+        detail::erase(directory, now, id);
     return gone;
 }
 
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -46,6 +46,7 @@
         bool mayHaveRun_ = false; ///< Set once an upstream may have executed the request.
         std::vector<std::string> triedUpstreams_; ///< Ids, in the order of the attempts.
         std::string currentUpstream_; ///< Id for the attempt in flight; empty while none is.
+        int64_t upstreamStartedMs_ = 0; ///< Start of the incarnation that gets the latest attempt.
         double expectedLatency_ = 0; ///< Expected seconds to the response of the latest attempt.
         TimePoint sentAt_ {};
         bool countedInRollout_ = false; ///< Whether the attempt in flight was counted as rollout evidence.
@@ -119,6 +120,9 @@
     void prepareColdBucket(ServicePool&, size_t index, TimePoint now);
     void onCallResult(const PendingRequestPtr&, UpstreamAnswer);
     void onResponse(const PendingRequestPtr&, Response, double observedSeconds);
+    void heedNotice(const PendingRequest&, const Response&);
+    void logFaultOnce(const PendingRequest&, const std::string& fault);
+    std::optional<TimePoint> pauseEnd(const PendingRequest&, TimePoint now);
     void onNotRun(const PendingRequestPtr&, const Response&);
     void onTransportError(const PendingRequestPtr&, const UpstreamAnswer&);
     void countForRollout(PendingRequest&, bool failed, bool slow);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -336,6 +336,7 @@
             services_[pending->service_].objectUseHistory_, now, *pending->object_, target.hash_);
     routing::recordSent(target);
     pending->currentUpstream_ = target.id_;
+    pending->upstreamStartedMs_ = record.entry_.startedMs_;
     pending->triedUpstreams_.push_back(target.id_);
     pending->expectedLatency_ = pick.expectedSeconds_;
     pending->sentAt_ = now;
@@ -384,13 +385,18 @@
     const std::vector<routing::Waiter> waiters = queue.waiters_;
     size_t failedDispatches = 0;
     for (const routing::Waiter& waiter : waiters) {
-        const auto pending = pendingRequests_.find(waiter.id_);
-        if (pending == pendingRequests_.end())
+        const auto found = pendingRequests_.find(waiter.id_);
+        if (found == pendingRequests_.end())
             continue;
+        const PendingRequestPtr pending = found->second;
+        const routing::PickFailure failure = tryDispatch(pending);
+        if (failure == routing::PickFailure::None)
+            routing::removeWaiter(queue, waiter.id_);
+        // The upstreams that may run it have left or paused while it waited.
+        else if (failure == routing::PickFailure::NoneUsable)
+            refuse(pending, noUpstreamReason(*pending));
         // Requests further back may be bound to a version or region that has capacity. The limit on failed
         // tries bounds the cost of a pass under overload.
-        if (tryDispatch(pending->second) == routing::PickFailure::None)
-            routing::removeWaiter(queue, waiter.id_);
         else if (++failedDispatches >= detail::maxFailedDispatches)
             return;
     }
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -88,6 +88,7 @@
 {
     const TimePoint now = monotonicNow();
     const HeaderNames& names = state_.protocol_.headers_;
+    heedNotice(*pending, response);
     const UpstreamRef ref = findUpstream(state_.directory_, pending->currentUpstream_);
     const bool notRun = response.status_ == state_.protocol_.misdirectedStatus_
         || !headerValue(response.headers_, names.notRun_).empty();
@@ -129,6 +130,44 @@
     retryOrFinish(pending, Reason::UpstreamFailed);
 }
 
+/// Applies what the answer says about the state of its upstream. The answer of a misdirected request comes
+/// from another process, and an answer to a request without an id cannot be attributed.
+void Dispatcher::Core::heedNotice(const PendingRequest& pending, const Response& response)
+{
+    if (pending.requestId_.empty() || response.status_ == state_.protocol_.misdirectedStatus_)
+        return;
+    const routing::UpstreamNotice notice = state_.protocol_.parseNotice_(response);
+    if (!notice.fault_.empty())
+        logFaultOnce(pending, notice.fault_);
+    const std::string& upstream = pending.currentUpstream_;
+    const auto status
+        = recordNotice(state_.directory_, monotonicNow(), { pending.upstreamStartedMs_, upstream }, notice);
+    // Each answer of a leaving upstream may have returned its connection to the pool.
+    if (notice.leaving_)
+        upstreamClient_.closeIdleConnections(upstream);
+    if (!status)
+        return;
+    const std::string name = routing::statusName(*status);
+    logEvent(LogLevel::Info, "upstream-state",
+        { { "upstream", upstream }, { "service", pending.service_ }, { "state", name },
+            { "source", "answer" }, { "request", pending.requestId_ },
+            { "status", std::to_string(response.status_) },
+            { "asked_ms", std::to_string(static_cast<int64_t>(notice.pauseSeconds_.value_or(0) * 1000)) } });
+    metrics_.countUpstreamState(pending.service_, name, "answer");
+    scheduleServeWaiting(pending.service_);
+}
+
+/// Logs a malformed announcement, once for each incarnation of an upstream to bound the volume.
+void Dispatcher::Core::logFaultOnce(const PendingRequest& pending, const std::string& fault)
+{
+    const UpstreamRef ref = findUpstream(state_.directory_, pending.currentUpstream_);
+    if (!ref.record_ || ref.record_->faultLogged_)
+        return;
+    ref.record_->faultLogged_ = true;
+    logEvent(LogLevel::Warning, "upstream-state-ignored",
+        { { "upstream", pending.currentUpstream_ }, { "request", pending.requestId_ }, { "reason", fault } });
+}
+
 /// The upstream answered that it did not run the request, so mayHaveRun_ is left as it was.
 void Dispatcher::Core::onNotRun(const PendingRequestPtr& pending, const Response& response)
 {
@@ -274,8 +313,26 @@
     completeRequest(pending, status, "answered", pending->lastError_);
 }
 
+/// End of the earliest pause, if the service has no other upstream for the request.
+std::optional<TimePoint> Dispatcher::Core::pauseEnd(const PendingRequest& pending, TimePoint now)
+{
+    const auto pool = state_.directory_.services_.find(pending.service_);
+    if (pool == state_.directory_.services_.end() || !pending.catalog_)
+        return std::nullopt;
+    const ServiceSpec* service = pending.catalog_->findService(pending.service_);
+    const auto& regions = pending.allowedRegions_;
+    return routing::earliestPauseEnd(pool->second.targets_, now, [&](const routing::Target& target) {
+        const auto index = static_cast<size_t>(&target - pool->second.targets_.data());
+        const bool home = regions.empty() || routing::detail::contains(&regions, target.region_);
+        return home
+            && permission(pending, service, target, pool->second.records_[index], now)
+            != routing::Permission::Never;
+    });
+}
+
 /// Delay after which capacity or quota is expected, lengthened by up to as much again as random jitter, so
-/// that callers do not all retry at the same time.
+/// that callers do not all retry at the same time. Not before the earliest end of the upstreams' pauses if
+/// all of them are paused.
 Duration Dispatcher::Core::retryAfter(const PendingRequest& pending, Reason reason)
 {
     Duration wait = options_.minRetryAfter_;
@@ -288,6 +345,10 @@
         wait = std::max(wait, routing::expectedWait(queue, detail::rankOf(pending)));
     }
     wait = std::min(wait, options_.maxRetryAfter_);
+    const TimePoint now = monotonicNow();
+    const auto end = reason == Reason::Overloaded ? pauseEnd(pending, now) : std::nullopt;
+    if (end)
+        return *end - now + std::chrono::duration_cast<Duration>(wait * uniform(state_.random_));
     return std::chrono::duration_cast<Duration>(wait * (1 + uniform(state_.random_)));
 }
 
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -92,8 +92,9 @@
         Regions regions;
         const VersionFilter versions = majorityVersion(state, service, pool, now);
         for (const routing::Target& target : pool.targets_) {
-            const bool isAvailable = target.usable_ && versions.allows(target.version_)
-                && now >= target.coldUntil_ && !state.directory_.evacuated_.contains(target.failureDomain_);
+            const bool isAvailable = target.usable_ && !target.announced_.leaving_
+                && versions.allows(target.version_) && now >= target.coldUntil_
+                && !state.directory_.evacuated_.contains(target.failureDomain_);
             RegionLoad& region = regions[target.region_];
             region.region_ = target.region_;
             region.capacity_ += isAvailable ? target.slots_ : 0;
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -27,6 +27,7 @@
     prometheus::Family<prometheus::Counter>& lookups_;
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Counter>& moves_;
+    prometheus::Family<prometheus::Counter>& upstreamStates_;
     std::mutex mutex_;
     std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges_;
 
@@ -51,6 +52,10 @@
                      .Name("turmericwing_move_requests_total")
                      .Help("Requests of a service in a move, by version")
                      .Register(registry_))
+        , upstreamStates_(prometheus::BuildCounter()
+                              .Name("turmericwing_upstream_state_changes_total")
+                              .Help("Changes of an upstream's state, by new state and source")
+                              .Register(registry_))
     {
     }
 };
@@ -82,6 +87,14 @@
     families_->retries_.Add({ { "service", service } }).Increment();
 }
 
+void Metrics::countUpstreamState(
+    const std::string& service, const std::string& upstreamState, const std::string& source)
+{
+    families_->upstreamStates_
+        .Add({ { "service", service }, { "state", upstreamState }, { "source", source } })
+        .Increment();
+}
+
 void Metrics::countMove(const std::string& move, const std::string& version)
 {
     families_->moves_.Add({ { "move", move }, { "version", version } }).Increment();
--- a/test/gateway/directory-test.cc
+++ b/test/gateway/directory-test.cc
@@ -124,3 +124,41 @@
     expireEntries(directory, start);
     CHECK_FALSE(findUpstream(directory, "u1").target_);
 }
+
+TEST_CASE("a leaving mark belongs to its incarnation and outlives its entry")
+{
+    // An entry that lapses and comes back, from an older copy of the store too, must not return an upstream
+    // that has announced its leaving; a new process under its id is another upstream.
+    Directory directory = makeDirectory();
+    const auto status = [&](const std::string& id) {
+        return routing::statusAt(findUpstream(directory, id).target_->announced_, start);
+    };
+    CHECK(recordNotice(directory, start, { 1, "u1" }, { .leaving_ = true })
+        == std::optional(routing::UpstreamStatus::Leaving));
+    upsertEntry(directory, start, makeEntry("u1"));
+    CHECK(status("u1") == routing::UpstreamStatus::Leaving);
+    removeEntry(directory, start, "u1");
+    expireEntries(directory, start);
+    REQUIRE_FALSE(findUpstream(directory, "u1").target_);
+    upsertEntry(directory, start, makeEntry("u1"));
+    CHECK(status("u1") == routing::UpstreamStatus::Leaving);
+    CHECK(status("u2") == routing::UpstreamStatus::Serving);
+    UpstreamEntry restarted = makeEntry("u1");
+    restarted.startedMs_ = 2;
+    upsertEntry(directory, start, restarted);
+    CHECK(status("u1") == routing::UpstreamStatus::Serving);
+    upsertEntry(directory, start, makeEntry("u1"));
+    CHECK(status("u1") == routing::UpstreamStatus::Leaving);
+}
+
+TEST_CASE("a late answer of an earlier incarnation does not mark the current one")
+{
+    Directory directory = makeDirectory();
+    UpstreamEntry restarted = makeEntry("u1");
+    restarted.startedMs_ = 2;
+    upsertEntry(directory, start, restarted);
+    CHECK(recordNotice(directory, start, { 1, "u1" }, { .leaving_ = true }));
+    CHECK(routing::statusAt(findUpstream(directory, "u1").target_->announced_, start)
+        == routing::UpstreamStatus::Serving);
+    CHECK_FALSE(recordNotice(directory, start, { 1, "u9" }, {}));
+}
--- a/test/gateway/live.h
+++ b/test/gateway/live.h
@@ -80,7 +80,7 @@
         store_.put("servers", id_,
             nlohmann::json { { "service", "s" }, { "address", "127.0.0.1:" + std::to_string(port_) },
                 { "zone", domain_ }, { "version", version_ }, { "slots", 4 }, { "state", state },
-                { "cold_left", "0ms" }, { "seq", ++seq_ }, { "born", 1 } }
+                { "cold_left", "0ms" }, { "seq", ++seq_ }, { "born", startedMs_ } }
                 .dump());
     }
 
@@ -89,6 +89,7 @@
     const std::string domain_;
     const std::string version_;
     int seq_ = 0;
+    int64_t startedMs_ = 1; ///< Names the incarnation in the entry.
     std::atomic<int> requests_ = 0;
     /// A caller closed its connection while the handler waited.
     std::atomic<bool> callerDisconnected_ = false;
--- a/test/routing/pick-test.cc
+++ b/test/routing/pick-test.cc
@@ -259,3 +259,36 @@
     recordAnswer(target, options, start, 0.1, 0.1, false);
     CHECK(target.consecutiveFailures_ == 0);
 }
+
+TEST_CASE("targets that announced leaving or a pause are not selected, and a pause ends")
+{
+    // Paused targets must not look like full ones, for whose slots requests wait.
+    auto targets = makeTargets(2, "a");
+    targets[0].announced_.leaving_ = true;
+    targets[1].announced_.pausedUntil_ = start + std::chrono::seconds(2);
+    PickRequest request { .region_ = "a" };
+    for (const auto& object : { std::optional<uint64_t>(), std::optional(hash64("object")) }) {
+        request.object_ = object;
+        CHECK(pickTarget(targets, {}, request, start, anyTarget, noDistance).failure_
+            == PickFailure::NoneUsable);
+        const auto after
+            = pickTarget(targets, {}, request, start + std::chrono::seconds(2), anyTarget, noDistance);
+        REQUIRE(after.pick_);
+        CHECK(after.pick_->index_ == 1);
+    }
+}
+
+TEST_CASE("the earliest end of pauses is known only while no target serves")
+{
+    const auto any = [](const Target&) { return true; };
+    auto targets = makeTargets(3, "a");
+    targets[0].announced_.pausedUntil_ = start + std::chrono::seconds(5);
+    targets[1].announced_.pausedUntil_ = start + std::chrono::seconds(3);
+    CHECK_FALSE(earliestPauseEnd(targets, start, any));
+    targets[2].announced_.leaving_ = true;
+    CHECK(earliestPauseEnd(targets, start, any).value_or(start) == start + std::chrono::seconds(3));
+    const auto first = [&](const Target& target) { return &target == &targets[0]; };
+    CHECK(earliestPauseEnd(targets, start, first).value_or(start) == start + std::chrono::seconds(5));
+    targets[0].usable_ = targets[1].usable_ = false;
+    CHECK_FALSE(earliestPauseEnd(targets, start, any));
+}
