Believe an answer only if all its ids are the request's own

With a faulty upstream that writes an earlier refusal once more on a kept connection, callers could be told "not run" for a request that ran, and such a request could run at a second upstream: when the repeated refusal has two id fields, of which the first is that of the running request; when the caller sends the same id again; and when it sends none, because the check of the id was off then. A plain repetition with the id of the refused request was skipped before, while idle, between two requests or before the next answer; three of them made the request fail, with a truthful 502.

An answer now belongs to a request only if it has the id and has it alone. A connection on which a request was refused is not used for a request with the same id. A request without an id gets a connection of its own, its answer must have none either, and a statement that it has not run is not believed. Up to 16 interim answers and answers to other requests are skipped before a call fails, in a loop in place of a recursion for each; interim answers had no limit.

--- a/include/turmericwing/gateway/upstreams.h
+++ b/include/turmericwing/gateway/upstreams.h
@@ -35,8 +35,8 @@
     std::string head_; ///< Request line and header fields, including the final empty line.
     std::shared_ptr<const std::string> body_; ///< May be null.
     bool isHeadMethod_ = false; ///< The method is HEAD, so the answer has no body.
-    /// Header field that the answer must repeat with this value; detects answers to other requests. An empty
-    /// value disables the check.
+    /// Header field that the answer must repeat with this value; detects answers to other requests. A request
+    /// with an empty value gets a connection of its own, and its answer must not have the field.
     std::string echoName_;
     std::string echoValue_;
 };
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -89,8 +89,10 @@
     const TimePoint now = monotonicNow();
     const HeaderNames& names = state_.protocol_.headers_;
     const UpstreamRef ref = findUpstream(state_.directory_, pending->currentUpstream_);
-    const bool notRun = response.status_ == state_.protocol_.misdirectedStatus_
-        || !headerValue(response.headers_, names.notRun_).empty();
+    // Without an id in the request, nothing shows that the statement is about this request.
+    const bool notRun = !pending->requestId_.empty()
+        && (response.status_ == state_.protocol_.misdirectedStatus_
+            || !headerValue(response.headers_, names.notRun_).empty());
     if (notRun) {
         if (ref.target_)
             routing::recordRejection(*ref.target_, options_.pick_, now);
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -4,6 +4,8 @@
 #include "parsing.h"
 #include "tcpoptions.h"
 
+#include "turmericwing/base/hash.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -31,7 +33,8 @@
 
     constexpr size_t readBufferBytes = 65536;
     constexpr uint32_t maxAnswerHeadBytes = 65536;
-    constexpr int maxStrayAnswers = 2; ///< Answers to other requests that a call skips before it fails.
+    constexpr int maxSkippedAnswers = 16; ///< Interim answers and answers to other requests, in one call.
+    constexpr size_t maxRefusedIds = 64; ///< Refused requests after which a connection is not reused.
 
     /// Shared by all connections of the event loop; its content is copied before the next read.
     std::array<char, readBufferBytes> answerBuffer;
@@ -51,11 +54,29 @@
         return status == std::errc() ? std::optional(value) : std::nullopt;
     }
 
+    /// Whether an answer is followed by another one to the same request (RFC 9110, section 15.2).
+    bool isInterim(const http::response<http::string_body>& message)
+    {
+        return message.result_int() / 100 == 1;
+    }
+
     struct IdleConnection {
         tcp::socket socket_;
         TimePoint usableUntil_ {}; ///< The upstream may close the connection soon after.
+        std::vector<uint64_t>
+            refusedIds_; ///< Hashes of the ids of requests that failed or were refused on it.
     };
 
+    /// Whether an idle connection has nothing to read. Otherwise the upstream has closed it, or sent bytes
+    /// that belong to no request.
+    bool isSilent(IdleConnection& connection)
+    {
+        char byte = 0;
+        const ssize_t peeked
+            = ::recv(connection.socket_.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+        return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
 } // namespace detail
 
 struct UpstreamClient::State {
@@ -71,8 +92,9 @@
     std::unordered_map<std::string, std::vector<detail::IdleConnection>> idle_;
     uint64_t opened_ = 0;
 
-    std::optional<tcp::socket> takeIdle(const std::string& upstream);
-    void keep(const std::string& upstream, tcp::socket, Duration idleTimeout);
+    /// Takes an idle connection on which no request with this id was refused.
+    std::optional<detail::IdleConnection> takeIdle(const std::string& upstream, uint64_t requestId);
+    void keep(const std::string& upstream, detail::IdleConnection);
 };
 
 namespace detail {
@@ -99,7 +121,9 @@
         void onReadable(error_code);
         void parse();
         void onReadError(error_code);
+        bool isOwnAnswer() const;
         void onAnswer();
+        Duration idleTimeout(const Headers&) const;
         void resetParser();
         void finish(SendOutcome, Response, const std::string& detail);
         void fail(const std::string& detail);
@@ -118,17 +142,22 @@
         bool reused_ = false;
         bool mayHaveSent_ = false; ///< Bytes of the request may have left the host.
         bool requestWritten_ = false; ///< The complete request was passed to the socket.
-        int strayAnswers_ = 0;
+        int skippedAnswers_ = 0;
+        bool strayAnswers_ = false; ///< An answer to another request was skipped.
+        std::vector<uint64_t> refusedIds_; ///< Of the connection; see IdleConnection.
     };
 
     void Call::start()
     {
-        if (auto socket = owner_->takeIdle(call_.upstream_)) {
-            socket_ = std::move(*socket);
-            reused_ = true;
-            write();
-        } else
-            connect();
+        // Without an id, an answer that was left on a used connection cannot be told from the own one.
+        auto idle = call_.echoValue_.empty() ? std::nullopt
+                                             : owner_->takeIdle(call_.upstream_, hash64(call_.echoValue_));
+        if (!idle)
+            return connect();
+        socket_ = std::move(idle->socket_);
+        refusedIds_ = std::move(idle->refusedIds_);
+        reused_ = true;
+        write();
     }
 
     void Call::connect()
@@ -208,15 +237,25 @@
         parse();
     }
 
+    /// Parses what was received, and skips interim answers and answers to other requests.
     void Call::parse()
     {
-        error_code error;
-        feedParser(*parser_, unparsed_, error);
-        if (error && error != http::error::need_more)
-            return fail("answer: " + error.message());
-        if (parser_->is_done())
-            return onAnswer();
-        waitReadable();
+        for (;;) {
+            error_code error;
+            feedParser(*parser_, unparsed_, error);
+            if (error && error != http::error::need_more)
+                return fail("answer: " + error.message());
+            if (!parser_->is_done())
+                return waitReadable();
+            if (isOwnAnswer())
+                return onAnswer();
+            strayAnswers_ = strayAnswers_ || !isInterim(parser_->get());
+            if (++skippedAnswers_ > maxSkippedAnswers)
+                return fail(strayAnswers_ ? "answers to other requests" : "too many interim answers");
+            resetParser();
+            if (unparsed_.empty())
+                return waitReadable();
+        }
     }
 
     void Call::onReadError(error_code error)
@@ -225,46 +264,55 @@
         if (error == asio::error::eof && parser_->is_header_done()) {
             error_code parsing;
             parser_->put_eof(parsing);
-            if (!parsing && parser_->is_done())
+            if (!parsing && parser_->is_done() && isOwnAnswer())
                 return onAnswer();
         }
         fail((parser_->is_header_done() ? "answer broke off: " : "no answer: ") + error.message());
     }
 
+    /// Whether the complete answer is final and belongs to the request: all its ids, if it has several, are
+    /// the request's own, or it has none if the request has none.
+    bool Call::isOwnAnswer() const
+    {
+        const auto& message = parser_->get();
+        if (isInterim(message))
+            return false;
+        const auto [first, last] = message.equal_range(call_.echoName_);
+        const bool allOwn = std::all_of(
+            first, last, [this](const auto& field) { return field.value() == call_.echoValue_; });
+        return allOwn && (first != last || call_.echoValue_.empty());
+    }
+
     void Call::onAnswer()
     {
-        if (parser_->get().result_int() / 100 == 1) {
-            resetParser();
-            return unparsed_.empty() ? waitReadable() : parse();
-        }
         auto message = parser_->release();
         Response response { message.result_int(), { message.reason().data(), message.reason().size() },
             copyHeaders(message), {} };
-        const bool stray = !call_.echoValue_.empty()
-            && headerValue(response.headers_, call_.echoName_) != call_.echoValue_;
-        if (stray) {
-            if (++strayAnswers_ > maxStrayAnswers)
-                return fail("answers to other requests");
-            resetParser();
-            return unparsed_.empty() ? waitReadable() : parse();
-        }
+        if (message.result_int() >= 400)
+            refusedIds_.push_back(hash64(call_.echoValue_));
         if (isReusable(message)) {
-            const auto advertised = keepAliveSeconds(headerValue(response.headers_, "Keep-Alive"));
-            const Duration idle = advertised
-                ? std::chrono::duration_cast<Duration>(std::chrono::seconds(*advertised))
-                    - owner_->options_.keepAliveMargin_
-                : owner_->options_.defaultIdleTimeout_;
-            owner_->keep(call_.upstream_, std::move(socket_), idle);
+            owner_->keep(call_.upstream_,
+                { std::move(socket_), monotonicNow() + idleTimeout(response.headers_),
+                    std::move(refusedIds_) });
         }
         response.body_ = std::move(message.body());
         finish(SendOutcome::Answered, std::move(response), {});
     }
 
+    Duration Call::idleTimeout(const Headers& headers) const
+    {
+        const auto advertised = keepAliveSeconds(headerValue(headers, "Keep-Alive"));
+        if (!advertised)
+            return owner_->options_.defaultIdleTimeout_;
+        return std::chrono::seconds(*advertised) - owner_->options_.keepAliveMargin_;
+    }
+
     /// Whether the connection can carry another request. Bytes after the answer, or a request body that was
     /// not sent completely, prevent that.
     bool Call::isReusable(const http::response<http::string_body>& message) const
     {
-        return message.keep_alive() && requestWritten_ && unparsed_.empty() && strayAnswers_ == 0
+        return message.keep_alive() && requestWritten_ && unparsed_.empty() && !strayAnswers_
+            && !call_.echoValue_.empty() && refusedIds_.size() <= maxRefusedIds
             && (message.has_content_length() || message.chunked() || call_.isHeadMethod_
                 || message.result_int() == 204 || message.result_int() == 304);
     }
@@ -300,35 +348,35 @@
 
 } // namespace detail
 
-std::optional<tcp::socket> UpstreamClient::State::takeIdle(const std::string& upstream)
+std::optional<detail::IdleConnection> UpstreamClient::State::takeIdle(
+    const std::string& upstream, uint64_t requestId)
 {
     const auto found = idle_.find(upstream);
     if (found == idle_.end())
         return std::nullopt;
     auto& connections = found->second;
     const TimePoint now = monotonicNow();
-    while (!connections.empty()) {
-        detail::IdleConnection idleConnection = std::move(connections.back());
-        connections.pop_back();
-        char byte = 0;
-        const ssize_t peeked
-            = ::recv(idleConnection.socket_.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-        // A readable idle connection was closed by the upstream, or has bytes that belong to no request.
-        const bool silent = peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (silent && now < idleConnection.usableUntil_)
-            return std::move(idleConnection.socket_);
+    for (size_t i = connections.size(); i-- > 0;) {
+        // The upstream may repeat a refusal, which would look like the answer to a request with the same id.
+        const auto& refused = connections[i].refusedIds_;
+        if (std::find(refused.begin(), refused.end(), requestId) != refused.end())
+            continue;
+        detail::IdleConnection taken = std::move(connections[i]);
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
+        if (now < taken.usableUntil_ && detail::isSilent(taken))
+            return taken;
     }
     return std::nullopt;
 }
 
-void UpstreamClient::State::keep(const std::string& upstream, tcp::socket socket, Duration idleTimeout)
+void UpstreamClient::State::keep(const std::string& upstream, detail::IdleConnection connection)
 {
     auto& connections = idle_[upstream];
-    if (idleTimeout <= Duration::zero())
+    if (monotonicNow() >= connection.usableUntil_)
         return;
     if (connections.size() >= options_.maxIdlePerUpstream_)
         connections.erase(connections.begin());
-    connections.push_back({ std::move(socket), monotonicNow() + idleTimeout });
+    connections.push_back(std::move(connection));
 }
 
 UpstreamClient::UpstreamClient(asio::io_context& loop, UpstreamOptions options)
