Pass on a status that promises no run only with the upstream's statement

Callers take 408, 421, 429 and 503 for a promise that the request has not run and never will. An upstream's own signed 503, 429 or 408 without its statement that it has not run the request was passed on as it came, so for a request that must not run twice the caller could send it again although it had run. The gateway's own refusals and refusals with the statement were right before. Such an answer now ends a request that is not idempotent with 502, which promises nothing; idempotent ones get the upstream's answer as before.

--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -23,6 +23,20 @@
     /// Connections to an upstream that break within it count as one crash.
     constexpr Duration crashDedupWindow = std::chrono::milliseconds(500);
 
+    /// Whether callers take the status for a promise that the request has not run.
+    bool promisesNotRun(unsigned status)
+    {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
+
+    std::string answerFault(unsigned status, bool isSigned, bool isUnstated)
+    {
+        if (!isSigned)
+            return "an answer without the upstream's signature";
+        const std::string text = "status " + std::to_string(status);
+        return isUnstated ? text + " without a statement that it has not run" : text;
+    }
+
 } // namespace detail
 
 /// Seconds beyond which an answer counts as slow in a rollout.
@@ -103,6 +117,8 @@
     }
     const bool isSigned = !headerValue(response.headers_, names.signature_).empty();
     const bool failed = response.status_ >= 500 || !isSigned;
+    const bool isUnstated
+        = pending->route_->kind_ == RequestKind::NonIdempotent && detail::promisesNotRun(response.status_);
     detail::ServiceState& service = services_[pending->service_];
     if (ref.target_) {
         routing::recordAnswer(
@@ -122,11 +138,10 @@
         routing::recordCompletion(state_.quarantine_, wallNow(), detail::fingerprintOf(*pending));
     endAttempt(*pending);
     pending->mayHaveRun_ = true;
-    if (!failed)
+    if (!failed && !isUnstated)
         return forwardResponse(pending, std::move(response));
-    pending->lastError_ = isSigned ? "status " + std::to_string(response.status_)
-                                   : "an answer without the upstream's signature";
-    if (isSigned)
+    pending->lastError_ = detail::answerFault(response.status_, isSigned, isUnstated);
+    if (isSigned && !isUnstated)
         pending->upstreamFailure_ = std::move(response);
     retryOrFinish(pending, Reason::UpstreamFailed);
 }
--- a/test/gateway/live-refusals-test.cc
+++ b/test/gateway/live-refusals-test.cc
@@ -194,3 +194,23 @@
             CHECK_FALSE(promisesNotRun(status));
     }
 }
+
+TEST_CASE("a status that promises no run is not passed on without the upstream's statement")
+{
+    // An upstream's own 503 was passed on, and callers took it for a promise that the request has not run.
+    Fixture fixture;
+    Upstream upstream(fixture.store_, "u1");
+    int status = 0;
+    SUBCASE("503") { status = 503; }
+    SUBCASE("429") { status = 429; }
+    SUBCASE("408") { status = 408; }
+    upstream.handler_
+        = [status](const httplib::Request&, httplib::Response& response) { response.status = status; };
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    const auto answer = fixture.client()->Post("/write/x", fixture.headers("id-1"), "x", "text/plain");
+    REQUIRE(answer);
+    CHECK(answer->status == 502);
+    CHECK(answer->get_header_value("X-Response-Seal").empty());
+    CHECK(upstream.requests_ == 1);
+}
