Identify a state of the store by its era as well as its version

Cause: a table was followed from a version alone, and versions go back and are given out again after a restore. The watch kept the higher of the known and the read version. It then got 410 and read in full again and again, or, once versions had overtaken the known one, followed on and missed all changes in between. A relay's copy had the same fault: a follower with a higher version got empty answers until its version was reached.

A position now consists of era and version. The adapter decodes the era from the header of every answer, whatever its status; an answer to a follow call of another era leads to a full read, whose version is taken as read. Relays pass the era on, answer pending calls when their copy is replaced, and a follower reads the store directly while its relay is in an earlier era. A position that is refused again after a full read delays the next full read.

--- a/include/turmericwing/gateway/httpchannel.h
+++ b/include/turmericwing/gateway/httpchannel.h
@@ -5,6 +5,7 @@
 #include "turmericwing/base/address.h"
 #include "turmericwing/base/result.h"
 #include "turmericwing/base/time.h"
+#include "turmericwing/gateway/http.h"
 
 #include <functional>
 #include <memory>
@@ -26,7 +27,8 @@
 
 struct HttpAnswer {
     unsigned status_ = 0;
-    std::string body_;
+    std::string body_ {};
+    Headers headers_ {};
     friend bool operator==(const HttpAnswer&, const HttpAnswer&) = default;
 };
 
--- a/include/turmericwing/gateway/relay.h
+++ b/include/turmericwing/gateway/relay.h
@@ -1,9 +1,10 @@
 // Reads the store through another host of the region.
 //
 // In a large fleet, a few hosts of each region (the relays) follow the store and the others follow a relay.
-// Relays use the store's versions, so a follower can switch to another relay or to the store at any call. A
-// relay answers only while the last answer it received from the store is recent, which bounds how stale its
-// followers become.
+// Relays use the store's eras and versions, so a follower can switch to another relay or to the store at any
+// call. A relay answers only while the last answer it received from the store is recent, which bounds how
+// stale its followers become. A follower does not go back to an earlier era: it reads the store directly
+// while its relay has not noticed yet that the store was restored.
 #pragma once
 
 #include "turmericwing/gateway/fleet.h"
@@ -39,6 +40,7 @@
     uint64_t version_ = 0;
     uint64_t historyFrom_ = 0; ///< Oldest version from which changes can be listed.
     int64_t storeMs_ = 0; ///< The store's monotonic clock at its last answer, in milliseconds.
+    uint64_t era_ = 0; ///< Of all versions in the copy.
 };
 
 /// Replaces the copy by a full read; the history of earlier changes is lost.
@@ -47,9 +49,10 @@
 /// Adds changed and removed rows to the copy.
 void applyChanges(TableCopy&, const TableRead&);
 
-/// Returns the rows that changed after `version`, in the order of their versions. Errors: NotFound when
-/// `version` is older than the copy's history, or the copy is empty.
-Result<TableRead> changesSince(const TableCopy&, uint64_t version);
+/// Returns the rows that changed after the position, in the order of their versions. Errors: NotFound when
+/// the position is older than the copy's history or of an earlier era, or the copy is empty. Unavailable when
+/// the position is of a later era than the copy.
+Result<TableRead> changesSince(const TableCopy&, const StorePosition&);
 
 /// Returns all rows that are not removed.
 TableRead tableSnapshot(const TableCopy&);
@@ -72,8 +75,8 @@
     void onChanged(const std::string& table, const TableRead&);
 
     /// Answers a read or follow call. A follow call without new changes stays pending until there are some,
-    /// at most `followerWait_`. Responds with 404 to other targets, 410 when the version is too old, and 503
-    /// when the copy is stale or missing.
+    /// at most `followerWait_`. Responds with 404 to other targets, 410 when the position is too old, and 503
+    /// when the copy is stale, missing or of an earlier era than the position.
     void handle(const Request&, const std::shared_ptr<Exchange>&);
 
     /// Answers pending calls whose wait has ended, and all of them with 503 when the copies are stale.
@@ -82,7 +85,7 @@
 private:
     struct PendingCall {
         std::string table_;
-        uint64_t version_ = 0;
+        StorePosition position_;
         TimePoint deadline_ {};
         std::shared_ptr<Exchange> exchange_;
     };
--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -77,6 +77,7 @@
     routing::RegionSplitOptions splitOptions_;
     std::map<std::string, ServiceDemand> demand_; ///< By service.
     TimePoint demandUpdatedAt_ {}; ///< Last update of demand_.
+    uint64_t storeEra_ = 0; ///< Era of the last answer from the store; 0 until known.
     int64_t storeMs_ = 0; ///< The store's monotonic clock at storeReadAt_, in milliseconds.
     TimePoint storeReadAt_ {};
     Random random_ = makeRandom();
--- a/include/turmericwing/gateway/tablestore.h
+++ b/include/turmericwing/gateway/tablestore.h
@@ -1,11 +1,15 @@
 // Interface to the deployment's store: tables of rows that are read in full, followed from a version on, and
 // written in conditional transactions. Calls are asynchronous; their handlers are called once, on the event
 // loop.
+//
+// A store that is restored from an older copy gives out versions again that it had used before, so a version
+// identifies a state of the store only together with the era: a number that rises with each restore.
 #pragma once
 
 #include "turmericwing/base/result.h"
 #include "turmericwing/base/time.h"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -22,10 +26,20 @@
     friend bool operator==(const StoredRow&, const StoredRow&) = default;
 };
 
+/// State of the store: all changes up to a version of an era.
+struct StorePosition {
+    uint64_t era_ = 0; ///< 0: unknown.
+    uint64_t version_ = 0;
+    friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+};
+
 struct TableRead {
     std::vector<StoredRow> rows_;
     uint64_t version_ = 0; ///< Newest version in the store; version to follow from.
     int64_t storeMs_ = 0; ///< The store's monotonic clock at the time of the answer, in milliseconds.
+    uint64_t era_ = 0; ///< Era of version_ and of the rows' versions; 0: unknown.
+
+    StorePosition position() const { return { era_, version_ }; }
 };
 
 struct ExpectedRow {
@@ -47,9 +61,10 @@
 
     /// Returns all rows of a table.
     std::function<void(const std::string& table, Handler<TableRead>)> read_;
-    /// Returns the rows that changed after `version` as soon as there are any, or none after `wait`. Errors:
-    /// NotFound when the store no longer has the history since `version`.
-    std::function<void(const std::string& table, uint64_t version, Duration wait, Handler<TableRead>)>
+    /// Returns the rows that changed after the position as soon as there are any, or none after `wait`.
+    /// Errors: NotFound when the store does not have the history since the position, also because it is in
+    /// another era.
+    std::function<void(const std::string& table, const StorePosition&, Duration wait, Handler<TableRead>)>
         follow_;
     /// Applies all writes and removals atomically. The `version_` of the result is that of the written rows.
     /// Errors: Conflict when a row does not have the expected version.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -116,6 +116,7 @@
     Result<void> listen(const Address&, RequestHandler);
     void follow(const std::string& table, const std::function<void(const TableRead&, bool isFullRead)>&);
     void onStoreAnswer(const TableRead&);
+    void onStoreEra(uint64_t era);
     void updateRelay(TimePoint now);
     bool isRelayFresh() const;
     void onStoreContact(const std::string& table, bool reached, const std::string& reason);
@@ -221,6 +222,7 @@
 void Gateway::Core::onStoreAnswer(const TableRead& read)
 {
     state_.reachesStore_ = lostTables_.empty();
+    onStoreEra(read.era_);
     storeAnswered(state_, monotonicNow());
     if (read.storeMs_ == 0)
         return;
@@ -228,6 +230,17 @@
     state_.storeReadAt_ = monotonicNow();
 }
 
+/// Detects that the store was restored from an older copy: what was written there since the copy is gone
+/// until it is written again.
+void Gateway::Core::onStoreEra(uint64_t era)
+{
+    const uint64_t known = std::exchange(state_.storeEra_, era);
+    if (known == era || known == 0)
+        return;
+    logEvent(LogLevel::Warning, "store-restored",
+        { { "old", std::to_string(known) }, { "new", std::to_string(era) } });
+}
+
 /// Chooses the relay again as hosts come and go; on a change, aborts the calls to the previous one.
 void Gateway::Core::updateRelay(TimePoint now)
 {
--- a/src/gateway/httpchannel.cc
+++ b/src/gateway/httpchannel.cc
@@ -1,6 +1,7 @@
 // HTTP/1.1 client with one persistent connection, on Boost.Beast.
 #include "turmericwing/gateway/httpchannel.h"
 
+#include "parsing.h"
 #include "tcpoptions.h"
 
 #include <boost/asio/io_context.hpp>
@@ -152,7 +153,8 @@
         auto message = state.parser_->release();
         if (!message.keep_alive())
             state.close();
-        state.finish(HttpAnswer { message.result_int(), std::move(message.body()) });
+        const unsigned status = message.result_int();
+        state.finish(HttpAnswer { status, std::move(message.body()), detail::copyHeaders(message) });
     }));
 }
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -30,27 +30,42 @@
         return { .status_ = read.error().code_ == ErrorCode::NotFound ? 410U : 503U };
     }
 
-    /// Parsed target, "/follow/TABLE/VERSION" or "/read/TABLE".
+    /// Parsed target, "/follow/TABLE/ERA/VERSION" or "/read/TABLE".
     struct RelayCall {
         bool follow_ = false;
         std::string table_;
-        uint64_t version_ = 0;
+        StorePosition position_;
     };
 
+    /// Removes the last segment of a path and returns it as a number.
+    std::optional<uint64_t> takeNumber(std::string_view& path)
+    {
+        const size_t slash = path.rfind('/');
+        if (slash == std::string_view::npos)
+            return std::nullopt;
+        const auto number = parseUnsigned(path.substr(slash + 1));
+        path = path.substr(0, slash);
+        return number;
+    }
+
+    std::string followTarget(const std::string& table, const StorePosition& position)
+    {
+        return std::string(followPath) + table + "/" + std::to_string(position.era_) + "/"
+            + std::to_string(position.version_);
+    }
+
     std::optional<RelayCall> parseCall(std::string_view target)
     {
         if (target.starts_with(readPath))
-            return RelayCall { false, std::string(target.substr(readPath.size())), 0 };
+            return RelayCall { false, std::string(target.substr(readPath.size())), {} };
         if (!target.starts_with(followPath))
             return std::nullopt;
         target.remove_prefix(followPath.size());
-        const size_t slash = target.rfind('/');
-        if (slash == std::string_view::npos)
+        const auto version = takeNumber(target);
+        const auto era = version ? takeNumber(target) : std::nullopt;
+        if (!era)
             return std::nullopt;
-        const auto version = parseUnsigned(target.substr(slash + 1));
-        if (!version)
-            return std::nullopt;
-        return RelayCall { true, std::string(target.substr(0, slash)), *version };
+        return RelayCall { true, std::string(target), { *era, *version } };
     }
 
     Result<TableRead> parseRelayResponse(const Result<HttpAnswer>& answer)
@@ -75,6 +90,7 @@
         std::map<std::string, std::unique_ptr<HttpChannel>> channels_; ///< Channels to `address_`, by table.
         Address address_;
         TimePoint avoidedUntil_ {};
+        uint64_t era_ = 0; ///< Of the last answer that was accepted, from the store or a relay.
 
         /// Returns the channel for a table to the current relay, or nullptr when the store is to be read
         /// directly. Closes the channels to a previous relay.
@@ -93,6 +109,27 @@
             return channel.get();
         }
 
+        /// Returns an error instead of an answer of an earlier era than the last one accepted.
+        Result<TableRead> checkEra(Result<TableRead> answer)
+        {
+            if (!answer)
+                return answer;
+            if (answer.value().era_ < era_)
+                return makeError(ErrorCode::Unavailable, "the relay is in an earlier era of the store");
+            era_ = answer.value().era_;
+            return answer;
+        }
+
+        /// Wraps a handler of direct calls, which decide about the era.
+        TableStore::Handler<TableRead> recordEra(TableStore::Handler<TableRead> handler)
+        {
+            return [this, handler = std::move(handler)](Result<TableRead> answer) {
+                if (answer)
+                    era_ = answer.value().era_;
+                handler(std::move(answer));
+            };
+        }
+
         void onFailure(const Error& error)
         {
             avoidedUntil_ = monotonicNow() + options_.avoidDuration_;
@@ -140,7 +177,7 @@
     std::map<std::string, StoredRow> rows;
     for (const StoredRow& row : read.rows_)
         rows.emplace(row.key_, row);
-    copy = { std::move(rows), read.version_, read.version_, read.storeMs_ };
+    copy = { std::move(rows), read.version_, read.version_, read.storeMs_, read.era_ };
 }
 
 void applyChanges(TableCopy& copy, const TableRead& read)
@@ -151,11 +188,14 @@
     copy.storeMs_ = read.storeMs_;
 }
 
-Result<TableRead> changesSince(const TableCopy& copy, uint64_t version)
+Result<TableRead> changesSince(const TableCopy& copy, const StorePosition& position)
 {
-    if (version < copy.historyFrom_ || copy.version_ == 0)
+    if (copy.version_ != 0 && copy.era_ < position.era_)
+        return makeError(ErrorCode::Unavailable, "the copy is of an earlier era of the store");
+    const uint64_t version = position.version_;
+    if (copy.era_ != position.era_ || version < copy.historyFrom_ || copy.version_ == 0)
         return makeError(ErrorCode::NotFound, "the copy's history does not include the requested version");
-    TableRead read { {}, std::max(version, copy.version_), copy.storeMs_ };
+    TableRead read { {}, std::max(version, copy.version_), copy.storeMs_, copy.era_ };
     for (const auto& [key, row] : copy.rows_) {
         if (row.version_ > version)
             read.rows_.push_back(row);
@@ -167,7 +207,7 @@
 
 TableRead tableSnapshot(const TableCopy& copy)
 {
-    TableRead read { {}, copy.version_, copy.storeMs_ };
+    TableRead read { {}, copy.version_, copy.storeMs_, copy.era_ };
     for (const auto& [key, row] : copy.rows_) {
         if (!row.removed_)
             read.rows_.push_back(row);
@@ -184,7 +224,7 @@
                 row.version_, row.removed_ }));
     }
     std::string bytes;
-    json::to_cbor(json::array({ read.version_, read.storeMs_, rows }), bytes);
+    json::to_cbor(json::array({ read.version_, read.storeMs_, rows, read.era_ }), bytes);
     return bytes;
 }
 
@@ -192,7 +232,7 @@
 {
     try {
         const json value = json::from_cbor(bytes);
-        TableRead read { {}, value.at(0), value.at(1) };
+        TableRead read { {}, value.at(0), value.at(1), value.at(3) };
         for (const json& row : value.at(2)) {
             const auto& content = row.at(2).get_binary();
             read.rows_.push_back(
@@ -229,7 +269,8 @@
     std::vector<PendingCall> remaining;
     for (PendingCall& pending : std::exchange(pendingCalls_, {})) {
         if (pending.table_ == table)
-            pending.exchange_->respond(detail::relayResponse(changesSince(copies_[table], pending.version_)));
+            pending.exchange_->respond(
+                detail::relayResponse(changesSince(copies_[table], pending.position_)));
         else
             remaining.push_back(std::move(pending));
     }
@@ -246,11 +287,11 @@
         return exchange->respond({ .status_ = 503 });
     if (!call->follow_)
         return exchange->respond(detail::relayResponse(tableSnapshot(copy->second)));
-    const auto changes = changesSince(copy->second, call->version_);
+    const auto changes = changesSince(copy->second, call->position_);
     if (!changes || !changes.value().rows_.empty())
         return exchange->respond(detail::relayResponse(changes));
     pendingCalls_.push_back(
-        { call->table_, call->version_, monotonicNow() + options_.followerWait_, exchange });
+        { call->table_, call->position_, monotonicNow() + options_.followerWait_, exchange });
 }
 
 void RelayServer::expirePending(TimePoint now)
@@ -262,7 +303,7 @@
             pending.exchange_->respond({ .status_ = 503 });
         else if (now >= pending.deadline_)
             pending.exchange_->respond(
-                detail::relayResponse(changesSince(copies_[pending.table_], pending.version_)));
+                detail::relayResponse(changesSince(copies_[pending.table_], pending.position_)));
         else
             remaining.push_back(std::move(pending));
     }
@@ -278,34 +319,34 @@
     store.read_ = [client](const std::string& table, TableStore::Handler<TableRead> handler) {
         HttpChannel* channel = client->channel(table);
         if (!channel)
-            return client->direct_.read_(table, std::move(handler));
+            return client->direct_.read_(table, client->recordEra(std::move(handler)));
         channel->call({ .target_ = std::string(detail::readPath) + table },
             [client, table, handler = std::move(handler)](const Result<HttpAnswer>& answer) {
-                auto read = detail::parseRelayResponse(answer);
+                auto read = client->checkEra(detail::parseRelayResponse(answer));
                 if (read)
                     return handler(std::move(read));
                 client->onFailure(read.error());
-                client->direct_.read_(table, handler);
+                client->direct_.read_(table, client->recordEra(handler));
             });
     };
-    store.follow_ = [client](const std::string& table, uint64_t version, Duration wait,
+    store.follow_ = [client](const std::string& table, const StorePosition& position, Duration wait,
                         TableStore::Handler<TableRead> handler) {
         HttpChannel* channel = client->channel(table);
         if (!channel) {
             const bool isRelay = client->choice_().isRelay_;
-            return client->direct_.follow_(table, version,
-                isRelay ? std::min(wait, client->options_.relayWait_) : wait, std::move(handler));
+            return client->direct_.follow_(table, position,
+                isRelay ? std::min(wait, client->options_.relayWait_) : wait,
+                client->recordEra(std::move(handler)));
         }
-        const std::string target = std::string(detail::followPath) + table + "/" + std::to_string(version);
-        channel->call(
-            { .target_ = target, .timeout_ = client->options_.followerWait_ + detail::relayResponseMargin },
-            [client, table, version, wait, handler = std::move(handler)](const Result<HttpAnswer>& answer) {
-                auto read = detail::parseRelayResponse(answer);
+        channel->call({ .target_ = detail::followTarget(table, position),
+                          .timeout_ = client->options_.followerWait_ + detail::relayResponseMargin },
+            [client, table, position, wait, handler = std::move(handler)](const Result<HttpAnswer>& answer) {
+                auto read = client->checkEra(detail::parseRelayResponse(answer));
                 const bool versionTooOld = !read && read.error().code_ == ErrorCode::NotFound;
                 if (read || versionTooOld)
                     return handler(std::move(read));
                 client->onFailure(read.error());
-                client->direct_.follow_(table, version, wait, handler);
+                client->direct_.follow_(table, position, wait, client->recordEra(handler));
             });
     };
     store.reset_ = [client] {
--- a/src/gateway/watch.cc
+++ b/src/gateway/watch.cc
@@ -31,15 +31,17 @@
     boost::asio::steady_timer timer_;
     Random random_;
     bool stopped_ = false;
-    bool hasSnapshot_ = false; ///< A full read has succeeded; version_ is the last version known.
+    bool hasSnapshot_ = false; ///< A full read has succeeded; position_ is the last one known.
     bool lost_ = false;
-    uint64_t version_ = 0;
+    StorePosition position_;
     uint32_t failures_ = 0;
+    uint32_t rereads_ = 0; ///< Full reads because of a missing history, since the last follow call succeeded.
 
     void sendNext();
     void sendNextAfter(Duration delay);
     void onAnswer(const Result<TableRead>&);
     void onFailure(const Error&);
+    void readAgain();
     void onSuccess(const TableRead&);
 };
 
@@ -54,22 +56,33 @@
     if (hasSnapshot_)
         // While the store is lost, calls do not wait for changes: a call that was lost with the store would
         // delay the host by its whole wait after the store is back.
-        store_.follow_(options_.table_, version_, lost_ ? Duration::zero() : options_.followWait_, handler);
+        store_.follow_(options_.table_, position_, lost_ ? Duration::zero() : options_.followWait_, handler);
     else
         store_.read_(options_.table_, handler);
 }
 
 void TableWatch::State::onAnswer(const Result<TableRead>& answer)
 {
+    const bool otherEra = answer && hasSnapshot_ && answer.value().era_ != position_.era_;
+    const bool historyMissing = !answer && hasSnapshot_ && answer.error().code_ == ErrorCode::NotFound;
+    if (otherEra || historyMissing)
+        return readAgain();
     if (answer)
         return onSuccess(answer.value());
-    if (answer.error().code_ == ErrorCode::NotFound && hasSnapshot_) {
-        hasSnapshot_ = false;
-        return sendNext();
-    }
     onFailure(answer.error());
 }
 
+/// Reads the table in full, at once the first time, and with a delay if the position that a full read
+/// returned is again refused.
+void TableWatch::State::readAgain()
+{
+    hasSnapshot_ = false;
+    const Duration delay
+        = rereads_ == 0 ? Duration::zero() : watchRetryDelay(options_, rereads_ - 1, random_);
+    ++rereads_;
+    sendNextAfter(delay);
+}
+
 void TableWatch::State::onSuccess(const TableRead& read)
 {
     failures_ = 0;
@@ -79,7 +92,13 @@
     }
     const bool isFullRead = !hasSnapshot_;
     hasSnapshot_ = true;
-    version_ = std::max(version_, read.version_);
+    if (isFullRead) {
+        // Not the higher one of both versions: after a restore of the store, versions are lower.
+        position_ = read.position();
+    } else {
+        position_.version_ = std::max(position_.version_, read.version_);
+        rereads_ = 0;
+    }
     (isFullRead ? handlers_.onReplaced_ : handlers_.onChanged_)(read);
     sendNextAfter(read.rows_.empty() ? Duration::zero() : options_.batchDelay_);
 }
--- a/support/standin/rowstore.cc
+++ b/support/standin/rowstore.cc
@@ -20,6 +20,10 @@
 
 RowStore::RowStore()
 {
+    server_.set_post_routing_handler([this](const httplib::Request&, httplib::Response& response) {
+        std::lock_guard lock(mutex_);
+        response.set_header("Store-Era", std::to_string(era_));
+    });
     server_.Post(
         "/api/rows-tx", [this](const auto& request, auto& response) { onTransaction(request, response); });
     server_.Get(
@@ -88,6 +92,25 @@
     rowsChanged_.notify_all();
 }
 
+void RowStore::takeCopy()
+{
+    std::lock_guard lock(mutex_);
+    copy_ = { rows_, version_ };
+}
+
+void RowStore::restoreCopy()
+{
+    {
+        std::lock_guard lock(mutex_);
+        rows_ = copy_.rows_;
+        version_ = copy_.version_;
+        oldestFeedVersion_ = std::min(oldestFeedVersion_, version_);
+        ++era_;
+    }
+    rowsChanged_.notify_all();
+    server_.breakConnections();
+}
+
 bool RowStore::injectFault(httplib::Response& response)
 {
     ++calls_;
@@ -167,6 +190,7 @@
     const TimePoint end
         = monotonicNow() + std::chrono::milliseconds(detail::numberParameter(request, "wait_ms"));
     std::unique_lock lock(mutex_);
+    const uint64_t era = era_;
     std::vector<std::pair<Key, Row>> matches;
     const auto ready = [&] {
         matches.clear();
@@ -174,12 +198,12 @@
             if (key.first == table && row.version_ > after)
                 matches.emplace_back(key, row);
         }
-        return stopping_ || faults_.drop_ || faults_.refuse_ || after < oldestFeedVersion_
-            || !matches.empty();
+        return stopping_ || faults_.drop_ || faults_.refuse_ || after < oldestFeedVersion_ || after > version_
+            || era != era_ || !matches.empty();
     };
     rowsChanged_.wait_until(lock, end, ready);
-    response.status = faults_.refuse_ ? 503 : after < oldestFeedVersion_ ? 410 : 200;
-    if (faults_.drop_)
+    response.status = faults_.refuse_ ? 503 : after < oldestFeedVersion_ || after > version_ ? 410 : 200;
+    if (faults_.drop_ || era != era_)
         Server::currentConnection().dropped_ = true;
     if (response.status == 200)
         response.set_content(encode(matches), "application/json");
--- a/support/standin/rowstore.h
+++ b/support/standin/rowstore.h
@@ -1,5 +1,5 @@
 // Simulated users' store, written from the platform's protocol page: rows in tables, atomic transactions, a
-// feed of changes, and fault injection.
+// feed of changes, restoring an older copy, and fault injection.
 #pragma once
 
 #include "server.h"
@@ -38,6 +38,11 @@
     void setFaults(RowFaults);
     /// Discards the history of the feed: feeds that resume from an earlier version get 410.
     void dropHistory();
+    /// Keeps a copy of all rows and of the version.
+    void takeCopy();
+    /// Goes back to the last copy, in a new era, and closes all connections. Versions after the copy's are
+    /// given out again; feeds that resume from a version that does not exist yet get 410.
+    void restoreCopy();
     /// Number of HTTP calls received.
     uint64_t calls() const { return calls_; }
 
@@ -49,6 +54,12 @@
     };
     using Key = std::pair<std::string, std::string>; ///< Table and key.
 
+    /// Rows as of a version.
+    struct Copy {
+        std::map<Key, Row> rows_;
+        uint64_t version_ = 0;
+    };
+
     void write(const Key&, const std::string& value, bool removed);
     void onTransaction(const httplib::Request&, httplib::Response&);
     void onTableRead(const httplib::Request&, httplib::Response&);
@@ -63,6 +74,8 @@
     std::map<Key, Row> rows_;
     uint64_t version_ = 0;
     uint64_t oldestFeedVersion_ = 0;
+    uint64_t era_ = 1; ///< Rises with each restore.
+    Copy copy_;
     bool stopping_ = false;
     RowFaults faults_;
     std::atomic<uint64_t> calls_ = 0;
--- a/test/gateway/relay-test.cc
+++ b/test/gateway/relay-test.cc
@@ -44,6 +44,7 @@
     boost::asio::io_context loop_ { 1 };
     bool isFresh_ = true;
     int directCalls_ = 0;
+    uint64_t directEra_ = 0; ///< Era of the store's own answers.
     Address address_ { "127.0.0.1", static_cast<uint16_t>(11'000 + getpid() % 900) };
     RelayChoice choice_ { .relay_ = address_ };
     RelayServer server_ { {}, [this] { return isFresh_; } };
@@ -54,7 +55,7 @@
             } } };
     TableStore direct_ { .read_
         = [this](const std::string&, TableStore::Handler<TableRead> handler) { answerDirect(handler); },
-        .follow_ = [this](const std::string&, uint64_t, Duration,
+        .follow_ = [this](const std::string&, const StorePosition&, Duration,
                        TableStore::Handler<TableRead> handler) { answerDirect(handler); },
         .transact_ = {},
         .reset_ = [] {} };
@@ -69,12 +70,12 @@
     void answerDirect(const TableStore::Handler<TableRead>& handler)
     {
         ++directCalls_;
-        handler(TableRead { { makeRow("direct", 9) }, 9, 1 });
+        handler(TableRead { { makeRow("direct", 9) }, 9, 1, directEra_ });
     }
 
     /// Sends a follow call and runs the loop until its answer; `meanwhile` runs 100 ms after the call.
     Result<TableRead> follow(
-        uint64_t version, const std::function<void()>& meanwhile = [] {})
+        const StorePosition& position, const std::function<void()>& meanwhile = [] {})
     {
         std::optional<Result<TableRead>> answer;
         boost::asio::steady_timer timer(loop_, std::chrono::milliseconds(100));
@@ -82,7 +83,7 @@
             if (!cancelled)
                 meanwhile();
         });
-        follower_.follow_("servers", version, std::chrono::seconds(3), [&](Result<TableRead> read) {
+        follower_.follow_("servers", position, std::chrono::seconds(3), [&](Result<TableRead> read) {
             answer = std::move(read);
             loop_.stop();
         });
@@ -110,17 +111,17 @@
 TEST_CASE("a copy returns the rows that changed, including removed ones")
 {
     TableCopy copy;
-    CHECK_FALSE(changesSince(copy, 0));
+    CHECK_FALSE(changesSince(copy, { 0, 0 }));
     replaceCopy(copy, { { makeRow("u1", 5), makeRow("u2", 7) }, 7, 1 });
-    CHECK_FALSE(changesSince(copy, 6));
-    CHECK(changesSince(copy, 7).value().rows_.empty());
+    CHECK_FALSE(changesSince(copy, { 0, 6 }));
+    CHECK(changesSince(copy, { 0, 7 }).value().rows_.empty());
     applyChanges(copy, { { makeRow("u1", 9, true), makeRow("u3", 8) }, 9, 2 });
-    const auto changes = changesSince(copy, 7).value();
+    const auto changes = changesSince(copy, { 0, 7 }).value();
     CHECK(changes.rows_ == std::vector<StoredRow> { makeRow("u3", 8), makeRow("u1", 9, true) });
     CHECK(changes.version_ == 9);
     CHECK(tableSnapshot(copy).rows_ == std::vector<StoredRow> { makeRow("u2", 7), makeRow("u3", 8) });
     // A follower that has read the store directly may be ahead of the relay's copy.
-    CHECK(changesSince(copy, 12).value().version_ == 12);
+    CHECK(changesSince(copy, { 0, 12 }).value().version_ == 12);
 }
 
 TEST_CASE("a relay's answer round-trips through its encoding")
@@ -137,10 +138,10 @@
 TEST_CASE("a follower receives a change through its relay without waiting")
 {
     Chain chain;
-    const bool behind = chain.follow(5).error().code_ == ErrorCode::NotFound;
+    const bool behind = chain.follow({ 0, 5 }).error().code_ == ErrorCode::NotFound;
     CHECK(behind);
     const TimePoint begin = monotonicNow();
-    const auto changes = chain.follow(7, [&] {
+    const auto changes = chain.follow({ 0, 7 }, [&] {
         chain.server_.onChanged("servers", { { makeRow("u3", 8) }, 8, 1100 });
     });
     CHECK(changes.value().rows_ == std::vector<StoredRow> { makeRow("u3", 8) });
@@ -152,7 +153,7 @@
 {
     Chain chain;
     SUBCASE("before the call") { chain.isFresh_ = false; }
-    const auto answer = chain.follow(7, [&] {
+    const auto answer = chain.follow({ 0, 7 }, [&] {
         chain.isFresh_ = false;
         chain.server_.expirePending(monotonicNow());
     });
@@ -165,9 +166,62 @@
     Chain chain;
     SUBCASE("unreachable") { chain.listener_.stop(); }
     SUBCASE("reset") { }
-    const auto answer = chain.follow(7, [&] { chain.follower_.reset_(); });
+    const auto answer = chain.follow({ 0, 7 }, [&] { chain.follower_.reset_(); });
     CHECK(answer.value().rows_.front().key_ == "direct");
     // A relay that failed is not called again for a while.
-    CHECK(chain.follow(7).value().rows_.front().key_ == "direct");
+    CHECK(chain.follow({ 0, 7 }).value().rows_.front().key_ == "direct");
     CHECK(chain.directCalls_ == 2);
 }
+
+TEST_CASE("a copy answers positions of its own era only")
+{
+    // A follower with a higher version from before the restore got an empty answer for ever.
+    TableCopy copy;
+    replaceCopy(copy, { { makeRow("u1", 90) }, 95, 1, 1 });
+    replaceCopy(copy, { { makeRow("u1", 20) }, 40, 2, 2 });
+    const bool readAgain = changesSince(copy, { 1, 95 }).error().code_ == ErrorCode::NotFound;
+    CHECK(readAgain);
+    CHECK(changesSince(copy, { 2, 40 }).value().position() == StorePosition { 2, 40 });
+    const bool behind = changesSince(copy, { 3, 10 }).error().code_ == ErrorCode::Unavailable;
+    CHECK(behind);
+    CHECK(tableSnapshot(copy).era_ == 2);
+    CHECK(decodeTableRead(encodeTableRead(tableSnapshot(copy))).value().era_ == 2);
+}
+
+TEST_CASE("a follower's pending call is answered when its relay notices that the store was restored")
+{
+    Chain chain;
+    chain.server_.onReplaced("servers", { { makeRow("u1", 90) }, 95, 1000, 1 });
+    const TimePoint begin = monotonicNow();
+    const auto answer = chain.follow({ 1, 95 }, [&] {
+        chain.server_.onReplaced("servers", { { makeRow("u1", 20) }, 40, 1100, 2 });
+    });
+    REQUIRE_FALSE(answer);
+    const bool readAgain = answer.error().code_ == ErrorCode::NotFound;
+    CHECK(readAgain);
+    CHECK(monotonicNow() - begin < std::chrono::seconds(1));
+    CHECK(chain.directCalls_ == 0);
+}
+
+TEST_CASE("a follower that knows of a restore does not go back to the era of its relay")
+{
+    Chain chain;
+    chain.server_.onReplaced("servers", { { makeRow("u1", 90) }, 95, 1000, 1 });
+    SUBCASE("follow call") { }
+    SUBCASE("full read")
+    {
+        chain.choice_ = {};
+        chain.directEra_ = 2;
+        CHECK(chain.follow({ 2, 40 }));
+        chain.choice_ = { .relay_ = chain.address_ };
+        std::optional<uint64_t> era;
+        chain.follower_.read_("servers", [&](const Result<TableRead>& read) {
+            era = read.value().era_;
+            chain.loop_.stop();
+        });
+        chain.loop_.restart();
+        chain.loop_.run_for(std::chrono::seconds(10));
+        CHECK(era == 2);
+    }
+    CHECK(chain.follow({ 2, 40 }).value().rows_.front().key_ == "direct");
+}
