Bound the memory and the time of answers without end

A faulty upstream may write bytes that are no answer, or an answer, until the connection is closed. Heads were limited to 64 KB and bodies to 64 MB each, on machines of 160 to 512 MB, so three large bodies at once could exceed a host's memory. The size and extension of a chunk and a trailer had no bound: they are parsed only when complete, and the bytes until then were kept. The host would be killed for its memory, with all requests that it held.

When there is no room, the largest unfinished answer ends. Chunk sizes, extensions and trailers are held to the 64 KB of a head, and the framing of chunks to 16 times the bytes of their data. Such an answer is broken, as one that breaks off: its connection is closed, the attempt is logged with the reason, idempotent requests are sent once more and others get 502. The metric turmericwing_answer_bytes_held shows the bytes.

--- a/include/turmericwing/gateway/http.h
+++ b/include/turmericwing/gateway/http.h
@@ -4,6 +4,7 @@
 #include "turmericwing/base/time.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -32,6 +33,8 @@
     std::string reason_; ///< Empty: reasonPhrase(status_).
     Headers headers_;
     std::string body_;
+    /// Counts an upstream's body as held until it is destroyed; see AnswerBudget. Null for other responses.
+    std::shared_ptr<const void> hold_ {};
 };
 
 /// Whether two header field names are equal; ignores case.
--- a/include/turmericwing/gateway/settings.h
+++ b/include/turmericwing/gateway/settings.h
@@ -30,6 +30,8 @@
     Address metricsAddress_;
     Address storeAddress_;
     std::map<std::string, std::string> regionOf_; ///< Region by failure domain.
+    /// Memory that the process may use, in MiB. The default is that of the smallest machines.
+    double memoryMb_ = 160;
     Bounds bounds_;
     friend bool operator==(const Settings&, const Settings&) = default;
 };
--- a/include/turmericwing/gateway/upstreams.h
+++ b/include/turmericwing/gateway/upstreams.h
@@ -26,7 +26,8 @@
     /// Longest time to set up a connection, also for probe(). Covers several round trips between regions.
     Duration connectTimeout_ = std::chrono::milliseconds(500);
     size_t maxIdlePerUpstream_ = 8;
-    uint64_t maxAnswerBytes_ = uint64_t { 64 } << 20; ///< A call with a larger answer fails.
+    /// Most bytes of all answers held at one time; beyond it the call with the largest answer fails.
+    uint64_t maxHeldAnswerBytes_ = uint64_t { 40 } << 20;
 };
 
 struct UpstreamCall {
@@ -87,6 +88,10 @@
     /// Returns the number of connection attempts so far, probes included.
     uint64_t connectionAttempts() const;
 
+    /// Returns the bytes of answers that are held: of running calls, and of complete answers until their
+    /// Response::hold_ is destroyed.
+    uint64_t heldAnswerBytes() const;
+
     struct State; ///< Defined in the source file.
 
 private:
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -41,6 +41,16 @@
     /// Exits at the latest this long before SIGKILL.
     constexpr Duration exitMargin = std::chrono::milliseconds(400);
 
+    /// Fraction of the memory for answers of upstreams. They may take twice as much for a moment, and bodies
+    /// of requests and the rest of the process need the other half.
+    constexpr double answerMemoryFraction = 0.25;
+
+    /// Most bytes of answers of upstreams that the host holds at one time.
+    uint64_t answerMemory(const Settings& settings)
+    {
+        return static_cast<uint64_t>(settings.memoryMb_ * 1'048'576 * answerMemoryFraction);
+    }
+
     std::filesystem::file_time_type modificationTime(const std::string& path)
     {
         std::error_code error;
@@ -61,7 +71,7 @@
         , settingsPath_(std::move(options.settingsPath_))
         , store_(std::move(options.store_))
         , state_(makeState(options))
-        , upstreamClient_(loop)
+        , upstreamClient_(loop, { .maxHeldAnswerBytes_ = detail::answerMemory(state_.settings_) })
         , dispatcher_(loop, state_, upstreamClient_, metrics_, dispatchOptions_)
         , peerSocket_(loop, [this](const std::string& bytes) { onReport(bytes); })
         , relayedStore_(makeRelayedStore(loop, store_, relayOptions_, [this] { return relayChoice_; }))
@@ -469,6 +479,8 @@
         "turmericwing_connections", "", "", static_cast<double>(callerListener_->connections()));
     metrics_.setGauge("turmericwing_upstream_connections_opened", "", "",
         static_cast<double>(upstreamClient_.connectionAttempts()));
+    metrics_.setGauge(
+        "turmericwing_answer_bytes_held", "", "", static_cast<double>(upstreamClient_.heldAnswerBytes()));
     metrics_.setGauge(
         "turmericwing_requests_running", "", "", static_cast<double>(dispatcher_.pendingCount()));
     metrics_.setGauge(
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -122,6 +122,7 @@
         std::optional<Parser> parser_;
         std::string outgoingHead_;
         std::string outgoingBody_;
+        std::shared_ptr<const void> outgoingHold_; ///< See Response::hold_.
         std::function<void()> callerGoneHandler_;
     };
 
@@ -273,6 +274,7 @@
         timer_.cancel();
         outgoingHead_ = responseHead(response, close);
         outgoingBody_ = isHeadMethod_ ? std::string() : std::move(response.body_);
+        outgoingHold_ = std::move(response.hold_);
         const std::array<asio::const_buffer, 2> buffers { asio::buffer(outgoingHead_),
             asio::buffer(outgoingBody_) };
         asio::async_write(socket_, buffers,
@@ -281,10 +283,11 @@
 
     void Connection::onWritten(error_code error, bool close)
     {
-        if (phase_ == Phase::Closed)
-            return;
         outgoingHead_ = {};
         outgoingBody_ = {};
+        outgoingHold_ = nullptr;
+        if (phase_ == Phase::Closed)
+            return;
         if (error)
             return this->close();
         if (close)
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -10,6 +10,9 @@
 
 namespace detail {
 
+    constexpr double minMemoryMb = 1;
+    constexpr double maxMemoryMb = 1'048'576;
+
     /// A non-negative number and the text after it, its unit.
     struct Quantity {
         double number_ = 0;
@@ -48,6 +51,14 @@
             addFault(file, text->line_, key, "'" + text->text_ + "' is not a number of at least 0");
     }
 
+    void takeMemory(IniFile& file, double& value)
+    {
+        static const std::string key = "limits.memory-mb";
+        takeNumber(file, key, value);
+        if (value < minMemoryMb || value > maxMemoryMb)
+            addFault(file, 0, key, "is not from 1 to 1048576");
+    }
+
     Bounds takeBounds(IniFile& file)
     {
         Bounds bounds;
@@ -114,6 +125,7 @@
     settings.storeAddress_ = takeAddress(file, "store.address");
     settings.regionOf_ = detail::takeRegions(file);
     settings.regionOf_[settings.failureDomain_] = settings.region_;
+    detail::takeMemory(file, settings.memoryMb_);
     settings.bounds_ = detail::takeBounds(file);
     if (!file.faults_.empty())
         return makeError(ErrorCode::Invalid, faultText(file));
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -5,6 +5,7 @@
 #include "tcpoptions.h"
 
 #include "turmericwing/base/hash.h"
+#include "turmericwing/gateway/answerbudget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -32,7 +33,9 @@
 namespace detail {
 
     constexpr size_t readBufferBytes = 65536;
-    constexpr uint32_t maxAnswerHeadBytes = 65536;
+    constexpr uint32_t maxAnswerHeadBytes
+        = 65536; ///< Also of a chunk's size and extension, and of a trailer.
+    constexpr uint64_t maxFramingRatio = 16; ///< Bytes of chunk framing for each byte of a body.
     constexpr int maxSkippedAnswers = 16; ///< Interim answers and answers to other requests, in one call.
     constexpr size_t maxRefusedIds = 64; ///< Refused requests after which a connection is not reused.
 
@@ -60,6 +63,8 @@
         return message.result_int() / 100 == 1;
     }
 
+    class Call;
+
     struct IdleConnection {
         tcp::socket socket_;
         TimePoint usableUntil_ {}; ///< The upstream may close the connection soon after.
@@ -83,11 +88,16 @@
     State(asio::io_context& loop, UpstreamOptions options)
         : loop_(loop)
         , options_(options)
+        , answerBudget_(
+              std::make_shared<AnswerBudget>(AnswerBudget { .limit_ = options.maxHeldAnswerBytes_ }))
     {
     }
 
     asio::io_context& loop_;
     const UpstreamOptions options_;
+    const std::shared_ptr<AnswerBudget> answerBudget_;
+    std::unordered_map<uint64_t, std::weak_ptr<detail::Call>> receivingCalls_; ///< By number.
+    uint64_t callCount_ = 0;
     /// By upstream, the most recently used last.
     std::unordered_map<std::string, std::vector<detail::IdleConnection>> idle_;
     uint64_t opened_ = 0;
@@ -106,6 +116,7 @@
             : owner_(std::move(owner))
             , call_(std::move(call))
             , handler_(std::move(handler))
+            , number_(++owner_->callCount_)
             , socket_(owner_->loop_)
             , timer_(owner_->loop_)
         {
@@ -120,6 +131,9 @@
         void waitReadable();
         void onReadable(error_code);
         void parse();
+        bool holdAnswer();
+        bool isFramingBounded() const;
+        void releaseAnswer();
         void onReadError(error_code);
         bool isOwnAnswer() const;
         void onAnswer();
@@ -133,10 +147,14 @@
         std::shared_ptr<UpstreamClient::State> owner_;
         const UpstreamCall call_;
         UpstreamClient::Handler handler_; ///< Empty once the call has ended.
+        const uint64_t number_;
         tcp::socket socket_;
         asio::steady_timer timer_; ///< Limits the connection set-up.
         std::optional<AnswerParser> parser_;
         std::string unparsed_;
+        uint64_t receivedBytes_ = 0; ///< Of the answer that is being parsed.
+        uint64_t headBytes_ = 0; ///< Of these, those of its head; 0 until the head is complete.
+        bool answerBegun_ = false;
         TimePoint connectStarted_ {};
         Duration connectTime_ {};
         bool reused_ = false;
@@ -210,7 +228,9 @@
     {
         parser_.emplace();
         parser_->header_limit(maxAnswerHeadBytes);
-        parser_->body_limit(owner_->options_.maxAnswerBytes_);
+        parser_->body_limit(owner_->options_.maxHeldAnswerBytes_);
+        receivedBytes_ = unparsed_.size();
+        headBytes_ = 0;
         parser_->eager(true);
         if (call_.isHeadMethod_)
             parser_->skip(true);
@@ -233,6 +253,8 @@
             return waitReadable();
         if (error)
             return onReadError(error);
+        answerBegun_ = true;
+        receivedBytes_ += size;
         unparsed_.append(answerBuffer.data(), size);
         parse();
     }
@@ -245,8 +267,10 @@
             feedParser(*parser_, unparsed_, error);
             if (error && error != http::error::need_more)
                 return fail("answer: " + error.message());
+            if (!holdAnswer())
+                return;
             if (!parser_->is_done())
-                return waitReadable();
+                return isFramingBounded() ? waitReadable() : fail("answer: chunk framing without end");
             if (isOwnAnswer())
                 return onAnswer();
             strayAnswers_ = strayAnswers_ || !isInterim(parser_->get());
@@ -258,6 +282,42 @@
         }
     }
 
+    /// Counts the bytes of the answer, and ends the largest answers while there is no room. Returns whether
+    /// this call goes on.
+    bool Call::holdAnswer()
+    {
+        const uint64_t bodyBytes = parser_->get().body().size();
+        if (headBytes_ == 0 && parser_->is_header_done())
+            headBytes_ = receivedBytes_ - std::min(receivedBytes_, bodyBytes + unparsed_.size());
+        holdUnfinished(*owner_->answerBudget_, number_, headBytes_ + bodyBytes + unparsed_.size());
+        owner_->receivingCalls_.try_emplace(number_, weak_from_this());
+        while (const auto largest = answerToEnd(*owner_->answerBudget_)) {
+            if (const auto call = owner_->receivingCalls_[*largest].lock())
+                call->fail("answer: no memory for more of it");
+            else
+                releaseUnfinished(*owner_->answerBudget_, *largest);
+        }
+        return handler_ != nullptr;
+    }
+
+    /// Whether the answer's chunk sizes, extensions and trailer are within their bounds.
+    bool Call::isFramingBounded() const
+    {
+        const uint64_t bodyBytes = parser_->get().body().size();
+        const uint64_t framingBytes = receivedBytes_ - std::min(receivedBytes_, headBytes_ + bodyBytes);
+        return !parser_->is_header_done()
+            || (unparsed_.size() <= maxAnswerHeadBytes
+                && framingBytes <= readBufferBytes + maxAnswerHeadBytes + maxFramingRatio * bodyBytes);
+    }
+
+    void Call::releaseAnswer()
+    {
+        releaseUnfinished(*owner_->answerBudget_, number_);
+        owner_->receivingCalls_.erase(number_);
+        parser_.reset();
+        unparsed_ = {};
+    }
+
     void Call::onReadError(error_code error)
     {
         // An answer without a length is complete only if the upstream closed the connection cleanly.
@@ -296,6 +356,8 @@
                     std::move(refusedIds_) });
         }
         response.body_ = std::move(message.body());
+        releaseAnswer();
+        response.hold_ = holdComplete(owner_->answerBudget_, headBytes_ + response.body_.size());
         finish(SendOutcome::Answered, std::move(response), {});
     }
 
@@ -329,14 +391,15 @@
         const auto handler = std::move(handler_);
         handler_ = nullptr;
         close();
-        const bool answerBegun = !unparsed_.empty() || (parser_ && parser_->is_header_done());
-        handler({ outcome, std::move(response), detail, reused_, connectTime_, answerBegun });
+        releaseAnswer();
+        handler({ outcome, std::move(response), detail, reused_, connectTime_, answerBegun_ });
     }
 
     void Call::cancel()
     {
         handler_ = nullptr;
         close();
+        releaseAnswer();
     }
 
     void Call::close()
@@ -431,4 +494,6 @@
 
 uint64_t UpstreamClient::connectionAttempts() const { return state_->opened_; }
 
+uint64_t UpstreamClient::heldAnswerBytes() const { return state_->answerBudget_->heldBytes_; }
+
 } // namespace turmericwing::gateway
--- /dev/null
+++ b/test/gateway/live-endless-test.cc
@@ -0,0 +1,223 @@
+// Upstreams that write an answer without end, in each part of an answer. Guards against a host that runs out
+// of memory, or that keeps such a connection until the request's deadline.
+#include "live.h"
+
+#include "turmericwing/gateway/httpchannel.h"
+#include "turmericwing/gateway/upstreams.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::gateway;
+using namespace turmericwing::gateway::test;
+
+namespace {
+
+/// An answer: its beginning, and what follows it again and again until the connection closes.
+struct EndlessAnswer {
+    std::string begin_;
+    std::string repeated_;
+};
+
+const std::string chunkedHead
+    = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id\r\nX-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Endless answers by the part that does not end. Bodies with a length end, but are as large as it says.
+EndlessAnswer endlessAnswer(const std::string& part)
+{
+    const std::string plainHead = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id\r\nX-Response-Seal: s\r\n";
+    if (part == "garbage")
+        return { "", std::string(4096, 'x') };
+    if (part == "zeros")
+        return { "", std::string(4096, '\0') };
+    if (part == "status line")
+        return { "HTTP/1.1 200 ", std::string(4096, 'x') };
+    if (part == "head")
+        return { plainHead, "X-Field: " + std::string(1000, 'x') + "\r\n" };
+    if (part == "body with a length")
+        return { plainHead + "Content-Length: 60000000\r\n\r\n", std::string(65536, 'x') };
+    if (part == "body with a huge length")
+        return { plainHead + "Content-Length: 18446744073709551615\r\n\r\n", std::string(65536, 'x') };
+    if (part == "body without a length")
+        return { plainHead + "\r\n", std::string(65536, 'x') };
+    if (part == "chunks")
+        return { chunkedHead, "1000\r\n" + std::string(4096, 'x') + "\r\n" };
+    if (part == "one chunk")
+        return { chunkedHead + "7fffffffffffffff\r\n", std::string(65536, 'x') };
+    if (part == "chunk size")
+        return { chunkedHead, std::string(4096, '0') };
+    if (part == "chunk extension")
+        return { chunkedHead + "1;a=", std::string(4096, 'x') };
+    if (part == "chunk extensions")
+        return { chunkedHead, "1;a=" + std::string(30000, 'x') + "\r\nx\r\n" };
+    if (part == "trailer")
+        return { chunkedHead + "0\r\n", "X-Field: " + std::string(1000, 'x') + "\r\n" };
+    if (part == "interim answers")
+        return { "", "HTTP/1.1 100 Continue\r\n\r\n" };
+    return { "", "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 1\r\n\r\nx" };
+}
+
+const std::vector<std::string> parts { "garbage", "zeros", "status line", "head", "body with a length",
+    "body with a huge length", "body without a length", "chunks", "one chunk", "chunk size",
+    "chunk extension", "chunk extensions", "trailer", "interim answers", "answers to other requests" };
+
+/// Writes an endless answer on the connection of the running request, until the peer closes it or 20 s have
+/// passed. Returns whether the peer closed it.
+bool writeWithoutEnd(const EndlessAnswer& answer)
+{
+    auto& connection = standin::Server::currentConnection();
+    connection.dropped_ = true;
+    std::string block;
+    while (block.size() < 65536)
+        block += answer.repeated_;
+    const timeval limit { 20, 0 };
+    setsockopt(connection.fd_, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+    const TimePoint end = monotonicNow() + std::chrono::seconds(20);
+    bool open = send(connection.fd_, answer.begin_.data(), answer.begin_.size(), MSG_NOSIGNAL) >= 0;
+    while (open && monotonicNow() < end)
+        open = send(connection.fd_, block.data(), block.size(), MSG_NOSIGNAL) > 0;
+    return !open;
+}
+
+/// A server whose only answer is given, and a client for it.
+struct ClientFixture {
+    explicit ClientFixture(std::function<void(httplib::Response&)> answer, UpstreamOptions options)
+        : client_(loop_, options)
+    {
+        server_.Get(".*", [answer = std::move(answer)](const httplib::Request&, httplib::Response& response) {
+            answer(response);
+        });
+        port_ = static_cast<uint16_t>(server_.start("127.0.0.1", 0));
+    }
+
+    /// Sends `count` requests at once, and runs the loop until all have ended or 20 s have passed.
+    std::vector<UpstreamAnswer> send(size_t count)
+    {
+        std::vector<UpstreamAnswer> answers;
+        for (size_t i = 0; i < count; ++i) {
+            client_.send({ .upstream_ = "u1",
+                             .address_ = { "127.0.0.1", port_ },
+                             .head_ = "GET / HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: id\r\n\r\n",
+                             .echoName_ = "X-Attempt-Id",
+                             .echoValue_ = "id" },
+                [&](UpstreamAnswer answer) { answers.push_back(std::move(answer)); });
+        }
+        for (const TimePoint end = monotonicNow() + std::chrono::seconds(20);
+             answers.size() < count && monotonicNow() < end;) {
+            loop_.run_one_for(std::chrono::milliseconds(100));
+            loop_.restart();
+            mostHeld_ = std::max(mostHeld_, client_.heldAnswerBytes());
+        }
+        return answers;
+    }
+
+    standin::Server server_;
+    uint16_t port_ = 0;
+    boost::asio::io_context loop_ { 1 };
+    UpstreamClient client_;
+    uint64_t mostHeld_ = 0;
+};
+
+constexpr uint64_t mebibyte = uint64_t { 1 } << 20;
+/// More than one read of a connection, by which an answer may exceed the limit before it is ended.
+constexpr uint64_t readSlack = 3 * 65536;
+
+} // namespace
+
+TEST_CASE("an answer without end breaks soon, within the bound on memory")
+{
+    // A chunk's size, extension or trailer, interim answers and small chunks had no bound at all.
+    for (const std::string& part : parts) {
+        CAPTURE(part);
+        std::atomic<bool> closed = false;
+        ClientFixture fixture([&](httplib::Response&) { closed = writeWithoutEnd(endlessAnswer(part)); },
+            { .maxHeldAnswerBytes_ = 8 * mebibyte });
+        const TimePoint begin = monotonicNow();
+        const auto answers = fixture.send(1);
+        // Far below the deadlines of requests, on a busy machine too.
+        CHECK(monotonicNow() - begin < std::chrono::milliseconds(1500));
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].outcome_ == SendOutcome::Broken);
+        CHECK_FALSE(answers[0].failureReason_.empty());
+        CHECK(answers[0].answerBegun_);
+        CHECK(fixture.mostHeld_ <= 8 * mebibyte + readSlack);
+        CHECK(fixture.client_.heldAnswerBytes() == 0);
+        CHECK(eventually([&] { return closed.load(); }));
+        fixture.server_.shutDown();
+    }
+}
+
+TEST_CASE("many answers without end at once stay within the bound on memory")
+{
+    for (const std::string part : { "body without a length", "chunks", "body with a length" }) {
+        CAPTURE(part);
+        ClientFixture fixture([&](httplib::Response&) { writeWithoutEnd(endlessAnswer(part)); },
+            { .maxHeldAnswerBytes_ = 8 * mebibyte });
+        const auto answers = fixture.send(40);
+        REQUIRE(answers.size() == 40);
+        for (const UpstreamAnswer& answer : answers)
+            CHECK(answer.outcome_ == SendOutcome::Broken);
+        CHECK(fixture.mostHeld_ <= 8 * mebibyte + readSlack);
+        CHECK(fixture.client_.heldAnswerBytes() == 0);
+        fixture.server_.shutDown();
+    }
+}
+
+TEST_CASE("a large answer passes while there is room, and counts until it is released")
+{
+    ClientFixture fixture(
+        [](httplib::Response& response) {
+            response.set_header("X-Attempt-Id", "id");
+            response.set_content(std::string(3 * mebibyte, 'x'), "text/plain");
+        },
+        { .maxHeldAnswerBytes_ = 8 * mebibyte });
+    auto answers = fixture.send(2);
+    REQUIRE(answers.size() == 2);
+    for (const UpstreamAnswer& answer : answers) {
+        CHECK(answer.outcome_ == SendOutcome::Answered);
+        CHECK(answer.response_.body_.size() == 3 * mebibyte);
+    }
+    CHECK(fixture.client_.heldAnswerBytes() >= 6 * mebibyte);
+    const auto third = fixture.send(1);
+    REQUIRE(third.size() == 1);
+    CHECK(third[0].outcome_ == SendOutcome::Broken);
+    answers.clear();
+    CHECK(fixture.client_.heldAnswerBytes() == 0);
+    CHECK(fixture.send(1)[0].outcome_ == SendOutcome::Answered);
+    fixture.server_.shutDown();
+}
+
+TEST_CASE("requests are served while an upstream answers without end")
+{
+    Fixture fixture;
+    Upstream endless(fixture.store_, "u1");
+    Upstream sound(fixture.store_, "u2");
+    std::string part;
+    SUBCASE("chunks") { part = "chunks"; }
+    SUBCASE("trailer") { part = "trailer"; }
+    SUBCASE("interim answers") { part = "interim answers"; }
+    endless.handler_
+        = [&](const httplib::Request&, httplib::Response&) { writeWithoutEnd(endlessAnswer(part)); };
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    const auto client = fixture.client();
+    int failed = 0;
+    for (int i = 0; i < 30; ++i) {
+        const TimePoint begin = monotonicNow();
+        const auto read = client->Get("/read/x", fixture.headers("id"));
+        REQUIRE(read);
+        // Requests earn the retry budget, so a request that fails early may have none.
+        failed += read->status == 200 ? 0 : 1;
+        const int before = endless.requests_ + sound.requests_;
+        const auto write = client->Post("/write/x", fixture.headers("id"), "x", "text/plain");
+        REQUIRE(write);
+        // Not only at the request's deadline of 3 s.
+        CHECK(monotonicNow() - begin < std::chrono::milliseconds(2500));
+        CHECK((write->status == 200 || write->status == 502));
+        CHECK(endless.requests_ + sound.requests_ == before + 1);
+    }
+    CHECK(failed <= 3);
+    CHECK(endless.requests_ > 0);
+}
--- a/test/gateway/settings-test.cc
+++ b/test/gateway/settings-test.cc
@@ -38,6 +38,17 @@
 
 } // namespace
 
+TEST_CASE("the memory of the host is read, and has a default")
+{
+    // Guards against a bound on answers that does not follow from the machine.
+    CHECK(load(good).value().memoryMb_ == 160);
+    CHECK(load(good + "[limits]\nmemory-mb =\n").value().memoryMb_ == 160);
+    CHECK(load(good + "[limits]\nmemory-mb = 260\n").value().memoryMb_ == 260);
+    checkFault(good + "[limits]\nmemory-mb = 0\n", "limits.memory-mb: is not from 1 to 1048576");
+    checkFault(good + "[limits]\nmemory-mb = 1e300\n", "limits.memory-mb: is not from 1 to 1048576");
+    checkFault(good + "[limits]\nmemory-mb = much\n", "limits.memory-mb: 'much' is not a number");
+}
+
 TEST_CASE("valid settings are read, and unknown fields are ignored")
 {
     const auto settings
