Bound the unparsed bytes of an answer of the store or a relay

Bodies were limited to 32 MB and heads to 8 KB before. The buffer of bytes that are received and not parsed now holds 128 KB at most; beyond it the call fails as any malformed answer does, and the connection is closed.

--- a/src/gateway/httpchannel.cc
+++ b/src/gateway/httpchannel.cc
@@ -26,6 +26,7 @@
 namespace detail {
 
     constexpr uint64_t maxAnswerBytes = uint64_t { 32 } << 20;
+    constexpr size_t maxUnparsedBytes = 131'072; ///< Heads, chunk extensions and trailers must fit into it.
 
     struct PendingCall {
         HttpCall call_;
@@ -54,7 +55,7 @@
     std::optional<detail::PendingCall> running_;
     http::request<http::string_body> request_;
     std::optional<http::response_parser<http::string_body>> parser_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_ { detail::maxUnparsedBytes };
 
     void startNext();
     void connect();
--- a/test/gateway/live-endless-test.cc
+++ b/test/gateway/live-endless-test.cc
@@ -221,3 +221,34 @@
     CHECK(failed <= 3);
     CHECK(endless.requests_ > 0);
 }
+
+TEST_CASE("a store's answer without end is an error before its timeout")
+{
+    boost::asio::io_context loop { 1 };
+    standin::Server server;
+    const std::string part = [] {
+        std::string named;
+        SUBCASE("head") { named = "head"; }
+        SUBCASE("chunks") { named = "chunks"; }
+        SUBCASE("chunk extension") { named = "chunk extension"; }
+        SUBCASE("trailer") { named = "trailer"; }
+        return named;
+    }();
+    server.Get(
+        ".*", [part](const httplib::Request&, httplib::Response&) { writeWithoutEnd(endlessAnswer(part)); });
+    const int port = server.start("127.0.0.1", 0);
+    HttpChannel channel(loop, { "127.0.0.1", static_cast<uint16_t>(port) });
+    std::optional<Result<HttpAnswer>> received;
+    channel.call({ .target_ = "/", .timeout_ = std::chrono::seconds(10) },
+        [&](const Result<HttpAnswer>& answer) { received = answer; });
+    const TimePoint begin = monotonicNow();
+    while (!received && monotonicNow() < begin + std::chrono::seconds(15)) {
+        loop.run_one_for(std::chrono::milliseconds(100));
+        loop.restart();
+    }
+    REQUIRE(received);
+    CHECK_FALSE(*received);
+    CHECK(monotonicNow() - begin < std::chrono::seconds(5));
+    channel.reset();
+    server.shutDown();
+}
