Cut long values in log lines

The line for an unreadable row of the hosts repeated the row's value as its reason: with rows of 100 to 200 KB, each line was as long, and one such line filled most of the buffer of 256 KB, so that lines on other decisions would be dropped. Seen in the live test with odd rows; entries of upstreams and orders repeat at most one field. The log now cuts values after 1000 bytes, whatever the line.

Evidence: host-test "a long value is cut, so that one odd row does not fill the log" failed before the change (a line of 400,019 bytes) and passes after it.

--- a/src/host/log.cc
+++ b/src/host/log.cc
@@ -42,9 +42,13 @@
         }
     };
 
+    constexpr size_t maxValueBytes = 1000; ///< Errors may repeat input from elsewhere; the rest is cut.
+
     /// The value, quoted and escaped if it is empty or has special characters; line breaks become spaces.
     std::string quoteValue(const std::string& value)
     {
+        if (value.size() > maxValueBytes)
+            return quoteValue(value.substr(0, maxValueBytes)) + "...";
         if (!value.empty() && value.find_first_of(" \"=\n\r\t\\") == std::string::npos)
             return value;
         std::string out = "\"";
