--- a/test/gateway/live-refusals-test.cc
+++ b/test/gateway/live-refusals-test.cc
@@ -39,6 +39,13 @@
         };
     }
 
+    ~RepeatingUpstream()
+    {
+        std::lock_guard lock(mutex_);
+        for (std::thread& sender : senders_)
+            sender.join();
+    }
+
 private:
     static std::string refusal(const std::string& idFields)
     {
@@ -67,11 +74,12 @@
         response.set_content("ran", "text/plain");
         if (repetition_.whileIdle_ == 0)
             return;
-        std::thread([copy, fd, count = repetition_.whileIdle_] {
+        std::lock_guard lock(mutex_);
+        senders_.emplace_back([copy, fd, count = repetition_.whileIdle_] {
             std::this_thread::sleep_for(std::chrono::milliseconds(5));
             for (int i = 0; i < count; ++i)
                 sendAll(fd, copy);
-        }).detach();
+        });
     }
 
     /// The refusal to repeat on the connection; empty if nothing was refused there.
@@ -92,6 +100,7 @@
     const Repetition repetition_;
     const std::function<void(const std::string&)> onRun_;
     std::mutex mutex_;
+    std::vector<std::thread> senders_; ///< Send copies after an answer.
     std::map<int, std::string> refused_; ///< Id of the request refused last, by connection.
     Upstream upstream_;
 };
