Add failing tests of the schedule of a graceful stop

What callers would see: a 502 or a closed connection in place of work that their upstream is doing, for a request sent more than 3 s after the SIGTERM of its host, or ended before the last sixth of the stop time. The users' rule LOST excuses neither.

Cause: acceptUntil_ is a fraction of the stop time and answerBy_ a fixed time before its end; the rule has a fixed time after the SIGTERM (3 s) and a fraction of the stop time (the last sixth). They agree for stop times of 3.6 s to 7.5 s only; one deployment has 10 s, where requests are taken until 4 s.

--- a/test/gateway/drain-test.cc
+++ b/test/gateway/drain-test.cc
@@ -48,3 +48,25 @@
     CHECK(shorter.acceptUntil_ == after(200));
     CHECK(shorter.acceptUntil_ <= shorter.answerBy_);
 }
+
+TEST_CASE("no request is taken so late that cutting it at the end breaks the users' rule")
+{
+    // Users excuse a request that is cut at the end of a stop only if it was sent within 3 s of SIGTERM,
+    // however long the stop time is.
+    for (const int stopMs : { 3000, 6000, 10'000, 30'000 }) {
+        CAPTURE(stopMs);
+        const DrainSchedule drain = makeDrainSchedule({}, stopBegins, std::chrono::milliseconds(stopMs));
+        CHECK(drain.acceptUntil_ < after(3000));
+    }
+}
+
+TEST_CASE("no request is ended while its upstream works, before the last sixth of the stop time")
+{
+    // A response of the host's own in place of the upstream's work is excused only in that time.
+    for (const int stopMs : { 1000, 2000, 3000, 6000, 10'000 }) {
+        CAPTURE(stopMs);
+        const DrainSchedule drain = makeDrainSchedule({}, stopBegins, std::chrono::milliseconds(stopMs));
+        CHECK(drain.answerBy_ >= after(stopMs * 5 / 6));
+        CHECK(drain.exitBy_ <= after(stopMs));
+    }
+}
