Add a failing test of a connection lost between accept and its handler

What callers would see: a connection reset with a request sent on it, as a host stops accepting under load.

Cause: the accept that follows an accepted connection completes at once if another connection is queued, and its handler is posted. If the tick that stops the listener is ahead of it in the event loop, the handler finds stopped_ set and drops the socket. acceptQueued() cannot see it, because it has left the listen queue.

--- a/test/gateway/drain-live-test.cc
+++ b/test/gateway/drain-live-test.cc
@@ -165,3 +165,30 @@
     }
     CHECK(handled == 1);
 }
+
+TEST_CASE("a listener that stops keeps a connection whose accept has completed and not been handled")
+{
+    // Accepting one connection starts the next accept, which completes at once if another is queued. Its
+    // handler runs after stop() if the stop is already due.
+    boost::asio::io_context loop(1);
+    const Address address { "127.0.0.1", freePort() };
+    int handled = 0;
+    Listener listener(loop,
+        ListenerOptions {
+            .address_ = address, .handler_ = [&](Request&&, const std::shared_ptr<Exchange>& exchange) {
+                ++handled;
+                exchange->respond({ .status_ = 503 });
+            } });
+    REQUIRE(listener.start());
+    const int first = connectTo(address);
+    const int second = connectTo(address);
+    sendText(first, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    sendText(second, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    while (listener.connections() == 0)
+        loop.run_one();
+    listener.stop();
+    loop.run_for(std::chrono::milliseconds(300));
+    CHECK(receiveAll(first).starts_with("HTTP/1.1 503 "));
+    CHECK(receiveAll(second).starts_with("HTTP/1.1 503 "));
+    CHECK(handled == 2);
+}
