Add a failing test of the back-off of a stopping host at full upstreams

What callers would see: a Retry-After of 0.05 s to 0.1 s from a stopping host although all upstreams are full, so that their retries are spent on other hosts with the same full upstreams.

Cause: noUpstreamReason() returns Draining for every refusal during a stop, also for those that full upstreams cause, and the Retry-After of Draining assumes that another host can serve the request at once.

--- a/test/gateway/drain-live-test.cc
+++ b/test/gateway/drain-live-test.cc
@@ -192,3 +192,38 @@
     CHECK(receiveAll(second).starts_with("HTTP/1.1 503 "));
     CHECK(handled == 2);
 }
+
+TEST_CASE("a stopping host keeps the back-off of refusals that full upstreams cause")
+{
+    // Another host cannot serve the request at once if the upstreams are full.
+    Fixture fixture;
+    Upstream upstream(fixture.store_, "u1");
+    workFor(upstream, std::chrono::seconds(10));
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    std::vector<int> callers;
+    for (int i = 0; i < 12; ++i) {
+        callers.push_back(connectTo(fixture.settings_.callerAddress_));
+        sendText(callers.back(), writeHead("id-" + std::to_string(i), 4) + "body");
+    }
+    REQUIRE(eventually([&] { return upstream.requests_ >= 4; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    const auto retryAfter = [&](const std::string& id) {
+        const int caller = connectTo(fixture.settings_.callerAddress_);
+        sendText(caller, writeHead(id, 4) + "body");
+        char buffer[4096];
+        const ssize_t size = recv(caller, buffer, sizeof(buffer), 0);
+        close(caller);
+        const std::string answer(buffer, static_cast<size_t>(std::max<ssize_t>(size, 0)));
+        CHECK(answer.starts_with("HTTP/1.1 503 "));
+        const size_t at = answer.find("Retry-After: ");
+        return at == std::string::npos ? 0.0 : std::stod(answer.substr(at + 13));
+    };
+    const double before = retryAfter("id-before");
+    CHECK(before >= 0.2);
+    fixture.drain();
+    const double during = retryAfter("id-during");
+    CHECK(during >= 0.2);
+    for (const int caller : callers)
+        receiveAll(caller);
+}
