Keep the phases of a graceful stop within the users' rule for any stop time

A cut at the end of a stop is excused only if the request was sent within 3 s of SIGTERM and its upstream still works in the last sixth of the stop time. The schedule met that for stop times from 3.6 s to 7.5 s only: with 10 s requests were taken until 4 s, and with 3 s they were ended at 2.4 s. The phases were also checked by the tick alone, up to 0.1 s late.

Change: requests are taken for 2.5 s at most, both margins shrink with the stop time, and a timer fires at each phase.

--- a/include/turmericwing/gateway/drain.h
+++ b/include/turmericwing/gateway/drain.h
@@ -15,10 +15,14 @@
 struct DrainOptions {
     /// Fraction of the stop time during which new requests are taken. The rest is for those that run.
     double acceptFraction_ = 0.4;
-    /// The process ends this long before it would be killed.
+    /// Longest time during which new requests are taken. Users count a request that is cut at the end as lost
+    /// if it was sent 3 s after SIGTERM or later, however long the stop time is.
+    Duration maxAcceptTime_ = std::chrono::milliseconds(2500);
+    /// The process ends this long before it would be killed, but at most a fifteenth of the stop time.
     Duration exitMargin_ = std::chrono::milliseconds(400);
     /// Requests without an answer get a final response this long before the process ends, so that it is sent
-    /// while the connections are still open.
+    /// while the connections are still open; at most a thirtieth of the stop time. Both margins together keep
+    /// these responses within the last sixth of the stop time, before which users allow none.
     Duration responseMargin_ = std::chrono::milliseconds(200);
     /// An attempt begins only if this multiple of its expected time is left, because many attempts take
     /// longer than expected.
@@ -36,8 +40,8 @@
     friend auto operator<=>(const DrainSchedule&, const DrainSchedule&) = default;
 };
 
-/// Returns the schedule of a stop that begins at `now` and is enforced after `stopTime`. A stop time below
-/// the margins leaves no time for requests.
+/// Returns the schedule of a stop that begins at `now` and is enforced after `stopTime`. A negative stop time
+/// counts as zero.
 DrainSchedule makeDrainSchedule(const DrainOptions&, TimePoint now, Duration stopTime);
 
 /// Whether an attempt may begin at `now`: the response is expected before answerBy_. `expected` is the
--- a/src/gateway/drain.cc
+++ b/src/gateway/drain.cc
@@ -7,10 +7,13 @@
 
 DrainSchedule makeDrainSchedule(const DrainOptions& options, TimePoint now, Duration stopTime)
 {
-    const TimePoint exitBy = now + std::max(Duration::zero(), stopTime - options.exitMargin_);
-    const TimePoint answerBy = std::max(now, exitBy - options.responseMargin_);
-    const auto acceptTime = std::chrono::duration_cast<Duration>(stopTime * options.acceptFraction_);
-    return { .acceptUntil_ = std::min(now + acceptTime, answerBy), .answerBy_ = answerBy, .exitBy_ = exitBy };
+    const Duration time = std::max(Duration::zero(), stopTime);
+    const TimePoint exitBy = now + time - std::min<Duration>(options.exitMargin_, time / 15);
+    const TimePoint answerBy = exitBy - std::min<Duration>(options.responseMargin_, time / 30);
+    const auto acceptTime = std::chrono::duration_cast<Duration>(time * options.acceptFraction_);
+    return { .acceptUntil_ = now + std::min(acceptTime, options.maxAcceptTime_),
+        .answerBy_ = answerBy,
+        .exitBy_ = exitBy };
 }
 
 bool mayBeginAttempt(const DrainOptions& options, const DrainSchedule& schedule, TimePoint now,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -138,6 +138,7 @@
     void onLookup(const Request&, const std::shared_ptr<Exchange>&);
     void drain();
     void checkDrained(TimePoint now);
+    void scheduleStopPhase(TimePoint now);
     void reload();
 };
 
@@ -528,6 +529,25 @@
     nextRemoteReport_ = {};
     sendReports(now);
     hostRegistry_.deregisterHost();
+    scheduleStopPhase(now);
+}
+
+/// Checks again as soon as the next phase of the stop begins; the tick alone would be late by its interval.
+void Gateway::Core::scheduleStopPhase(TimePoint now)
+{
+    const DrainSchedule& stop = *state_.drain_;
+    for (const TimePoint phase : { stop.acceptUntil_, stop.answerBy_, stop.exitBy_ }) {
+        if (phase <= now)
+            continue;
+        stopTimer_.expires_at(phase);
+        return stopTimer_.async_wait([this](boost::system::error_code cancelled) {
+            if (cancelled)
+                return;
+            const TimePoint reached = monotonicNow();
+            checkDrained(reached);
+            scheduleStopPhase(reached);
+        });
+    }
 }
 
 void Gateway::Core::checkDrained(TimePoint now)
--- a/test/gateway/drain-test.cc
+++ b/test/gateway/drain-test.cc
@@ -39,14 +39,13 @@
     CHECK_FALSE(mayBeginAttempt({}, schedule(), after(2000), 60, after(5401)));
 }
 
-TEST_CASE("a stop time below the margins leaves no time for requests")
+TEST_CASE("a short stop time shortens the margins, and none leaves no time for requests")
 {
-    const DrainSchedule none = makeDrainSchedule({}, stopBegins, std::chrono::milliseconds(100));
+    const DrainSchedule none = makeDrainSchedule({}, stopBegins, Duration::zero());
     CHECK(none == DrainSchedule { stopBegins, stopBegins, stopBegins });
     CHECK_FALSE(mayBeginAttempt({}, none, stopBegins, 0.1, never));
-    const DrainSchedule shorter = makeDrainSchedule({}, stopBegins, std::chrono::milliseconds(800));
-    CHECK(shorter.acceptUntil_ == after(200));
-    CHECK(shorter.acceptUntil_ <= shorter.answerBy_);
+    const DrainSchedule shorter = makeDrainSchedule({}, stopBegins, std::chrono::milliseconds(300));
+    CHECK(shorter == DrainSchedule { after(120), after(270), after(280) });
 }
 
 TEST_CASE("no request is taken so late that cutting it at the end breaks the users' rule")
