Keep connections whose accept completed as the listener stopped

Found by the review: after one accept the next one completes at once if another connection is queued, and its handler runs after stop() if that was already due. The handler dropped the socket, so a request on it was reset. A connection taken from the queue at the stop whose bytes were still on the way was closed as idle.

Change: the handler keeps the connection, and connections accepted at the stop have 0.2 s to send their request.

Evidence: 'a listener that stops keeps a connection whose accept has completed and not been handled' failed before (CHECK( 1 == 2 )) and passes now.

--- a/include/turmericwing/gateway/listener.h
+++ b/include/turmericwing/gateway/listener.h
@@ -50,7 +50,8 @@
     void closeAfterAnswers();
 
     /// Stops accepting and closes idle connections. Requests that have reached the host, read or not, are
-    /// still handled; their connections close after the response.
+    /// still handled; their connections close after the response. Queued connections are accepted and have
+    /// 0.2 s to send theirs.
     void stop();
 
     /// Returns the number of open connections.
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -27,6 +27,8 @@
     constexpr size_t readBytes = 65536;
     constexpr size_t maxUnparsedBytes = 65536; ///< Buffered pipelined bytes above which reading pauses.
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
+    /// Time for the request of a caller that was accepted as the listener stopped.
+    constexpr auto lastRequestTimeout = std::chrono::milliseconds(200);
     /// Time for a caller to read the last response and close.
     constexpr auto lingerTimeout = std::chrono::seconds(1);
 
@@ -59,6 +61,7 @@
     void accept();
     void addConnection(tcp::socket);
     void acceptQueued();
+    void close();
 };
 
 namespace detail {
@@ -170,7 +173,7 @@
         phase_ = Phase::Idle;
         parser_.reset();
         continueSent_ = false;
-        startTimer(owner_->options_.limits_().idleTimeout_);
+        startTimer(owner_->stopped_ ? Duration(lastRequestTimeout) : owner_->options_.limits_().idleTimeout_);
     }
 
     void Connection::waitReadable()
@@ -332,12 +335,13 @@
 void Listener::State::accept()
 {
     acceptor_.async_accept([self = shared_from_this()](error_code error, tcp::socket socket) {
+        // A connection that was accepted before the listener stopped may have a request.
+        if (!error)
+            self->addConnection(std::move(socket));
         if (self->stopped_)
             return;
-        if (!error) {
-            self->addConnection(std::move(socket));
+        if (!error)
             return self->accept();
-        }
         // Usually a lack of file descriptors, which ends when connections close.
         self->retryTimer_.expires_after(detail::acceptRetryDelay);
         self->retryTimer_.async_wait([self](error_code cancelled) {
@@ -371,12 +375,26 @@
     }
 }
 
+void Listener::State::close()
+{
+    error_code ignored; // The acceptor may not be open.
+    acceptor_.close(ignored);
+    retryTimer_.cancel();
+}
+
 Listener::Listener(asio::io_context& loop, ListenerOptions options)
     : state_(std::make_shared<State>(loop, std::move(options)))
 {
 }
 
-Listener::~Listener() { stop(); }
+Listener::~Listener()
+{
+    state_->stopped_ = true;
+    state_->close();
+    const auto connections = state_->connections_;
+    for (detail::Connection* connection : connections)
+        connection->close();
+}
 
 Result<void> Listener::start()
 {
@@ -405,18 +423,17 @@
 
 void Listener::stop()
 {
-    if (!state_->stopped_)
-        state_->acceptQueued();
+    if (state_->stopped_)
+        return;
     state_->stopped_ = true;
     state_->closeAfterAnswers_ = true;
-    error_code ignored; // The acceptor may not be open.
-    state_->acceptor_.close(ignored);
-    state_->retryTimer_.cancel();
     const auto connections = state_->connections_;
     for (detail::Connection* connection : connections) {
         if (connection->isIdle())
             connection->close();
     }
+    state_->acceptQueued();
+    state_->close();
 }
 
 size_t Listener::connections() const { return state_->connections_.size(); }
