Refuse for full upstreams with their back-off also while a host stops

Found by the review: every refusal of a stopping host had the reason 'draining' and a Retry-After of 0.05 s to 0.1 s, also where all upstreams were full. Callers would have come back at once, at another host with the same full upstreams, and the overload was hidden in logs and metrics.

Change: 'draining' only where the schedule of the stop is the reason: requests that come too late, that would not end in time, or that still wait when the host takes no more.

The test of waiting requests also checks that they are refused while others still run.

--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -44,6 +44,8 @@
         TimePoint expiresAt_ {}; ///< Earlier of the caller's deadline and the route's timeout.
         bool quotaTaken_ = false;
         bool mayHaveRun_ = false; ///< Set once an upstream may have executed the request.
+        /// An upstream had capacity at the last selection, but this host stops before it would answer.
+        bool stopsTooSoon_ = false;
         std::vector<std::string> triedUpstreams_; ///< Ids, in the order of the attempts.
         std::string currentUpstream_; ///< Id for the attempt in flight; empty while none is.
         int64_t upstreamStartedMs_ = 0; ///< Start of the incarnation that gets the latest attempt.
@@ -131,7 +133,7 @@
     void checkForCrash(const std::string& upstream, TimePoint now);
     void reportCrash(routing::CrashReport);
     bool consumeRetry(const PendingRequest&);
-    Reason noUpstreamReason(const PendingRequest&) const;
+    static Reason noUpstreamReason(const PendingRequest&);
     bool isTakingRequests(TimePoint arrivedAt) const;
     void endAtStop(const PendingRequestPtr&);
     void retryOrFinish(const PendingRequestPtr&, Reason);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -275,11 +275,12 @@
         result = pickInRegions(*pending, pool, { pending->preferredRegion_ }, allowNonPreferred);
     if (result.failure_ == routing::PickFailure::NoneUsable)
         result = pickInRegions(*pending, pool, pending->allowedRegions_, allowNonPreferred);
+    pending->stopsTooSoon_ = result.pick_ && state_.drain_
+        && !mayBeginAttempt(
+            options_.drain_, *state_.drain_, now, result.pick_->expectedSeconds_, pending->expiresAt_);
     if (!result.pick_)
         return result.failure_;
-    if (state_.drain_
-        && !mayBeginAttempt(
-            options_.drain_, *state_.drain_, now, result.pick_->expectedSeconds_, pending->expiresAt_))
+    if (pending->stopsTooSoon_)
         return routing::PickFailure::NoneUsable;
     sendAttempt(pending, pool, *result.pick_);
     return routing::PickFailure::None;
@@ -458,9 +459,12 @@
     for (const auto& [name, service] : core_->services_) {
         const std::vector<routing::Waiter> waiters = service.waitQueue_.waiters_;
         for (const routing::Waiter& waiter : waiters) {
-            const auto pending = core_->pendingRequests_.find(waiter.id_);
-            if (pending != core_->pendingRequests_.end())
-                core_->refuse(PendingRequestPtr(pending->second), core_->noUpstreamReason(*pending->second));
+            const auto found = core_->pendingRequests_.find(waiter.id_);
+            if (found == core_->pendingRequests_.end())
+                continue;
+            const PendingRequestPtr pending = found->second;
+            pending->stopsTooSoon_ = true;
+            core_->refuse(pending, Dispatcher::Core::noUpstreamReason(*pending));
         }
     }
 }
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -266,12 +266,13 @@
 }
 
 /// Reason for a refusal without an upstream: Overloaded and Draining promise that the request has not run, so
-/// they are used only if no upstream can have run it.
-Reason Dispatcher::Core::noUpstreamReason(const PendingRequest& pending) const
+/// they are used only if no upstream can have run it. While the host stops, full upstreams are still the
+/// reason where there is no capacity: other hosts cannot serve the request at once either.
+Reason Dispatcher::Core::noUpstreamReason(const PendingRequest& pending)
 {
     if (pending.mayHaveRun_)
         return Reason::UpstreamFailed;
-    return isDraining(state_) ? Reason::Draining : Reason::Overloaded;
+    return pending.stopsTooSoon_ ? Reason::Draining : Reason::Overloaded;
 }
 
 /// Retries at another upstream if allowed, else forwards the upstream's failure or refuses with `reason`.
--- a/test/gateway/drain-live-test.cc
+++ b/test/gateway/drain-live-test.cc
@@ -120,10 +120,13 @@
     fixture.drain();
     int refused = 0;
     int unknown = 0;
-    for (const int caller : callers) {
-        const std::string answer = receiveAll(caller);
+    // The requests that came last wait. They are refused while the others still run.
+    for (size_t i = callers.size(); i-- > 0;) {
+        const std::string answer = receiveAll(callers[i]);
         refused += answer.starts_with("HTTP/1.1 503 ") ? 1 : 0;
         unknown += answer.starts_with("HTTP/1.1 502 ") ? 1 : 0;
+        if (refused == 12 - running && unknown == 0)
+            CHECK_FALSE(upstream.callerDisconnected_);
     }
     CHECK(refused == 12 - running);
     CHECK(unknown == running);
