Bind a host to what it has seen of an upstream when the store is restored

After a restore of the store from an older copy, requests reached upstreams that the host knew to be leaving or gone (DRAIN), because the copy had them as ready; and an upstream newer than the copy was dropped at once where the host had not noticed an outage, or where a peer's long contact with the store ended the settling time.

Cause: the last entry read was taken as the newest one.

An entry is now ordered by the sequence number of its run: an older one is ignored and logged (upstream-outdated). Leaving is final for a run (leavingSeen_). Removed runs are remembered for 60 s; one whose entry lapsed may be written again as it was, one that was removed needs a higher sequence number. A change of the store's era starts the settling time, which a peer's contact does not end, and starts the host's own time of contact anew. An entry of an earlier run is ignored while settling only, as clocks may be stepped back.

Evidence: the live test "upstreams that have left ..." failed before at "leaving.requests_ == sentLeaving" and "gone.requests_ == sentGone", and passes now. The unit tests of the directory need the new fields and have not run before the change; the entry of their fixture, and the expected one of the adapter's test, have a sequence number in addition.

--- a/include/turmericwing/gateway/catalog.h
+++ b/include/turmericwing/gateway/catalog.h
@@ -124,6 +124,7 @@
     /// entry.
     Duration remainingColdTime_ {};
     int64_t startedMs_ = 0; ///< Unix milliseconds; distinguishes two runs under one id.
+    uint64_t sequence_ = 0; ///< Rises with each write of one run.
     friend bool operator==(const UpstreamEntry&, const UpstreamEntry&) = default;
 };
 
--- a/include/turmericwing/gateway/directory.h
+++ b/include/turmericwing/gateway/directory.h
@@ -5,6 +5,11 @@
 // upstream could not write to the store. The upstream is used until the store has been back for
 // `settlingTime_`, and is dropped if its entry is still missing then. If a peer reached the store all the
 // while, only this host was cut off, and upstreams without an entry are dropped at once.
+//
+// After the store was restored from an older copy, entries may be missing that have not been written again
+// yet, and older ones may be back. Missing ones settle as after an outage. What this host has seen of a run
+// of an upstream binds: an entry with a lower sequence number is ignored, and a run that was leaving or
+// removed is not used again.
 #pragma once
 
 #include "turmericwing/base/time.h"
@@ -26,6 +31,8 @@
     /// Longest time until a silent connection to the store is noticed. An outage may have begun that much
     /// earlier.
     Duration maxLossDetectionDelay_ = std::chrono::seconds(4);
+    /// Time for which a removed upstream is remembered; a copy from which the store is restored is younger.
+    Duration departureMemory_ = std::chrono::seconds(60);
 };
 
 /// Directory state of one upstream, beside its routing::Target.
@@ -34,6 +41,9 @@
     /// Set while the entry is missing: the time from which the upstream is no longer used, TimePoint::max()
     /// while the store is unavailable.
     std::optional<TimePoint> unusableAt_;
+    bool lapsed_ = false; ///< The entry may be missing only because it could not be written.
+    /// This run of the upstream was once leaving, which is final.
+    bool leavingSeen_ = false;
     /// Rate limit while cold, if this host owns a share of the rate.
     std::optional<limits::Bucket> coldBucket_;
 };
@@ -46,6 +56,12 @@
     std::string baseVersion_;
 };
 
+/// A removed run of an upstream.
+struct DepartedUpstream {
+    UpstreamRecord record_;
+    TimePoint forgottenAt_ {};
+};
+
 /// Service directory of this host.
 struct Directory {
     DirectoryOptions options_ {};
@@ -57,6 +73,8 @@
     bool storeUnavailable_ = false;
     TimePoint storeLostAt_ {}; ///< Start of the last outage, as noticed here.
     TimePoint settlingEndsAt_ {}; ///< Until then, missing entries may have lapsed in the outage.
+    bool restored_ = false; ///< The settling time follows a restore of the store from an older copy.
+    std::map<std::string, DepartedUpstream> departed_ {}; ///< By upstream id.
 };
 
 /// Pointers to both parts of an upstream. Invalid after the next change of the directory's entries.
@@ -69,7 +87,8 @@
 UpstreamRef findUpstream(Directory&, const std::string& id);
 
 /// Adds or updates an upstream. A new run under a known id replaces the old one and what was observed of it.
-void upsertEntry(Directory&, TimePoint now, const UpstreamEntry&);
+/// Returns false, without effect, if the entry is older than what is known.
+bool upsertEntry(Directory&, TimePoint now, const UpstreamEntry&);
 
 /// Handles the removal of an entry from the store: the upstream is unusable at once, or after the settling
 /// time if the entry may have lapsed in an outage.
@@ -84,8 +103,12 @@
 /// The store answers again, which starts the settling time.
 void onStoreRegained(Directory&, TimePoint now);
 
+/// The store was restored from an older copy, which starts the settling time.
+void onStoreRestored(Directory&, TimePoint now);
+
 /// A peer has reached the store for `reachableFor` without interruption. If that covers this host's whole
-/// outage, missing entries were removed rather than lapsed, and the settling time ends.
+/// outage, missing entries were removed rather than lapsed, and the settling time ends. Has no effect after a
+/// restore of the store, when entries are missing for all hosts.
 void onPeerStoreContact(Directory&, TimePoint now, Duration reachableFor);
 
 /// Makes upstreams unusable whose time without an entry has passed, and removes those of them that have no
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -59,6 +59,28 @@
             || a.version_ != b.version_;
     }
 
+    /// Whether an entry is of the same run as a record, and was written before the record's entry.
+    bool isOlderEntry(const UpstreamRecord& known, const UpstreamEntry& entry)
+    {
+        return !isOtherRun(known.entry_, entry) && entry.sequence_ < known.entry_.sequence_;
+    }
+
+    /// Whether the entry has been superseded by one that this host has seen.
+    bool isOutdated(const Directory& directory, TimePoint now, const UpstreamRef& known,
+        const DepartedUpstream* departed, const UpstreamEntry& entry)
+    {
+        if (known.record_) {
+            // Clocks may be stepped back, so outside of this time a lower start time is a new run.
+            const bool settling = directory.restored_ && now < directory.settlingEndsAt_;
+            const bool earlierRun = entry.startedMs_ < known.record_->entry_.startedMs_;
+            return isOlderEntry(*known.record_, entry) || (settling && earlierRun);
+        }
+        if (!departed || isOtherRun(departed->record_.entry_, entry))
+            return false;
+        const bool sameEntry = entry.sequence_ == departed->record_.entry_.sequence_;
+        return isOlderEntry(departed->record_, entry) || (sameEntry && !departed->record_.lapsed_);
+    }
+
     void setCold(UpstreamRef upstream, TimePoint now, Duration remainingColdTime)
     {
         upstream.target_->coldUntil_ = now + remainingColdTime;
@@ -77,9 +99,13 @@
     return index ? UpstreamRef { &pool.targets_[*index], &pool.records_[*index] } : UpstreamRef {};
 }
 
-void upsertEntry(Directory& directory, TimePoint now, const UpstreamEntry& entry)
+bool upsertEntry(Directory& directory, TimePoint now, const UpstreamEntry& entry)
 {
     UpstreamRef known = findUpstream(directory, entry.id_);
+    const auto departure = directory.departed_.find(entry.id_);
+    const DepartedUpstream* departed = departure == directory.departed_.end() ? nullptr : &departure->second;
+    if (detail::isOutdated(directory, now, known, departed, entry))
+        return false;
     if (known.target_ && detail::isOtherRun(known.record_->entry_, entry)) {
         detail::erase(directory, entry.id_);
         known = {};
@@ -88,6 +114,9 @@
     if (added) {
         detail::add(directory, entry);
         known = findUpstream(directory, entry.id_);
+        known.record_->leavingSeen_ = departed && departed->record_.leavingSeen_
+            && !detail::isOtherRun(departed->record_.entry_, entry);
+        directory.departed_.erase(entry.id_);
     }
     // remainingColdTime_ is fixed when the entry is written, so only a changed value may make the upstream
     // cold again.
@@ -96,11 +125,13 @@
         detail::setCold(known, now, entry.remainingColdTime_);
     known.record_->entry_ = entry;
     known.record_->unusableAt_.reset();
+    known.record_->leavingSeen_ = known.record_->leavingSeen_ || entry.leaving_;
     known.target_->slots_ = entry.slots_;
-    known.target_->usable_ = !entry.leaving_;
+    known.target_->usable_ = !known.record_->leavingSeen_;
     ServicePool& pool = directory.services_[entry.service_];
     if (pool.baseVersion_.empty())
         pool.baseVersion_ = entry.version_;
+    return true;
 }
 
 void removeEntry(Directory& directory, TimePoint now, const std::string& id)
@@ -109,6 +140,7 @@
     if (!known.target_ || known.record_->unusableAt_)
         return;
     const bool mayHaveLapsed = directory.storeUnavailable_ || now < directory.settlingEndsAt_;
+    known.record_->lapsed_ = mayHaveLapsed;
     if (!mayHaveLapsed)
         known.target_->usable_ = false;
     known.record_->unusableAt_ = !mayHaveLapsed ? now
@@ -136,7 +168,8 @@
 void onPeerStoreContact(Directory& directory, TimePoint now, Duration reachableFor)
 {
     const bool settling = !directory.storeUnavailable_ && now < directory.settlingEndsAt_;
-    if (!settling || now - reachableFor > directory.storeLostAt_ - directory.options_.maxLossDetectionDelay_)
+    if (!settling || directory.restored_
+        || now - reachableFor > directory.storeLostAt_ - directory.options_.maxLossDetectionDelay_)
         return;
     directory.settlingEndsAt_ = now;
     for (auto& [name, pool] : directory.services_) {
@@ -147,9 +180,16 @@
     }
 }
 
+void onStoreRestored(Directory& directory, TimePoint now)
+{
+    directory.restored_ = true;
+    directory.settlingEndsAt_ = now + directory.options_.settlingTime_;
+}
+
 void onStoreRegained(Directory& directory, TimePoint now)
 {
     directory.storeUnavailable_ = false;
+    directory.restored_ = directory.restored_ && now < directory.settlingEndsAt_;
     directory.settlingEndsAt_ = now + directory.options_.settlingTime_;
     for (auto& [name, pool] : directory.services_) {
         for (UpstreamRecord& record : pool.records_) {
@@ -174,8 +214,13 @@
                 removable.push_back(pool.targets_[i].id_);
         }
     }
-    for (const std::string& id : removable)
+    for (const std::string& id : removable) {
+        directory.departed_[id]
+            = { *findUpstream(directory, id).record_, now + directory.options_.departureMemory_ };
         detail::erase(directory, id);
+    }
+    std::erase_if(
+        directory.departed_, [&](const auto& departed) { return now >= departed.second.forgottenAt_; });
     return gone;
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -111,6 +111,7 @@
     TimePoint exitBy_ {};
     bool accepting_ = true;
     std::set<std::string> lostTables_;
+    uint64_t upstreamsEra_ = 0; ///< Era of the store of the last answer for the upstreams.
 
     Result<void> start();
     Result<void> listen(const Address&, RequestHandler);
@@ -347,6 +348,11 @@
 void Gateway::Core::onUpstreams(const TableRead& read, bool isFullRead)
 {
     const TimePoint now = monotonicNow();
+    const uint64_t knownEra = std::exchange(upstreamsEra_, read.era_);
+    if (knownEra != 0 && knownEra != read.era_) {
+        onStoreRestored(state_.directory_, now);
+        state_.storeReachableSince_ = now;
+    }
     std::set<std::string> ids;
     for (const StoredRow& row : read.rows_) {
         ids.insert(row.key_);
@@ -372,7 +378,10 @@
             { { "upstream", row.key_ }, { "version", version }, { "reason", entry.error().message_ } });
         return removeEntry(state_.directory_, now, row.key_);
     }
-    upsertEntry(state_.directory_, now, entry.value());
+    if (!upsertEntry(state_.directory_, now, entry.value())) {
+        logEvent(LogLevel::Info, "upstream-outdated", { { "upstream", row.key_ }, { "version", version } });
+        return;
+    }
     if (entry.value().leaving_)
         upstreamClient_.closeIdleConnections(row.key_);
     logEvent(LogLevel::Info, entry.value().leaving_ ? "upstream-leaving" : "upstream-ready",
--- a/test/adapter/documents-test.cc
+++ b/test/adapter/documents-test.cc
@@ -77,7 +77,8 @@
         .slots_ = 9,
         .leaving_ = false,
         .remainingColdTime_ = std::chrono::milliseconds(1500),
-        .startedMs_ = 1'700'000'000'000 };
+        .startedMs_ = 1'700'000'000'000,
+        .sequence_ = 4 };
     CHECK(decoded.value() == expected);
     CHECK(decodeUpstream("u1", replaced(entry, "\"ready\"", "\"draining\"")).value().leaving_);
 }
--- a/test/gateway/directory-test.cc
+++ b/test/gateway/directory-test.cc
@@ -19,7 +19,8 @@
         .failureDomain_ = "a1",
         .version_ = "v1",
         .slots_ = 3,
-        .startedMs_ = 1 };
+        .startedMs_ = 1,
+        .sequence_ = 5 };
 }
 
 Directory makeDirectory()
@@ -124,3 +125,59 @@
     expireEntries(directory, start);
     CHECK_FALSE(findUpstream(directory, "u1").target_);
 }
+
+TEST_CASE(
+    "an upstream that was leaving is not used again through an older entry or a later one of the same run")
+{
+    // A copy from which the store was restored had the upstream as ready.
+    Directory directory = makeDirectory();
+    UpstreamEntry leaving = makeEntry("u1");
+    leaving.leaving_ = true;
+    leaving.sequence_ = 6;
+    CHECK(upsertEntry(directory, start, leaving));
+    onStoreRestored(directory, start);
+    CHECK_FALSE(upsertEntry(directory, start, makeEntry("u1")));
+    UpstreamEntry later = makeEntry("u1");
+    later.sequence_ = 7;
+    CHECK(upsertEntry(directory, start, later));
+    CHECK_FALSE(isUsable(directory, "u1"));
+    UpstreamEntry nextRun = makeEntry("u1");
+    nextRun.startedMs_ = 2;
+    nextRun.sequence_ = 1;
+    CHECK(upsertEntry(directory, start, nextRun));
+    CHECK(isUsable(directory, "u1"));
+    // The copy may also have an earlier run.
+    CHECK_FALSE(upsertEntry(directory, start, later));
+    CHECK(isUsable(directory, "u1"));
+}
+
+TEST_CASE("an upstream that was removed is not used again through its old entry")
+{
+    Directory directory = makeDirectory();
+    removeEntry(directory, start, "u1");
+    expireEntries(directory, start);
+    onStoreRestored(directory, start);
+    CHECK_FALSE(upsertEntry(directory, start, makeEntry("u1")));
+    CHECK_FALSE(findUpstream(directory, "u1").target_);
+    UpstreamEntry written = makeEntry("u1");
+    written.sequence_ = 6;
+    CHECK(upsertEntry(directory, start, written));
+    CHECK(isUsable(directory, "u1"));
+}
+
+TEST_CASE("entries that a restored store does not have yet are used until the settling time has passed")
+{
+    // A peer's long contact with the store says nothing then: the entries are missing for all hosts.
+    Directory directory = makeDirectory();
+    onStoreRestored(directory, start);
+    removeEntriesExcept(directory, start, {});
+    onPeerStoreContact(directory, start, std::chrono::minutes(1));
+    expireEntries(directory, start + std::chrono::seconds(2));
+    CHECK(isUsable(directory, "u1"));
+    CHECK(upsertEntry(directory, start + std::chrono::seconds(2), makeEntry("u2")));
+    expireEntries(directory, start + std::chrono::seconds(3));
+    CHECK_FALSE(isUsable(directory, "u1"));
+    CHECK(isUsable(directory, "u2"));
+    // An entry that lapsed may be written again as it was.
+    CHECK(upsertEntry(directory, start + std::chrono::seconds(4), makeEntry("u1")));
+}
--- a/test/gateway/live.h
+++ b/test/gateway/live.h
@@ -146,7 +146,7 @@
             .peerAddress_ = { "127.0.0.1", freePort() },
             .metricsAddress_ = { "127.0.0.1", freePort() },
             .storeAddress_ = { "127.0.0.1", static_cast<uint16_t>(storePort_) },
-            .regionOf_ = { { "a1", "a" }, { "b1", "b" } },
+            .regionOf_ = { { "a1", "a" }, { "a2", "a" }, { "b1", "b" } },
             .bounds_ = { .stopTime_ = std::chrono::seconds(3) } };
         gateway_ = std::make_unique<Gateway>(loop_,
             GatewayOptions { .settings_ = settings_,
--- a/test/gateway/restored-live-test.cc
+++ b/test/gateway/restored-live-test.cc
@@ -25,6 +25,30 @@
     return answer && answer->status == 200;
 }
 
+/// Makes an upstream refuse all requests as full, so that they go to any other upstream that may be used.
+void refuseAsFull(Upstream& upstream)
+{
+    upstream.handler_ = [](const httplib::Request&, httplib::Response& response) {
+        response.status = 503;
+        response.set_header("X-Not-Run", "1");
+    };
+}
+
+/// Sends requests one after the other for a while, and returns how many succeeded.
+int sendRequests(Fixture& fixture, Duration time)
+{
+    int served = 0;
+    const auto client = fixture.client();
+    const TimePoint end = monotonicNow() + time;
+    for (int i = 0; monotonicNow() < end; ++i) {
+        const auto answer
+            = client->Get("/read/" + std::to_string(i), fixture.headers("id-" + std::to_string(i)));
+        served += answer && answer->status == 200 ? 1 : 0;
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return served;
+}
+
 } // namespace
 
 TEST_CASE("a configuration that is written after the store was restored from an older copy takes effect")
@@ -65,3 +89,34 @@
     CHECK(eventually([&] { return isAccepted(fixture, "key-4"); }));
     CHECK_FALSE(isAccepted(fixture, "key-2"));
 }
+
+TEST_CASE("upstreams that have left are not used again when the store is restored from an older copy")
+{
+    // The copy has them as ready. Requests reached upstreams that the host knew to be leaving or gone.
+    Fixture fixture;
+    Upstream staying(fixture.store_, "u1");
+    Upstream leaving(fixture.store_, "u2");
+    Upstream gone(fixture.store_, "u3");
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    refuseAsFull(staying);
+    fixture.store_.takeCopy();
+    Upstream added(fixture.store_, "u4");
+    leaving.publish("draining");
+    fixture.store_.remove("servers", "u3");
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    const int sentLeaving = leaving.requests_;
+    const int sentGone = gone.requests_;
+    restoreAfterOutage(fixture);
+    const int sentAdded = added.requests_;
+    CHECK(sendRequests(fixture, std::chrono::milliseconds(700)) > 10);
+    CHECK(added.requests_ > sentAdded);
+    refuseAsFull(added);
+    sendRequests(fixture, std::chrono::milliseconds(700));
+    leaving.publish("draining");
+    fixture.store_.remove("servers", "u3");
+    added.publish("ready");
+    sendRequests(fixture, std::chrono::milliseconds(2000));
+    CHECK(leaving.requests_ == sentLeaving);
+    CHECK(gone.requests_ == sentGone);
+}
