Keep the operator's orders in force until a restored store has them again

After a restore of the store from an older copy, a host ended an evacuation that it had acknowledged, and sent requests into the evacuated failure domain (EVAC) until the operator had written the order again. An order for a rollout vanished in the same way, and with it the rule that its version gets no request before the ramp starts.

Cause: a full read replaced all known orders.

After a change of the store's era, known orders that are missing stay in force for 5 s; one that has not been written again by then ends.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -8,6 +8,7 @@
 
 #include "turmericwing/gateway/dispatcher.h"
 #include "turmericwing/gateway/listener.h"
+#include "turmericwing/gateway/orders.h"
 #include "turmericwing/gateway/relay.h"
 #include "turmericwing/gateway/state.h"
 #include "turmericwing/gateway/upstreams.h"
@@ -111,6 +112,8 @@
     TimePoint exitBy_ {};
     bool accepting_ = true;
     std::set<std::string> lostTables_;
+    UnconfirmedOrders unconfirmedOrders_;
+    uint64_t ordersEra_ = 0; ///< Era of the store of the last answer for the orders.
     uint64_t upstreamsEra_ = 0; ///< Era of the store of the last answer for the upstreams.
 
     Result<void> start();
@@ -282,10 +285,12 @@
 
 void Gateway::Core::onOrders(const TableRead& read, bool isFullRead)
 {
-    if (isFullRead) {
-        state_.directory_.evacuated_.clear();
-        state_.rollouts_.orders_.clear();
-    }
+    const TimePoint now = monotonicNow();
+    const uint64_t knownEra = std::exchange(ordersEra_, read.era_);
+    if (knownEra != 0 && knownEra != read.era_)
+        onStoreRestored(unconfirmedOrders_, now);
+    if (isFullRead)
+        beginFullRead(unconfirmedOrders_, state_.directory_, state_.rollouts_, now);
     for (const StoredRow& row : read.rows_)
         onOrder(row);
 }
@@ -308,6 +313,7 @@
     case OrderChange::Kind::Rollout:
         return onRollout(change, row.version_);
     case OrderChange::Kind::Evacuation:
+        unconfirmedOrders_.evacuations_.erase(change.subject_);
         if (change.removed_)
             state_.directory_.evacuated_.erase(change.subject_);
         else
@@ -334,6 +340,7 @@
 
 void Gateway::Core::onRollout(const OrderChange& change, uint64_t rowVersion)
 {
+    unconfirmedOrders_.rollouts_.erase(change.subject_);
     if (change.removed_ || !change.rollout_) {
         state_.rollouts_.orders_.erase(change.subject_);
         return;
@@ -460,6 +467,10 @@
     const TimePoint now = monotonicNow();
     for (const std::string& id : expireEntries(state_.directory_, now))
         upstreamClient_.closeIdleConnections(id);
+    for (const std::string& domain :
+        expireOrders(unconfirmedOrders_, state_.directory_, state_.rollouts_, now))
+        logEvent(LogLevel::Info, "evacuation-ended",
+            { { "failure-domain", domain }, { "reason", "not written again after the store was restored" } });
     applyPeerLoads(state_, now, dispatchOptions_.pick_);
     updateRelay(now);
     updateSplits(state_, now);
--- a/test/gateway/restored-live-test.cc
+++ b/test/gateway/restored-live-test.cc
@@ -120,3 +120,27 @@
     CHECK(leaving.requests_ == sentLeaving);
     CHECK(gone.requests_ == sentGone);
 }
+
+TEST_CASE("an evacuation that the restored copy of the store does not have yet stays in force")
+{
+    Fixture fixture;
+    Upstream staying(fixture.store_, "u1");
+    Upstream evacuated(fixture.store_, "u2", "a2");
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    refuseAsFull(staying);
+    fixture.store_.takeCopy();
+    fixture.store_.put("op", "evacuate/a2", "{}");
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    const int before = evacuated.requests_;
+    restoreAfterOutage(fixture);
+    sendRequests(fixture, std::chrono::milliseconds(1500));
+    fixture.store_.put("op", "evacuate/a2", "{}");
+    sendRequests(fixture, std::chrono::seconds(5));
+    CHECK(evacuated.requests_ == before);
+    fixture.store_.remove("op", "evacuate/a2");
+    CHECK(eventually([&] {
+        sendRequests(fixture, std::chrono::milliseconds(100));
+        return evacuated.requests_ > before;
+    }));
+}
