Register a host again after the store was restored from an older copy

A host whose row was written after the copy was missing from the list of hosts for good, and a host that started later did not find it; rows of hosts that had left were back for good.

Cause: a host wrote its row once, at its start.

After a change of the store's era each host writes its row again, spread over 10 ms for each host of the fleet, well below the store's 400 writes/s. The designated writer also reads the list, and removes the rows of hosts that it does not hear from, as after a start.

Not tested: the removal of the rows of hosts that have left, which uses the existing removal of silent hosts.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -243,6 +243,7 @@
         return;
     logEvent(LogLevel::Warning, "store-restored",
         { { "old", std::to_string(known) }, { "new", std::to_string(era) } });
+    hostRegistry_.restoreRow();
 }
 
 /// Chooses the relay again as hosts come and go; on a change, aborts the calls to the previous one.
--- a/src/gateway/hostregistry.cc
+++ b/src/gateway/hostregistry.cc
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr const char* hostsTable = "hosts"; ///< Rows: name to peer address.
+    /// Time per host over which the hosts spread their writes after a restore of the store.
+    constexpr Duration restoreInterval = std::chrono::milliseconds(10);
     constexpr Duration retryDelay = std::chrono::milliseconds(500); ///< After a failed write or read.
 
 } // namespace
@@ -24,15 +26,35 @@
 {
 }
 
-void HostRegistry::registerHost()
+void HostRegistry::writeRow(const std::function<void()>& onWritten)
 {
     const StoredRow row { .table_ = hostsTable,
         .key_ = state_.settings_.name_,
         .value_ = addressText(state_.settings_.peerAddress_) };
-    store_.transact_({ .writes_ = { row } }, [this](const Result<TableRead>& answer) {
+    store_.transact_({ .writes_ = { row } }, [this, onWritten](const Result<TableRead>& answer) {
         if (!answer)
             return retry(answer.error());
-        read();
+        onWritten();
+    });
+}
+
+void HostRegistry::registerHost()
+{
+    writeRow([this] { read(); });
+}
+
+void HostRegistry::restoreRow()
+{
+    const auto hosts = static_cast<double>(state_.fleet_.peers_.size() + 1);
+    const double share = uniform(state_.random_);
+    retryTimer_.expires_after(std::chrono::duration_cast<Duration>(restoreInterval * (hosts * share)));
+    retryTimer_.async_wait([this](boost::system::error_code cancelled) {
+        if (cancelled || state_.draining_)
+            return;
+        writeRow([this] {
+            if (!listRead_ || isDesignatedWriter(state_.fleet_, monotonicNow()))
+                read();
+        });
     });
 }
 
@@ -41,6 +63,7 @@
     store_.read_(hostsTable, [this](const Result<TableRead>& answer) {
         if (!answer)
             return retry(answer.error());
+        listRead_ = true;
         const TimePoint now = monotonicNow();
         for (const StoredRow& row : answer.value().rows_) {
             if (const auto address = parseAddress(row.value_))
--- a/src/gateway/hostregistry.h
+++ b/src/gateway/hostregistry.h
@@ -21,6 +21,11 @@
     /// write comes first so that, of two hosts that start at the same time, at least one finds the other.
     void registerHost();
 
+    /// Writes this host's row again after the store was restored from an older copy, at a random time, so
+    /// that the hosts do not write all at once. The designated writer then reads the list, which may have
+    /// rows of hosts that have left, and removes these with removeExpiredPeers().
+    void restoreRow();
+
     /// Removes this host's row. A failure is logged and not retried.
     void deregisterHost();
 
@@ -29,11 +34,13 @@
     void removeExpiredPeers(TimePoint now);
 
 private:
+    void writeRow(const std::function<void()>& onWritten);
     void read();
     void retry(const Error&);
 
     State& state_;
     TableStore& store_;
+    bool listRead_ = false; ///< Whether the list was read at least once.
     std::function<void()> onRead_;
     boost::asio::steady_timer retryTimer_;
 };
--- a/test/gateway/restored-live-test.cc
+++ b/test/gateway/restored-live-test.cc
@@ -144,3 +144,18 @@
         return evacuated.requests_ > before;
     }));
 }
+
+TEST_CASE("a host's row in the list of hosts is written again after the store was restored")
+{
+    Fixture fixture;
+    fixture.store_.takeCopy();
+    Upstream upstream(fixture.store_, "u1");
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    REQUIRE(eventually([&] { return fixture.store_.get("hosts", "h1").has_value(); }));
+    fixture.store_.setFaults({ .drop_ = true });
+    fixture.store_.restoreCopy();
+    CHECK_FALSE(fixture.store_.get("hosts", "h1").has_value());
+    fixture.store_.setFaults({});
+    CHECK(eventually([&] { return fixture.store_.get("hosts", "h1").has_value(); }));
+}
