Identify a rollout by its start, and write it again after a restore

A new order whose row version was lower than a former one's never started, and every later conditional write conflicted for ever.

Cause: orders and ramps were identified by row versions alone, which go back and are given out again, and the higher of two versions was kept.

A ramp is identified by its version and its start on the store's clock. An order is compared by its row version within an era only; in a later era the order of the known ramp is recognised by the version it moves to, and orders start no ramp for 2.5 s after a restore, as an older order may be back. Reports and rows carry the era with the order's version; a report of an earlier release counts as era 0. The writer keeps the rows as last read or written, reads them again after a restore (the hosts spread over 10 ms each), and the designated writer writes what is missing or older, with the same start.

Changed checks of existing ones: a ramp that replaces an ended one now has a later start, as every real one does; it had the same start, which now identifies the same ramp. The other edits are the new parameters; the encoding's tests hold the era as well.

--- a/include/turmericwing/gateway/report.h
+++ b/include/turmericwing/gateway/report.h
@@ -47,6 +47,7 @@
     uint64_t orderVersion_ = 0; ///< Version of the store row that holds the operator's order.
     bool foundBad_ = false; ///< The sender has found the new version to be bad.
     rollout::RampCounts counts_;
+    uint64_t orderEra_ = 0; ///< Era of the store to which orderVersion_ belongs.
     friend bool operator==(const RampReport&, const RampReport&) = default;
 };
 
--- a/include/turmericwing/gateway/rollouts.h
+++ b/include/turmericwing/gateway/rollouts.h
@@ -1,9 +1,14 @@
 // Rollouts on one host: which versions of a service may get requests, the share of each, and the
 // response counts that decide whether the new version is bad. The store holds start and end of each rollout,
 // and hosts also report both to each other.
+//
+// A ramp is identified by its version and its start on the store's clock. Row versions identify orders only
+// within an era of the store: after the store was restored from an older copy, the order of a known ramp is
+// recognised by its version of the software.
 #pragma once
 
 #include "turmericwing/base/random.h"
+#include "turmericwing/base/time.h"
 #include "turmericwing/gateway/catalog.h"
 #include "turmericwing/gateway/report.h"
 #include "turmericwing/rollout/ramp.h"
@@ -19,13 +24,14 @@
 struct OrderRecord {
     RolloutOrder order_;
     uint64_t rowVersion_ = 0;
+    uint64_t era_ = 0; ///< Era of the store to which rowVersion_ belongs.
 };
 
 /// The latest rollout of a service, with the evidence of this host. A ramp carries out a rollout order.
 struct RampRecord {
     rollout::Ramp ramp_;
     uint64_t orderVersion_ = 0; ///< Row version of the operator's order.
-    uint64_t rowVersion_ = 0; ///< Of the ramp's own row in the store; 0 until known.
+    uint64_t orderEra_ = 0; ///< Era of the store to which orderVersion_ belongs.
     rollout::RampCounts counts_; ///< Answers counted on this host.
     rollout::RampTests tests_; ///< Sequential tests over the counts of all hosts.
     rollout::RampEvidence evidence_ = rollout::RampEvidence::Sound; ///< From the counts of all hosts.
@@ -37,6 +43,16 @@
 struct Rollouts {
     std::map<std::string, OrderRecord> orders_; ///< By service.
     std::map<std::string, RampRecord> ramps_; ///< By service; the latest one.
+    /// After a restore of the store: until then, orders may be older than the ramps and start none.
+    TimePoint settlingEndsAt_ {};
+};
+
+/// A ramp with its order, as its row in the store holds it.
+struct StoredRamp {
+    rollout::Ramp ramp_;
+    uint64_t orderVersion_ = 0; ///< Row version of the operator's order.
+    uint64_t orderEra_ = 0; ///< Era of the store to which orderVersion_ belongs.
+    friend bool operator==(const StoredRamp&, const StoredRamp&) = default;
 };
 
 /// Which versions may get a request.
@@ -57,10 +73,16 @@
 VersionFilter chooseVersionFilter(
     const Rollouts&, const std::string& service, const std::string& base, int64_t storeMs, Random&);
 
-/// Merges a ramp from the store or from a peer. A ramp of an order with a higher row version replaces the
-/// known one; an ended ramp does not run again or change its result. Returns true if a ramp was added or
-/// changed.
-bool mergeRamp(Rollouts&, const rollout::Ramp&, uint64_t orderVersion, uint64_t rowVersion);
+/// Merges a ramp from the store or from a peer. A ramp of a later order replaces the known one: within an era
+/// the order with the higher row version, else that of the ramp that started later. An ended ramp does not
+/// run again or change its result. Returns true if a ramp was added or changed.
+bool mergeRamp(Rollouts&, const StoredRamp&);
+
+/// Adds an order, which may be that of a known ramp.
+void addOrder(Rollouts&, TimePoint now, const OrderRecord&);
+
+/// The store was restored from an older copy.
+void onStoreRestored(Rollouts&, TimePoint now);
 
 /// Counts an answer as evidence for `version`. Does nothing if the service has no running ramp.
 void countAnswer(Rollouts&, const std::string& service, const std::string& version, bool failed, bool slow);
@@ -72,21 +94,14 @@
 /// whose new version was found bad.
 std::vector<std::string> evaluateRamps(Rollouts&, const std::vector<const HostReport*>& peers);
 
-/// Orders that have no ramp yet. The designated writer starts them.
-std::vector<OrderRecord> unstartedOrders(const Rollouts&);
+/// Orders that have no ramp yet, none while settling. The designated writer starts them.
+std::vector<OrderRecord> unstartedOrders(const Rollouts&, TimePoint now);
 
 /// The latest ramp of each service, running or ended, for the report of this host.
 std::vector<RampReport> rampReports(const Rollouts&);
 
 /// Encodes the store row of a ramp as JSON, in the gateway's own format.
-std::string encodeRamp(const rollout::Ramp&, uint64_t orderVersion);
-
-/// A ramp as its row in the store holds it.
-struct StoredRamp {
-    rollout::Ramp ramp_;
-    uint64_t orderVersion_ = 0; ///< Row version of the operator's order.
-    friend bool operator==(const StoredRamp&, const StoredRamp&) = default;
-};
+std::string encodeRamp(const StoredRamp&);
 
 /// Decodes the store row of a ramp. Errors: Invalid.
 Result<StoredRamp> decodeRamp(const std::string& value);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -244,6 +244,7 @@
     logEvent(LogLevel::Warning, "store-restored",
         { { "old", std::to_string(known) }, { "new", std::to_string(era) } });
     hostRegistry_.restoreRow();
+    rolloutWriter_.onStoreRestored(monotonicNow());
 }
 
 /// Chooses the relay again as hosts come and go; on a change, aborts the calls to the previous one.
@@ -288,8 +289,10 @@
 {
     const TimePoint now = monotonicNow();
     const uint64_t knownEra = std::exchange(ordersEra_, read.era_);
-    if (knownEra != 0 && knownEra != read.era_)
+    if (knownEra != 0 && knownEra != read.era_) {
         onStoreRestored(unconfirmedOrders_, now);
+        onStoreRestored(state_.rollouts_, now);
+    }
     if (isFullRead)
         beginFullRead(unconfirmedOrders_, state_.directory_, state_.rollouts_, now);
     for (const StoredRow& row : read.rows_)
@@ -347,7 +350,7 @@
         return;
     }
     const RolloutOrder& order = *change.rollout_;
-    state_.rollouts_.orders_[order.service_] = { order, rowVersion };
+    addOrder(state_.rollouts_, monotonicNow(), { order, rowVersion, ordersEra_ });
     logEvent(LogLevel::Info, "rollout-ordered",
         { { "service", order.service_ }, { "to", order.version_ },
             { "version", std::to_string(rowVersion) } });
@@ -413,7 +416,7 @@
         logEvent(LogLevel::Info, "peer-heard", { { "peer", report.value().name_ } });
     onPeerStoreContact(state_.directory_, now, std::chrono::milliseconds(report.value().storeReachableMs_));
     for (const RampReport& ramp : report.value().ramps_) {
-        if (mergeRamp(state_.rollouts_, ramp.ramp_, ramp.orderVersion_, 0))
+        if (mergeRamp(state_.rollouts_, { ramp.ramp_, ramp.orderVersion_, ramp.orderEra_ }))
             logRamp(ramp.ramp_, "peer");
     }
     for (const auto& crash : report.value().crashes_)
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -53,8 +53,9 @@
     json encode(const RampReport& report)
     {
         const rollout::Ramp& ramp = report.ramp_;
-        return json::array({ ramp.service_, ramp.version_, ramp.startMs_, ramp.deadlineMs_,
-            static_cast<int>(ramp.state_), report.orderVersion_, report.foundBad_, encode(report.counts_) });
+        return json::array(
+            { ramp.service_, ramp.version_, ramp.startMs_, ramp.deadlineMs_, static_cast<int>(ramp.state_),
+                report.orderVersion_, report.foundBad_, encode(report.counts_), report.orderEra_ });
     }
 
     json encode(const routing::CrashReport& crash)
@@ -82,7 +83,9 @@
             = { value.at(0), value.at(1), value.at(2), value.at(3), static_cast<rollout::RampState>(state) },
             .orderVersion_ = value.at(5),
             .foundBad_ = value.at(6),
-            .counts_ = decodeCounts(value.at(7)) };
+            .counts_ = decodeCounts(value.at(7)),
+            // Hosts of an earlier release do not send it.
+            .orderEra_ = value.size() > 8 ? value.at(8).get<uint64_t>() : 0 };
     }
 
     routing::CrashReport decodeCrash(const json& value)
--- a/src/gateway/rollouts.cc
+++ b/src/gateway/rollouts.cc
@@ -4,12 +4,41 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace turmericwing::gateway {
 
 using nlohmann::json;
 using rollout::RampState;
 
+namespace {
+
+    /// The operator writes its orders again within about 2 s after a restore of the store.
+    constexpr Duration settlingTime = std::chrono::milliseconds(2500);
+
+    bool isSameRamp(const rollout::Ramp& a, const rollout::Ramp& b)
+    {
+        return a.version_ == b.version_ && a.startMs_ == b.startMs_;
+    }
+
+    /// Whether a ramp of the same service has a later order than the known one.
+    bool isLater(const StoredRamp& ramp, const RampRecord& known)
+    {
+        if (ramp.orderEra_ == known.orderEra_)
+            return ramp.orderVersion_ > known.orderVersion_;
+        return ramp.ramp_.startMs_ > known.ramp_.startMs_;
+    }
+
+    /// Whether the known ramp carries out the order, or a later one.
+    bool carriesOut(const RampRecord& known, const OrderRecord& order)
+    {
+        if (order.era_ == known.orderEra_)
+            return order.rowVersion_ <= known.orderVersion_;
+        return order.era_ < known.orderEra_ || order.order_.version_ == known.ramp_.version_;
+    }
+
+} // namespace
+
 VersionFilter chooseVersionFilter(const Rollouts& rollouts, const std::string& service,
     const std::string& base, int64_t storeMs, Random& random)
 {
@@ -22,8 +51,7 @@
         return { .only_ = base };
     }
     const rollout::Ramp& ramp = known->second.ramp_;
-    const bool newerOrder
-        = order != rollouts.orders_.end() && order->second.rowVersion_ > known->second.orderVersion_;
+    const bool newerOrder = order != rollouts.orders_.end() && !carriesOut(known->second, order->second);
     if (ramp.state_ == RampState::Complete)
         return { .only_ = ramp.version_ };
     if (ramp.state_ == RampState::Reverted || known->second.foundBad_) {
@@ -36,23 +64,42 @@
     return { .except_ = ramp.version_ };
 }
 
-bool mergeRamp(Rollouts& rollouts, const rollout::Ramp& ramp, uint64_t orderVersion, uint64_t rowVersion)
+bool mergeRamp(Rollouts& rollouts, const StoredRamp& merged)
 {
+    const rollout::Ramp& ramp = merged.ramp_;
     const auto [entry, added] = rollouts.ramps_.try_emplace(ramp.service_);
     RampRecord& known = entry->second;
-    if (!added && orderVersion < known.orderVersion_)
-        return false;
-    if (added || orderVersion > known.orderVersion_) {
-        known = { .ramp_ = ramp, .orderVersion_ = orderVersion, .rowVersion_ = rowVersion };
+    if (added || !isSameRamp(known.ramp_, ramp)) {
+        if (!added && !isLater(merged, known))
+            return false;
+        known = { .ramp_ = ramp, .orderVersion_ = merged.orderVersion_, .orderEra_ = merged.orderEra_ };
         return true;
     }
-    known.rowVersion_ = std::max(known.rowVersion_, rowVersion);
+    std::tie(known.orderEra_, known.orderVersion_) = std::max(
+        std::tuple(known.orderEra_, known.orderVersion_), std::tuple(merged.orderEra_, merged.orderVersion_));
     if (known.ramp_.state_ != RampState::Running || known.ramp_ == ramp)
         return false;
     known.ramp_ = ramp;
     return true;
 }
 
+void addOrder(Rollouts& rollouts, TimePoint now, const OrderRecord& order)
+{
+    const std::string& service = order.order_.service_;
+    rollouts.orders_[service] = order;
+    const auto known = rollouts.ramps_.find(service);
+    if (known == rollouts.ramps_.end() || order.era_ < known->second.orderEra_
+        || order.order_.version_ != known->second.ramp_.version_)
+        return;
+    // The first one in an era, and others that the operator writes again.
+    if (order.era_ > known->second.orderEra_ || now < rollouts.settlingEndsAt_) {
+        known->second.orderVersion_ = order.rowVersion_;
+        known->second.orderEra_ = order.era_;
+    }
+}
+
+void onStoreRestored(Rollouts& rollouts, TimePoint now) { rollouts.settlingEndsAt_ = now + settlingTime; }
+
 void countAnswer(
     Rollouts& rollouts, const std::string& service, const std::string& version, bool failed, bool slow)
 {
@@ -82,7 +129,7 @@
         bool peerFoundBad = false;
         for (const HostReport* peer : peers) {
             for (const RampReport& report : peer->ramps_) {
-                if (report.ramp_.service_ != service || report.orderVersion_ != known.orderVersion_)
+                if (report.ramp_.service_ != service || !isSameRamp(report.ramp_, known.ramp_))
                     continue;
                 total += report.counts_;
                 peerFoundBad = peerFoundBad || report.foundBad_;
@@ -98,12 +145,14 @@
     return bad;
 }
 
-std::vector<OrderRecord> unstartedOrders(const Rollouts& rollouts)
+std::vector<OrderRecord> unstartedOrders(const Rollouts& rollouts, TimePoint now)
 {
     std::vector<OrderRecord> orders;
+    if (now < rollouts.settlingEndsAt_)
+        return orders;
     for (const auto& [service, order] : rollouts.orders_) {
         const auto known = rollouts.ramps_.find(service);
-        if (known == rollouts.ramps_.end() || known->second.orderVersion_ < order.rowVersion_)
+        if (known == rollouts.ramps_.end() || !carriesOut(known->second, order))
             orders.push_back(order);
     }
     return orders;
@@ -113,16 +162,18 @@
 {
     std::vector<RampReport> reports;
     for (const auto& [service, known] : rollouts.ramps_)
-        reports.push_back({ known.ramp_, known.orderVersion_, known.foundBad_, known.counts_ });
+        reports.push_back(
+            { known.ramp_, known.orderVersion_, known.foundBad_, known.counts_, known.orderEra_ });
     return reports;
 }
 
-std::string encodeRamp(const rollout::Ramp& ramp, uint64_t orderVersion)
+std::string encodeRamp(const StoredRamp& stored)
 {
+    const rollout::Ramp& ramp = stored.ramp_;
     return json {
         { "service", ramp.service_ }, { "version", ramp.version_ }, { "start-ms", ramp.startMs_ },
         { "deadline-ms", ramp.deadlineMs_ }, { "state", static_cast<int>(ramp.state_) },
-        { "order", orderVersion }
+        { "order", stored.orderVersion_ }, { "era", stored.orderEra_ }
     }.dump();
 }
 
@@ -137,7 +188,7 @@
             return makeError(ErrorCode::Invalid, "rollout row has an unknown state");
         return StoredRamp { { document.at("service"), document.at("version"), document.at("start-ms"),
                                 document.at("deadline-ms"), static_cast<RampState>(state) },
-            document.at("order") };
+            document.at("order"), document.value("era", uint64_t { 0 }) };
     } catch (const json::exception& fault) {
         return makeError(ErrorCode::Invalid, std::string("invalid rollout row: ") + fault.what());
     }
--- a/src/gateway/rolloutwriter.cc
+++ b/src/gateway/rolloutwriter.cc
@@ -17,6 +17,8 @@
     constexpr const char* rolloutsTable = "rollouts";
     /// Shortest time between two writes for a service; does not apply after a successful one.
     constexpr Duration writeRetryDelay = std::chrono::milliseconds(700);
+    /// Time per host over which the hosts spread their reads after a restore of the store.
+    constexpr Duration restoreInterval = std::chrono::milliseconds(10);
     constexpr Duration readRetryDelay = std::chrono::milliseconds(500); ///< After a failed read.
 
     const char* stateText(RampState state)
@@ -61,21 +63,53 @@
                 logEvent(LogLevel::Warning, "rollouts-unread", { { "reason", answer.error().message_ } });
                 return;
             }
-            tableRead_ = true;
-            for (const StoredRow& row : answer.value().rows_) {
-                const auto stored = decodeRamp(row.value_);
-                if (!stored) {
-                    logEvent(LogLevel::Warning, "rollout-unreadable",
-                        { { "key", row.key_ }, { "reason", stored.error().message_ } });
-                    continue;
-                }
-                const Ramp& ramp = stored.value().ramp_;
-                if (mergeRamp(state_.rollouts_, ramp, stored.value().orderVersion_, row.version_))
-                    logRamp(ramp, "store");
-            }
+            onRead(answer.value());
         });
     }
 
+    void RolloutWriter::onRead(const TableRead& read)
+    {
+        if (read.era_ < state_.storeEra_)
+            return; // Answered before the store was restored; read again at the next call.
+        tableRead_ = true;
+        rows_.clear();
+        for (const StoredRow& row : read.rows_) {
+            rows_[row.key_].version_ = row.version_;
+            const auto stored = decodeRamp(row.value_);
+            if (!stored) {
+                logEvent(LogLevel::Warning, "rollout-unreadable",
+                    { { "key", row.key_ }, { "reason", stored.error().message_ } });
+                continue;
+            }
+            rows_[row.key_].ramp_ = stored.value().ramp_;
+            if (mergeRamp(state_.rollouts_, stored.value()))
+                logRamp(stored.value().ramp_, "store");
+        }
+    }
+
+    void RolloutWriter::onStoreRestored(TimePoint now)
+    {
+        tableRead_ = false;
+        for (const auto& [service, known] : state_.rollouts_.ramps_)
+            unchecked_.insert(service);
+        const auto hosts = static_cast<double>(state_.fleet_.peers_.size() + 1);
+        if (!isDesignatedWriter(state_.fleet_, now))
+            nextReadAt_ = now
+                + std::chrono::duration_cast<Duration>(restoreInterval * (hosts * uniform(state_.random_)));
+    }
+
+    /// Whether the ramp has to be written again after a restore of the store.
+    bool RolloutWriter::isLost(const RampRecord& known)
+    {
+        if (!unchecked_.contains(known.ramp_.service_))
+            return false;
+        const auto row = rows_.find(known.ramp_.service_);
+        if (row == rows_.end() || row->second.ramp_ != known.ramp_)
+            return true;
+        unchecked_.erase(known.ramp_.service_);
+        return false;
+    }
+
     void RolloutWriter::startAndEndRollouts(TimePoint now)
     {
         if (!tableRead_ && !reading_ && now >= nextReadAt_)
@@ -83,15 +117,17 @@
         if (!tableRead_ || !state_.reachesStore_ || state_.draining_
             || !isDesignatedWriter(state_.fleet_, now))
             return;
-        for (const OrderRecord& order : unstartedOrders(state_.rollouts_)) {
+        for (const OrderRecord& order : unstartedOrders(state_.rollouts_, now)) {
             const int64_t start = storeNow(state_, now);
             const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(order.order_.duration_);
             const Ramp ramp { order.order_.service_, order.order_.version_, start, start + time.count() };
-            const auto known = state_.rollouts_.ramps_.find(ramp.service_);
-            const uint64_t expected = known == state_.rollouts_.ramps_.end() ? 0 : known->second.rowVersion_;
-            write(now, ramp, order.rowVersion_, expected);
+            write(now, { ramp, order.rowVersion_, order.era_ });
         }
         for (const auto& [service, known] : state_.rollouts_.ramps_) {
+            if (isLost(known)) {
+                write(now, { known.ramp_, known.orderVersion_, known.orderEra_ });
+                continue;
+            }
             if (known.ramp_.state_ != RampState::Running)
                 continue;
             const RampState end = known.foundBad_ ? RampState::Reverted
@@ -119,31 +155,32 @@
     {
         Ramp ended = known.ramp_;
         ended.state_ = state;
-        write(now, ended, known.orderVersion_, known.rowVersion_);
+        write(now, { ended, known.orderVersion_, known.orderEra_ });
     }
 
-    void RolloutWriter::write(
-        TimePoint now, const Ramp& ramp, uint64_t orderVersion, uint64_t expectedVersion)
+    void RolloutWriter::write(TimePoint now, const StoredRamp& stored)
     {
-        TimePoint& writeBlockedUntil = writeBlockedUntil_[ramp.service_];
+        const std::string& service = stored.ramp_.service_;
+        TimePoint& writeBlockedUntil = writeBlockedUntil_[service];
         if (now < writeBlockedUntil)
             return;
         writeBlockedUntil = now + writeRetryDelay;
-        const StoredRow row {
-            .table_ = rolloutsTable, .key_ = ramp.service_, .value_ = encodeRamp(ramp, orderVersion)
-        };
-        const Transaction transaction { .expected_ = { { rolloutsTable, ramp.service_, expectedVersion } },
-            .writes_ = { row, state_.protocol_.encodeRolloutStatus_(ramp) } };
-        store_.transact_(transaction, [this, ramp, orderVersion](const Result<TableRead>& answer) {
-            onWritten(ramp, orderVersion, answer);
-        });
+        const auto known = rows_.find(service);
+        const uint64_t expected = known == rows_.end() ? 0 : known->second.version_;
+        const StoredRow row { .table_ = rolloutsTable, .key_ = service, .value_ = encodeRamp(stored) };
+        const Transaction transaction { .expected_ = { { rolloutsTable, service, expected } },
+            .writes_ = { row, state_.protocol_.encodeRolloutStatus_(stored.ramp_) } };
+        store_.transact_(
+            transaction, [this, stored](const Result<TableRead>& answer) { onWritten(stored, answer); });
     }
 
-    void RolloutWriter::onWritten(const Ramp& ramp, uint64_t orderVersion, const Result<TableRead>& answer)
+    void RolloutWriter::onWritten(const StoredRamp& stored, const Result<TableRead>& answer)
     {
+        const Ramp& ramp = stored.ramp_;
         if (answer) {
             writeBlockedUntil_.erase(ramp.service_);
-            mergeRamp(state_.rollouts_, ramp, orderVersion, answer.value().version_);
+            rows_[ramp.service_] = { answer.value().version_, ramp };
+            mergeRamp(state_.rollouts_, stored);
             return logRamp(ramp, "this host");
         }
         logEvent(LogLevel::Warning, "rollout-write-failed",
--- a/src/gateway/rolloutwriter.h
+++ b/src/gateway/rolloutwriter.h
@@ -6,6 +6,7 @@
 #include "turmericwing/gateway/tablestore.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace turmericwing::gateway {
@@ -30,16 +31,30 @@
     /// several times a second.
     void startAndEndRollouts(TimePoint now);
 
+    /// The store was restored from an older copy: reads all rollouts again, and writes those that the copy
+    /// has not or has in an earlier state.
+    void onStoreRestored(TimePoint now);
+
 private:
-    void write(TimePoint now, const rollout::Ramp&, uint64_t orderVersion, uint64_t expectedVersion);
-    void onWritten(const rollout::Ramp&, uint64_t orderVersion, const Result<TableRead>&);
+    /// A rollout's row in the store.
+    struct Row {
+        uint64_t version_ = 0;
+        rollout::Ramp ramp_; ///< Empty if the row is unreadable.
+    };
+
+    void onRead(const TableRead&);
+    bool isLost(const RampRecord&);
+    void write(TimePoint now, const StoredRamp&);
+    void onWritten(const StoredRamp&, const Result<TableRead>&);
     void finish(TimePoint now, const RampRecord&, rollout::RampState);
     /// Requests of all hosts in flight at upstreams of other versions.
     uint32_t oldInFlight(const rollout::Ramp&) const;
 
     State& state_;
     TableStore& store_;
-    bool tableRead_ = false; ///< Whether the table was read at least once.
+    bool tableRead_ = false; ///< Whether the table was read at least once in this era of the store.
+    std::map<std::string, Row> rows_; ///< By service, as last read or written by this host.
+    std::set<std::string> unchecked_; ///< Services whose row may be lost by a restore of the store.
     bool reading_ = false;
     /// By service: a write is in progress or has just failed.
     std::map<std::string, TimePoint> writeBlockedUntil_;
--- a/test/gateway/report-test.cc
+++ b/test/gateway/report-test.cc
@@ -27,7 +27,8 @@
         .demands_ = { { shortHash("w"), 12.5, 99 } },
         .services_ = { { shortHash("s"), 12.5, { { shortHash("a"), 0.75 }, { shortHash("b"), 0.25 } },
             { { shortHash("a"), 1.5 } } } },
-        .ramps_ = { { { "s", "v2", 5, 9, rollout::RampState::Reverted }, 44, true, { 1, 2, 3, 4, 5, 6 } } },
+        .ramps_
+        = { { { "s", "v2", 5, 9, rollout::RampState::Reverted }, 44, true, { 1, 2, 3, 4, 5, 6 }, 3 } },
         .crashes_ = { { { "h1", 3, 1 }, "u1", { 1000 }, { { { 1, 2 }, { 990 } } } } } };
 }
 
--- a/test/gateway/restored-live-test.cc
+++ b/test/gateway/restored-live-test.cc
@@ -159,3 +159,41 @@
     fixture.store_.setFaults({});
     CHECK(eventually([&] { return fixture.store_.get("hosts", "h1").has_value(); }));
 }
+
+TEST_CASE("a rollout that has ended does not run again when the store is restored from an older copy")
+{
+    // The copy has neither the rollout nor its status, and the order is written again.
+    Fixture fixture;
+    Upstream before(fixture.store_, "u1");
+    Upstream after(fixture.store_, "u2", "a1", "v2");
+    after.handler_ = [](const httplib::Request&, httplib::Response& response) { response.status = 500; };
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    fixture.store_.takeCopy();
+    const std::string order = R"({"service":"s","to":"v2","duration":"8s"})";
+    const auto hasEnded = [&] {
+        const auto status = fixture.store_.get("status", "rollout/s");
+        return status && status->find("reverted") != std::string::npos;
+    };
+    fixture.store_.put("op", "rollout/s", order);
+    REQUIRE(eventually([&] {
+        sendRequests(fixture, std::chrono::milliseconds(200));
+        return hasEnded();
+    }));
+    const int sent = after.requests_;
+    restoreAfterOutage(fixture);
+    sendRequests(fixture, std::chrono::seconds(1));
+    fixture.store_.put("op", "rollout/s", order);
+    CHECK(eventually(hasEnded));
+    sendRequests(fixture, std::chrono::seconds(4));
+    CHECK(hasEnded());
+    CHECK(after.requests_ == sent);
+    // Another order starts, although the version of its row is lower than the first one's was.
+    Upstream next(fixture.store_, "u3", "a1", "v3");
+    fixture.store_.put("op", "rollout/s", R"({"service":"s","to":"v3","duration":"8s"})");
+    CHECK(eventually([&] {
+        sendRequests(fixture, std::chrono::milliseconds(200));
+        const auto status = fixture.store_.get("status", "rollout/s");
+        return status && status->find("v3") != std::string::npos && next.requests_ > 0;
+    }));
+}
--- a/test/gateway/rollouts-test.cc
+++ b/test/gateway/rollouts-test.cc
@@ -11,6 +11,8 @@
 
 namespace {
 
+const TimePoint now { std::chrono::seconds(100) };
+
 Ramp makeRamp(RampState state = RampState::Running) { return { "s", "v2", 1000, 17'000, state }; }
 
 VersionFilter draw(const Rollouts& rollouts, int64_t nowMs)
@@ -31,26 +33,26 @@
     Rollouts rollouts;
     rollouts.orders_["s"] = { { "s", "v2", std::chrono::seconds(16) }, 5 };
     CHECK(draw(rollouts, 0) == VersionFilter { .except_ = "v2" });
-    CHECK(unstartedOrders(rollouts).size() == 1);
+    CHECK(unstartedOrders(rollouts, now).size() == 1);
 }
 
 TEST_CASE("a ramp moves the traffic, and its end is final")
 {
     Rollouts rollouts;
-    CHECK(mergeRamp(rollouts, makeRamp(), 5, 10));
+    CHECK(mergeRamp(rollouts, { makeRamp(), 5 }));
     CHECK(draw(rollouts, 16'000) == VersionFilter { .only_ = "v2" });
-    CHECK(mergeRamp(rollouts, makeRamp(RampState::Reverted), 5, 11));
-    CHECK_FALSE(mergeRamp(rollouts, makeRamp(), 5, 10));
-    CHECK_FALSE(mergeRamp(rollouts, makeRamp(RampState::Complete), 5, 12));
+    CHECK(mergeRamp(rollouts, { makeRamp(RampState::Reverted), 5 }));
+    CHECK_FALSE(mergeRamp(rollouts, { makeRamp(), 5 }));
+    CHECK_FALSE(mergeRamp(rollouts, { makeRamp(RampState::Complete), 5 }));
     CHECK(draw(rollouts, 16'000) == VersionFilter { .except_ = "v2" });
-    CHECK(mergeRamp(rollouts, makeRamp(), 6, 20));
-    CHECK(unstartedOrders(rollouts).empty());
+    CHECK(mergeRamp(rollouts, { { "s", "v2", 20'000, 36'000 }, 6 }));
+    CHECK(unstartedOrders(rollouts, now).empty());
 }
 
 TEST_CASE("a version that a peer found bad gets no more requests")
 {
     Rollouts rollouts;
-    mergeRamp(rollouts, makeRamp(), 5, 10);
+    mergeRamp(rollouts, { makeRamp(), 5 });
     HostReport peer;
     peer.ramps_ = { { makeRamp(), 5, true, {} } };
     CHECK(evaluateRamps(rollouts, { &peer }) == std::vector<std::string> { "s" });
@@ -61,7 +63,7 @@
 {
     // The counts of any one host are too few for a verdict.
     Rollouts rollouts;
-    mergeRamp(rollouts, makeRamp(), 5, 10);
+    mergeRamp(rollouts, { makeRamp(), 5 });
     std::vector<HostReport> peers(9);
     for (auto& peer : peers)
         peer.ramps_ = { { makeRamp(), 5, false, {} } };
@@ -79,11 +81,57 @@
 
 TEST_CASE("a ramp is the same after encoding and decoding, and damaged rows are errors")
 {
-    const auto decoded = decodeRamp(encodeRamp(makeRamp(RampState::Complete), 7));
+    const auto decoded = decodeRamp(encodeRamp({ makeRamp(RampState::Complete), 7, 3 }));
     REQUIRE(decoded);
-    CHECK(decoded.value() == StoredRamp { makeRamp(RampState::Complete), 7 });
+    CHECK(decoded.value() == StoredRamp { makeRamp(RampState::Complete), 7, 3 });
     CHECK_FALSE(decodeRamp("{}"));
     CHECK_FALSE(decodeRamp("[]"));
     CHECK_FALSE(
         decodeRamp(R"({"service":"s","version":"v","start-ms":1,"deadline-ms":2,"state":9,"order":1})"));
 }
+
+TEST_CASE("after a restore of the store, the order of an ended ramp does not start it again")
+{
+    // The order was written again with another row version, and the ended rollout ran a second time.
+    Rollouts rollouts;
+    const OrderRecord order { { "s", "v2", std::chrono::seconds(16) }, 90, 1 };
+    addOrder(rollouts, now, order);
+    mergeRamp(rollouts, { makeRamp(RampState::Reverted), 90, 1 });
+    onStoreRestored(rollouts, now);
+    OrderRecord again = order;
+    again.era_ = 2;
+    for (const uint64_t version : { 40, 50 }) {
+        again.rowVersion_ = version;
+        addOrder(rollouts, now + std::chrono::seconds(1), again);
+        CHECK(unstartedOrders(rollouts, now + std::chrono::seconds(10)).empty());
+        CHECK(draw(rollouts, 16'000) == VersionFilter { .except_ = "v2" });
+    }
+    // Neither by the ramp's own row in the copy, nor by a peer that has not noticed the restore.
+    CHECK_FALSE(mergeRamp(rollouts, { makeRamp(), 90, 1 }));
+    SUBCASE("another version's order starts, with a lower row version than the first one's")
+    {
+        addOrder(rollouts, now, { { "s", "v3", std::chrono::seconds(16) }, 60, 2 });
+        CHECK(unstartedOrders(rollouts, now).empty());
+        CHECK(unstartedOrders(rollouts, now + std::chrono::seconds(10)).size() == 1);
+        CHECK(mergeRamp(rollouts, { { "s", "v3", 30'000, 46'000 }, 60, 2 }));
+        CHECK_FALSE(mergeRamp(rollouts, { makeRamp(RampState::Reverted), 90, 1 }));
+    }
+    SUBCASE("the same version's order starts again when it is written after the settling time")
+    {
+        again.rowVersion_ = 130;
+        addOrder(rollouts, now + std::chrono::seconds(10), again);
+        CHECK(unstartedOrders(rollouts, now + std::chrono::seconds(10)).size() == 1);
+    }
+}
+
+TEST_CASE("an older order that a restored store brings back does not replace the ramp of a later one")
+{
+    Rollouts rollouts;
+    mergeRamp(rollouts, { { "s", "v3", 30'000, 46'000 }, 95, 1 });
+    onStoreRestored(rollouts, now);
+    addOrder(rollouts, now, { { "s", "v2", std::chrono::seconds(16) }, 50, 2 });
+    CHECK(unstartedOrders(rollouts, now + std::chrono::seconds(1)).empty());
+    CHECK_FALSE(mergeRamp(rollouts, { makeRamp(RampState::Complete), 50, 1 }));
+    addOrder(rollouts, now + std::chrono::seconds(2), { { "s", "v3", std::chrono::seconds(16) }, 60, 2 });
+    CHECK(unstartedOrders(rollouts, now + std::chrono::seconds(10)).empty());
+}
