--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -8,6 +8,7 @@
 
 #include "turmericwing/gateway/dispatcher.h"
 #include "turmericwing/gateway/listener.h"
+#include "turmericwing/gateway/orders.h"
 #include "turmericwing/gateway/relay.h"
 #include "turmericwing/gateway/state.h"
 #include "turmericwing/gateway/upstreams.h"
@@ -114,6 +115,9 @@
     TimePoint nextRemoteReport_ {};
     bool accepting_ = true;
     std::set<std::string> lostTables_;
+    UnconfirmedOrders unconfirmedOrders_;
+    uint64_t ordersEra_ = 0; ///< Era of the store of the last answer for the orders.
+    uint64_t upstreamsEra_ = 0; ///< Era of the store of the last answer for the upstreams.
 
     Result<void> start();
     Result<void> listen(const Address&, RequestHandler);
@@ -243,6 +247,8 @@
         return;
     logEvent(LogLevel::Warning, "store-restored",
         { { "old", std::to_string(known) }, { "new", std::to_string(era) } });
+    hostRegistry_.restoreRow();
+    rolloutWriter_.onStoreRestored(monotonicNow());
 }
 
 /// Chooses the relay again as hosts come and go; on a change, aborts the calls to the previous one.
@@ -285,10 +291,14 @@
 
 void Gateway::Core::onOrders(const TableRead& read, bool isFullRead)
 {
-    if (isFullRead) {
-        state_.directory_.evacuated_.clear();
-        state_.rollouts_.orders_.clear();
+    const TimePoint now = monotonicNow();
+    const uint64_t knownEra = std::exchange(ordersEra_, read.era_);
+    if (knownEra != 0 && knownEra != read.era_) {
+        onStoreRestored(unconfirmedOrders_, now);
+        onStoreRestored(state_.rollouts_, now);
     }
+    if (isFullRead)
+        beginFullRead(unconfirmedOrders_, state_.directory_, state_.rollouts_, now);
     for (const StoredRow& row : read.rows_)
         onOrder(row);
 }
@@ -311,6 +321,7 @@
     case OrderChange::Kind::Rollout:
         return onRollout(change, row.version_);
     case OrderChange::Kind::Evacuation:
+        unconfirmedOrders_.evacuations_.erase(change.subject_);
         if (change.removed_)
             state_.directory_.evacuated_.erase(change.subject_);
         else
@@ -337,12 +348,13 @@
 
 void Gateway::Core::onRollout(const OrderChange& change, uint64_t rowVersion)
 {
+    unconfirmedOrders_.rollouts_.erase(change.subject_);
     if (change.removed_ || !change.rollout_) {
         state_.rollouts_.orders_.erase(change.subject_);
         return;
     }
     const RolloutOrder& order = *change.rollout_;
-    state_.rollouts_.orders_[order.service_] = { order, rowVersion };
+    addOrder(state_.rollouts_, monotonicNow(), { order, rowVersion, ordersEra_ });
     logEvent(LogLevel::Info, "rollout-ordered",
         { { "service", order.service_ }, { "to", order.version_ },
             { "version", std::to_string(rowVersion) } });
@@ -351,6 +363,11 @@
 void Gateway::Core::onUpstreams(const TableRead& read, bool isFullRead)
 {
     const TimePoint now = monotonicNow();
+    const uint64_t knownEra = std::exchange(upstreamsEra_, read.era_);
+    if (knownEra != 0 && knownEra != read.era_) {
+        onStoreRestored(state_.directory_, now);
+        state_.storeReachableSince_ = now;
+    }
     std::set<std::string> ids;
     for (const StoredRow& row : read.rows_) {
         ids.insert(row.key_);
@@ -376,7 +393,10 @@
             { { "upstream", row.key_ }, { "version", version }, { "reason", entry.error().message_ } });
         return removeEntry(state_.directory_, now, row.key_);
     }
-    upsertEntry(state_.directory_, now, entry.value());
+    if (!upsertEntry(state_.directory_, now, entry.value())) {
+        logEvent(LogLevel::Info, "upstream-outdated", { { "upstream", row.key_ }, { "version", version } });
+        return;
+    }
     if (entry.value().leaving_)
         upstreamClient_.closeIdleConnections(row.key_);
     logEvent(LogLevel::Info, entry.value().leaving_ ? "upstream-leaving" : "upstream-ready",
@@ -400,7 +420,7 @@
         logEvent(LogLevel::Info, "peer-heard", { { "peer", report.value().name_ } });
     onPeerStoreContact(state_.directory_, now, std::chrono::milliseconds(report.value().storeReachableMs_));
     for (const RampReport& ramp : report.value().ramps_) {
-        if (mergeRamp(state_.rollouts_, ramp.ramp_, ramp.orderVersion_, 0))
+        if (mergeRamp(state_.rollouts_, { ramp.ramp_, ramp.orderVersion_, ramp.orderEra_ }))
             logRamp(ramp.ramp_, "peer");
     }
     for (const auto& crash : report.value().crashes_)
@@ -455,6 +475,10 @@
     const TimePoint now = monotonicNow();
     for (const std::string& id : expireEntries(state_.directory_, now))
         upstreamClient_.closeIdleConnections(id);
+    for (const std::string& domain :
+        expireOrders(unconfirmedOrders_, state_.directory_, state_.rollouts_, now))
+        logEvent(LogLevel::Info, "evacuation-ended",
+            { { "failure-domain", domain }, { "reason", "not written again after the store was restored" } });
     applyPeerLoads(state_, now, dispatchOptions_.pick_);
     updateRelay(now);
     updateSplits(state_, now);
