Let the soak's upstreams leave and ask for pauses in their answers

The soak's upstreams left only through the store, so it could not find a host that ignores what their answers say. At random, an upstream now announces its leaving in all answers while its entry still says ready, serves 2 s past the drain time and ends, or refuses requests for 0.8 to 4 s and asks for a pause of that length. A generator of their own draws these, so that the sequence of the other faults of a seed stays as it was. The ledger gets two checks, from what callers and upstreams see: no request that its caller sent later than the drain time after the same host passed on an announcement of leaving, and at most two in a pause from half a second after the refusal. Restarts and freezes of the host excuse both, faults of the store neither. A refusal counts only if the status of a write proves that the host has received it, because the links to upstreams are faulty too.

--- a/support/soak/ledger.cc
+++ b/support/soak/ledger.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace turmericwing::soak {
 
@@ -105,6 +106,87 @@
         }
     }
 
+    using AttemptsById = std::map<std::string, const Attempt*>;
+
+    /// Whether the process of the host that received an announcement was replaced or paused until `to`.
+    /// Faults of the store excuse nothing, because the host has the announcement.
+    bool hasLostAnnouncements(const Records& records, const std::string& host, TimePoint from, TimePoint to)
+    {
+        std::vector<FaultInterval> processFaults;
+        std::copy_if(records.faultIntervals_.begin(), records.faultIntervals_.end(),
+            std::back_inserter(processFaults), [](const FaultInterval& interval) {
+                return interval.kind_ == FaultKind::Process || interval.kind_ == FaultKind::Start;
+            });
+        return overlapsFault(processFaults, host, from, to);
+    }
+
+    /// The last arrival that the host of `passedOn` sent to the upstream for requests that callers sent later
+    /// than `from`, and their number. Only arrivals before `to` count.
+    std::pair<const Arrival*, size_t> lateArrivals(const Records& records, const AttemptsById& attempts,
+        const Announcement& announcement, const Attempt& passedOn, TimePoint from, TimePoint to)
+    {
+        std::pair<const Arrival*, size_t> late { nullptr, 0 };
+        for (const Arrival& arrival : records.arrivals_) {
+            if (arrival.upstream_ != announcement.upstream_ || arrival.at_ <= from || arrival.at_ >= to)
+                continue;
+            const auto attempt = attempts.find(arrival.id_);
+            if (attempt == attempts.end() || attempt->second->host_ != passedOn.host_
+                || attempt->second->sentAt_ <= from
+                || hasLostAnnouncements(records, passedOn.host_, announcement.at_, arrival.at_))
+                continue;
+            late = { &arrival, late.second + 1 };
+        }
+        return late;
+    }
+
+    std::string describe(const Announcement& announcement, const Attempt& passedOn, const Arrival& arrival)
+    {
+        return arrival.id_ + " at " + arrival.upstream_ + " from " + passedOn.host_ + ", announced to "
+            + announcement.id_;
+    }
+
+    void checkLeaving(const Records& records, const CheckOptions& options, const AttemptsById& attempts,
+        const Announcement& announcement, const Attempt& attempt, std::vector<Violation>& violations)
+    {
+        const bool passedOn = attempt.status_ / 100 == 2
+            && attempt.body_ == expectedBody(attempt.id_, announcement.upstream_);
+        if (!passedOn)
+            return;
+        const auto [arrival, count] = lateArrivals(records, attempts, announcement, attempt,
+            attempt.endedAt_ + options.drainTime_, TimePoint::max());
+        if (count > 0)
+            violations.push_back({ "an upstream that announced its leaving receives no requests",
+                describe(announcement, attempt, *arrival) });
+    }
+
+    void checkPause(const Records& records, const CheckOptions& options, const AttemptsById& attempts,
+        const Announcement& announcement, const Attempt& attempt, std::vector<Violation>& violations)
+    {
+        // A write gets one of these statuses only if its host has received the refusal; without it the write
+        // may have run.
+        const bool received = attempt.write_ && (attempt.status_ / 100 == 2 || attempt.status_ == 503);
+        if (!received)
+            return;
+        const TimePoint from = std::max(announcement.at_ + options.pauseGrace_, attempt.endedAt_);
+        const auto [arrival, count]
+            = lateArrivals(records, attempts, announcement, attempt, from, announcement.pausedUntil_);
+        if (count > options.maxDuringPause_)
+            violations.push_back({ "an upstream that asked for a pause receives at most two requests in it",
+                std::to_string(count) + ", the last " + describe(announcement, attempt, *arrival) });
+    }
+
+    void checkAnnouncements(const Records& records, const CheckOptions& options, const AttemptsById& attempts,
+        std::vector<Violation>& violations)
+    {
+        for (const Announcement& announcement : records.announcements_) {
+            const auto attempt = attempts.find(announcement.id_);
+            if (attempt == attempts.end())
+                continue;
+            const auto check = announcement.pausedUntil_ == TimePoint() ? checkLeaving : checkPause;
+            check(records, options, attempts, announcement, *attempt->second, violations);
+        }
+    }
+
 } // namespace
 
 std::string expectedBody(const std::string& id, const std::string& upstream)
@@ -137,6 +219,7 @@
         checkExecution(execution, attempts, violations);
     checkResponses(records, executions, violations);
     checkDrainedUpstreams(records, options, attempts, violations);
+    checkAnnouncements(records, options, attempts, violations);
     return violations;
 }
 
--- a/support/soak/ledger.h
+++ b/support/soak/ledger.h
@@ -39,6 +39,21 @@
     TimePoint at_ {};
 };
 
+/// One request as it reached an upstream, executed or refused.
+struct Arrival {
+    std::string id_;
+    std::string upstream_;
+    TimePoint at_ {};
+};
+
+/// What an upstream announced in its answer to a request.
+struct Announcement {
+    std::string id_; ///< Of the answered request.
+    std::string upstream_;
+    TimePoint at_ {};
+    TimePoint pausedUntil_ {}; ///< End of the pause that it asked for; zero if it is leaving.
+};
+
 /// What was affected by a fault.
 enum class FaultKind {
     Process, ///< The process was killed or paused.
@@ -61,6 +76,8 @@
     std::vector<Attempt> attempts_;
     std::vector<Execution> executions_;
     std::vector<UpstreamDrain> drains_;
+    std::vector<Arrival> arrivals_;
+    std::vector<Announcement> announcements_;
     std::vector<FaultInterval> faultIntervals_;
 };
 
@@ -77,6 +94,9 @@
     /// Store-contact limit of the users' requirements: a host that had a fault from this long
     /// before a drain until the late request may send that request.
     Duration storeContactBound_ = std::chrono::seconds(3);
+    /// Limits of the users' requirements for requests to an upstream that asked for a pause.
+    Duration pauseGrace_ = std::chrono::milliseconds(500);
+    size_t maxDuringPause_ = 2;
 };
 
 /// Response body that `upstream` sends to the request `id`.
@@ -89,7 +109,8 @@
 /// Returns all violations: a write that was executed twice; a request rejected as not executed that was
 /// executed; a success that no upstream sent or that was modified on the way; an execution that no caller
 /// requested, that was modified, under another workspace, or with the API key; a request to a drained
-/// upstream; an executed request that got no response from a host without faults.
+/// upstream; an executed request that got no response from a host without faults; requests from a host that
+/// has passed on an announcement of leaving or a pause.
 std::vector<Violation> checkRecords(const Records&, const CheckOptions&);
 
 /// Thread-safe collection of the records of a run.
@@ -98,6 +119,8 @@
     void add(Attempt attempt) { add(records_.attempts_, std::move(attempt)); }
     void add(Execution execution) { add(records_.executions_, std::move(execution)); }
     void add(UpstreamDrain drain) { add(records_.drains_, std::move(drain)); }
+    void add(Arrival arrival) { add(records_.arrivals_, std::move(arrival)); }
+    void add(Announcement announcement) { add(records_.announcements_, std::move(announcement)); }
     void add(FaultInterval interval) { add(records_.faultIntervals_, std::move(interval)); }
 
     Records copy() const
--- a/support/soak/soak-main.cc
+++ b/support/soak/soak-main.cc
@@ -39,6 +39,9 @@
         World& world_;
         boost::asio::io_context& proxies_;
         std::multimap<TimePoint, std::function<void()>> scheduled_; ///< Ends of faults and delayed actions.
+        /// A generator of their own keeps the sequence of the other faults of a seed.
+        Random announcements_;
+        TimePoint nextAnnouncementAt_ {};
     };
 
     void scheduleAfter(FaultInjector& injector, Duration delay, std::function<void()> action)
@@ -171,6 +174,34 @@
         }
     }
 
+    /// An upstream announces its leaving only in its answers, serves on past the drain time, and ends.
+    /// Another one is added. Its entry says that it is ready until then.
+    void leaveByAnswers(FaultInjector& injector, Upstream& upstream)
+    {
+        World& world = injector.world_;
+        upstream.leaving_ = true;
+        scheduleAfter(injector, drainTime + std::chrono::seconds(2), [&world, &upstream] {
+            world.store_.remove("servers", upstream.id_);
+            upstream.server_.shutDown();
+        });
+        addUpstream(world, injector.proxies_);
+    }
+
+    std::string injectAnnouncement(FaultInjector& injector)
+    {
+        World& world = injector.world_;
+        Random& random = injector.announcements_;
+        Upstream& upstream = *world.upstreams_[random() % world.upstreams_.size()];
+        if (upstream.leaving_)
+            return "none";
+        if (random() % 3 == 0) {
+            leaveByAnswers(injector, upstream);
+            return "leaving by answers of " + upstream.id_;
+        }
+        upstream.pausedUntil_ = monotonicNow() + randomDuration(random, 800, 4000);
+        return "pause asked by " + upstream.id_;
+    }
+
     void runScheduled(FaultInjector& injector)
     {
         while (!injector.scheduled_.empty() && injector.scheduled_.begin()->first <= monotonicNow()) {
@@ -189,6 +220,11 @@
         TimePoint next = monotonicNow();
         while (monotonicNow() < end) {
             runScheduled(injector);
+            if (monotonicNow() >= injector.nextAnnouncementAt_) {
+                std::cout << "fault: " << injectAnnouncement(injector) << "\n";
+                injector.nextAnnouncementAt_
+                    = monotonicNow() + randomDuration(injector.announcements_, 200, 1500);
+            }
             if (monotonicNow() < next)
                 continue;
             const uint64_t kind = world.random_() % 10;
@@ -264,7 +300,7 @@
             .callers_ = FLAGS_callers,
             .seed_ = seed });
         startWorld(world, proxies);
-        FaultInjector injector { world, proxies, {} };
+        FaultInjector injector { world, proxies, {}, Random(~seed) };
         injectFaults(injector, monotonicNow() + std::chrono::seconds(FLAGS_seconds));
         endFaults(injector);
         checkSteadyState(injector);
--- a/support/soak/world.cc
+++ b/support/soak/world.cc
@@ -66,16 +66,36 @@
             { "Authorization", "Token " + key } };
     }
 
+    /// Refuses the request and asks for a pause if the upstream wants one; returns whether it does.
+    bool refusesForPause(
+        World& world, const Upstream& upstream, const std::string& id, httplib::Response& response)
+    {
+        const TimePoint now = monotonicNow();
+        const TimePoint end = upstream.pausedUntil_;
+        if (now >= end)
+            return false;
+        world.ledger_.add(Announcement { id, upstream.id_, now, end });
+        response.status = 503;
+        response.set_header("X-Not-Run", "paused");
+        response.set_header("Retry-After", std::to_string(seconds(end - now)));
+        return true;
+    }
+
     /// Handles one request at a simulated upstream and records its execution.
     void handleRequest(
         World& world, Upstream& upstream, const httplib::Request& request, httplib::Response& response)
     {
         const std::string id = request.get_header_value("X-Attempt-Id");
         response.set_header("X-Attempt-Id", id);
+        if (upstream.leaving_)
+            response.set_header("Server-Leaving", "1");
         if (request.get_header_value("X-Expect-Instance") != upstream.id_) {
             response.status = 421;
             return;
         }
+        world.ledger_.add(Arrival { id, upstream.id_, monotonicNow() });
+        if (refusesForPause(world, upstream, id, response))
+            return;
         if (upstream.running_ >= upstreamSlots + upstreamQueue) {
             response.status = 503;
             return response.set_header("X-Not-Run", "full");
@@ -96,6 +116,8 @@
             connection.dropped_ = true;
             return;
         }
+        if (response.has_header("Server-Leaving"))
+            world.ledger_.add(Announcement { id, upstream.id_, monotonicNow(), {} });
         response.set_header("X-Response-Seal", expectedSignature(id, upstream.id_));
         response.set_content(expectedBody(id, upstream.id_), "text/plain");
     }
--- a/support/soak/world.h
+++ b/support/soak/world.h
@@ -30,6 +30,8 @@
     standin::Server server_;
     std::unique_ptr<Proxy> proxy_;
     UpstreamFaults faults_;
+    std::atomic<bool> leaving_ = false; ///< All its answers announce that it leaves.
+    std::atomic<TimePoint> pausedUntil_ { TimePoint() }; ///< Until then it refuses and asks for a pause.
     std::atomic<uint32_t> running_ = 0; ///< Requests being executed.
 };
 
--- a/test/soak/ledger-test.cc
+++ b/test/soak/ledger-test.cc
@@ -113,3 +113,73 @@
         { FaultKind::Store, "h1", start - std::chrono::seconds(4), start - std::chrono::seconds(1) });
     CHECK(violatedInvariants(records).empty());
 }
+
+namespace {
+
+/// Records of a write that reached u1 `after` the first one was sent, from the same host.
+void addLaterWrite(Records& records, const std::string& id, Duration after)
+{
+    Attempt attempt = records.attempts_.front();
+    attempt.id_ = id;
+    attempt.sentAt_ = start + after;
+    attempt.endedAt_ = attempt.sentAt_ + std::chrono::milliseconds(30);
+    attempt.status_ = 502;
+    records.attempts_.push_back(attempt);
+    records.arrivals_.push_back({ id, "u1", attempt.sentAt_ + std::chrono::milliseconds(5) });
+}
+
+} // namespace
+
+TEST_CASE("a request after an announced leaving and the drain time is a violation, without the store too")
+{
+    Records records = validRecords();
+    records.announcements_.push_back({ "r1", "u1", start + std::chrono::milliseconds(20), {} });
+    addLaterWrite(records, "r2", std::chrono::milliseconds(2500));
+    CHECK(violatedInvariants(records).empty());
+    addLaterWrite(records, "r3", std::chrono::milliseconds(2600));
+    const std::vector<std::string> expected { "an upstream that announced its leaving receives no requests" };
+    CHECK(violatedInvariants(records) == expected);
+    SUBCASE("a fault of the store is no excuse")
+    {
+        records.faultIntervals_.push_back({ FaultKind::Store, "h1", start, start + std::chrono::seconds(9) });
+        CHECK(violatedInvariants(records) == expected);
+    }
+    SUBCASE("a restart since then is one")
+    {
+        records.faultIntervals_.push_back(
+            { FaultKind::Start, "h1", start + std::chrono::seconds(1), start + std::chrono::seconds(3) });
+        CHECK(violatedInvariants(records).empty());
+    }
+    SUBCASE("another host has not received the announcement")
+    {
+        records.attempts_.back().host_ = "h2";
+        CHECK(violatedInvariants(records).empty());
+    }
+    SUBCASE("an answer that was not passed on binds nobody")
+    {
+        records.attempts_.front().status_ = 502;
+        CHECK(violatedInvariants(records).empty());
+    }
+}
+
+TEST_CASE("more than two requests in a pause that was asked for are a violation")
+{
+    Records records = validRecords();
+    records.executions_.clear();
+    records.attempts_.front().status_ = 503;
+    records.announcements_.push_back(
+        { "r1", "u1", start + std::chrono::milliseconds(5), start + std::chrono::milliseconds(2005) });
+    addLaterWrite(records, "r2", std::chrono::milliseconds(400));
+    addLaterWrite(records, "r3", std::chrono::milliseconds(600));
+    addLaterWrite(records, "r4", std::chrono::milliseconds(1900));
+    addLaterWrite(records, "r5", std::chrono::milliseconds(2010));
+    CHECK(violatedInvariants(records).empty());
+    addLaterWrite(records, "r6", std::chrono::milliseconds(1000));
+    const std::vector<std::string> expected {
+        "an upstream that asked for a pause receives at most two requests in it"
+    };
+    CHECK(violatedInvariants(records) == expected);
+    records.faultIntervals_.push_back({ FaultKind::Process, "h1", start + std::chrono::milliseconds(100),
+        start + std::chrono::milliseconds(200) });
+    CHECK(violatedInvariants(records).empty());
+}
