Bound the logged pause, and let the tests' upstreams announce by themselves

The log line of a state change converted the seconds that an upstream asks for into milliseconds without a bound; for a number of 300 digits that conversion is undefined, which a sanitizer build ends with an error. The line now gives the pause that is applied, capped like the state, as pause_ms. The upstreams of the live tests leave and ask for pauses by themselves, by a member each, instead of by a handler in each case; support/standin/upstream speaks the product's own protocol and is not used with the gateway, so it stays as it is.

--- a/include/turmericwing/routing/upstreamstate.h
+++ b/include/turmericwing/routing/upstreamstate.h
@@ -47,6 +47,9 @@
 
 const char* statusName(UpstreamStatus);
 
+/// The pause that an answer asks for, at most maxPause_; zero if it asks for none.
+Duration requestedPause(const UpstreamStateOptions&, const UpstreamNotice&);
+
 /// The status at a time. Leaving takes precedence over a pause.
 UpstreamStatus statusAt(const AnnouncedState&, TimePoint now);
 
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -152,7 +152,8 @@
         { { "upstream", upstream }, { "service", pending.service_ }, { "state", name },
             { "source", "answer" }, { "request", pending.requestId_ },
             { "status", std::to_string(response.status_) },
-            { "asked_ms", std::to_string(static_cast<int64_t>(notice.pauseSeconds_.value_or(0) * 1000)) } });
+            { "pause_ms",
+                detail::milliseconds(routing::requestedPause(state_.directory_.stateOptions_, notice)) } });
     metrics_.countUpstreamState(pending.service_, name, "answer");
     scheduleServeWaiting(pending.service_);
 }
--- a/src/routing/upstreamstate.cc
+++ b/src/routing/upstreamstate.cc
@@ -5,16 +5,6 @@
 
 namespace turmericwing::routing {
 
-namespace detail {
-
-    Duration cappedPause(const UpstreamStateOptions& options, double pauseSeconds)
-    {
-        const double capped = std::min(pauseSeconds, seconds(options.maxPause_));
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(capped));
-    }
-
-} // namespace detail
-
 const char* statusName(UpstreamStatus status)
 {
     switch (status) {
@@ -28,6 +18,12 @@
     return "serving";
 }
 
+Duration requestedPause(const UpstreamStateOptions& options, const UpstreamNotice& notice)
+{
+    const double capped = std::min(notice.pauseSeconds_.value_or(0), seconds(options.maxPause_));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(capped));
+}
+
 UpstreamStatus statusAt(const AnnouncedState& state, TimePoint now)
 {
     if (state.leaving_)
@@ -40,10 +36,8 @@
 {
     const UpstreamStatus before = statusAt(state, now);
     state.leaving_ = state.leaving_ || notice.leaving_;
-    if (notice.pauseSeconds_) {
-        const TimePoint end = now + detail::cappedPause(options, *notice.pauseSeconds_);
-        state.pausedUntil_ = std::max(state.pausedUntil_, end);
-    }
+    if (notice.pauseSeconds_)
+        state.pausedUntil_ = std::max(state.pausedUntil_, now + requestedPause(options, notice));
     const UpstreamStatus after = statusAt(state, now);
     return after == before ? std::nullopt : std::optional(after);
 }
--- a/test/gateway/live.h
+++ b/test/gateway/live.h
@@ -15,6 +15,7 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <functional>
+#include <mutex>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -65,6 +66,10 @@
         const auto handler = [this](const httplib::Request& request, httplib::Response& response) {
             ++requests_;
             response.set_header("X-Attempt-Id", request.get_header_value("X-Attempt-Id"));
+            if (leaving_)
+                response.set_header("Server-Leaving", "1");
+            if (const std::string pause = requestedPause(); !pause.empty())
+                return refuse(response, pause);
             response.set_header("X-Response-Seal", "seal-of-" + id_);
             handler_(request, response);
         };
@@ -84,6 +89,13 @@
                 .dump());
     }
 
+    /// From now on refuses all requests as not run, with this Retry-After; an empty text ends that.
+    void requestPause(const std::string& retryAfter)
+    {
+        std::lock_guard lock(mutex_);
+        retryAfter_ = retryAfter;
+    }
+
     standin::RowStore& store_;
     const std::string id_;
     const std::string domain_;
@@ -91,6 +103,7 @@
     int seq_ = 0;
     int64_t startedMs_ = 1; ///< Names the incarnation in the entry.
     std::atomic<int> requests_ = 0;
+    std::atomic<bool> leaving_ = false; ///< All its answers announce that it leaves.
     /// A caller closed its connection while the handler waited.
     std::atomic<bool> callerDisconnected_ = false;
     Handler handler_ = [this](const httplib::Request&, httplib::Response& response) {
@@ -98,6 +111,23 @@
     };
     standin::Server server_;
     int port_ = 0;
+
+private:
+    std::string requestedPause() const
+    {
+        std::lock_guard lock(mutex_);
+        return retryAfter_;
+    }
+
+    static void refuse(httplib::Response& response, const std::string& retryAfter)
+    {
+        response.status = 503;
+        response.set_header("X-Not-Run", "1");
+        response.set_header("Retry-After", retryAfter);
+    }
+
+    mutable std::mutex mutex_;
+    std::string retryAfter_;
 };
 
 /// Returns a configuration with routes for /read/ and /write/ and one workspace.
--- a/test/routing/upstreamstate-test.cc
+++ b/test/routing/upstreamstate-test.cc
@@ -63,6 +63,7 @@
         AnnouncedState state;
         applyNotice(state, options, start, { .pauseSeconds_ = asked });
         CHECK(state.pausedUntil_ == start + options.maxPause_);
+        CHECK(requestedPause(options, { .pauseSeconds_ = asked }) == options.maxPause_);
     }
 }
 
