Test that an answer takes room until its caller has read it

A caller that does not read holds an answer of 30 MB in the gateway; the metric shows its bytes until the caller closes.

--- a/test/gateway/live-endless-test.cc
+++ b/test/gateway/live-endless-test.cc
@@ -9,6 +9,8 @@
 
 #include <doctest/doctest.h>
 
+#include <netinet/in.h>
+
 using namespace turmericwing;
 using namespace turmericwing::gateway;
 using namespace turmericwing::gateway::test;
@@ -222,6 +224,39 @@
     CHECK(endless.requests_ > 0);
 }
 
+TEST_CASE("an answer takes room until its caller has read it")
+{
+    // Guards against large answers to slow callers that are not counted.
+    Fixture fixture;
+    Upstream upstream(fixture.store_, "u1");
+    // More than the buffers of a connection hold.
+    constexpr size_t bodyBytes = 30 * mebibyte;
+    upstream.handler_ = [](const httplib::Request&, httplib::Response& response) {
+        response.set_content(std::string(bodyBytes, 'x'), "text/plain");
+    };
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    const auto heldBytes = [&] {
+        httplib::Client client("127.0.0.1", fixture.settings_.metricsAddress_.port_);
+        const std::string metrics = client.Get("/metrics")->body;
+        const std::string name = "\nturmericwing_answer_bytes_held";
+        const size_t at = metrics.find(' ', metrics.find(name));
+        return metrics.find(name) == std::string::npos ? -1 : std::stod(metrics.substr(at));
+    };
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(fixture.settings_.callerAddress_.port_);
+    REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    const std::string request = "GET /read/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id\r\n"
+                                "Authorization: Token key-1\r\n\r\n";
+    REQUIRE(send(fd, request.data(), request.size(), MSG_NOSIGNAL) > 0);
+    CHECK(eventually([&] { return heldBytes() >= bodyBytes; }));
+    close(fd);
+    CHECK(eventually([&] { return heldBytes() == 0; }));
+}
+
 TEST_CASE("a store's answer without end is an error before its timeout")
 {
     boost::asio::io_context loop { 1 };
