Count overdue requests as evidence in a rollout

Cause: evidence counted answers only. With 2.8 s of work, the first answers are those of the fast requests; 11 of them made the version "sound" 7 s after the order, while the slow ones (13 s to 15 s) counted as slow only after four times the service time, 8 s. From 0.64 of the time it got all requests. Besides, a version without any evidence got all requests in the last fifth. Ruled out: merging over 85 hosts (all hosts agreed within 0.3 s) and retries (the v4 requests were first attempts of the ramp's share).

Hosts now count unanswered requests older than 1.5 times the service time and report their number (two values more in the counts of a report; reports without them are still read). A version passes only if answers alone, and answers with overdue requests, exclude the excess. At a service with more than 160 requests a version without evidence no longer gets everything: a fifth until 0.7 of the time, then a twentieth, and it is reverted at 0.9. That is 0.077 of all requests at most.

--- a/include/turmericwing/gateway/rollouts.h
+++ b/include/turmericwing/gateway/rollouts.h
@@ -65,6 +65,15 @@
 /// Counts an answer as evidence for `version`. Does nothing if the service has no running ramp.
 void countAnswer(Rollouts&, const std::string& service, const std::string& version, bool failed, bool slow);
 
+/// An unanswered request that has taken longer than usual, as evidence for a version.
+struct OverdueRequest {
+    std::string service_;
+    std::string version_;
+};
+
+/// Replaces the counts of overdue requests of all running ramps.
+void countOverdue(Rollouts&, const std::vector<OverdueRequest>&);
+
 /// Whether any service has a running ramp.
 bool hasRunningRamp(const Rollouts&);
 
--- a/include/turmericwing/rollout/ramp.h
+++ b/include/turmericwing/rollout/ramp.h
@@ -30,8 +30,12 @@
 /// What the responses so far show about the new version. With few requests, or with late responses, the steps
 /// would shift all requests before there is enough evidence for a decision.
 enum class RampEvidence {
-    Undecided, ///< Too few responses to exclude that it fails or is slow far more often than the old one.
-    Suspect, ///< Like Undecided, and some responses have failed or were slow.
+    /// Too few responses to exclude that it fails or is slow far more often than the old one, at a service
+    /// with so
+    /// few requests that even all of its last ones stay within what users tolerate.
+    Undecided,
+    Unproven, ///< Like Undecided, at a service with more requests.
+    Suspect, ///< Not excluded either, and some responses have failed or were slow.
     Sound, ///< Such an excess is excluded, or the service has too few requests to need evidence.
 };
 
@@ -47,6 +51,9 @@
     uint64_t old_ = 0;
     uint64_t oldFailed_ = 0;
     uint64_t oldSlow_ = 0;
+    /// Unanswered requests that have taken longer than usual, not counted above; their number may decrease.
+    uint64_t newOverdue_ = 0;
+    uint64_t oldOverdue_ = 0;
     RampCounts& operator+=(const RampCounts&);
     friend bool operator==(const RampCounts&, const RampCounts&) = default;
 };
@@ -68,8 +75,8 @@
 
 /// Returns the state at `nowMs` of a ramp whose version was not found bad: Complete once the new version has
 /// all traffic and the old one has had time to finish its requests, Reverted if the version is still suspect
-/// when the old version should stop, and Running otherwise. `oldInFlight` is the number of requests on the
-/// old version.
+/// when the old version should stop or still unproven shortly before the deadline, and Running otherwise.
+/// `oldInFlight` is the number of requests on the old version.
 RampState rampEnd(const Ramp&, int64_t nowMs, uint32_t oldInFlight, RampEvidence);
 
 } // namespace turmericwing::rollout
--- a/include/turmericwing/rollout/test.h
+++ b/include/turmericwing/rollout/test.h
@@ -23,6 +23,8 @@
     uint32_t tests_ = 1; ///< Number of tests that share falseAlarm_.
     double tolerance_ = 1.5; ///< Largest odds ratio that counts as good.
     double alternatives_[2] = { 4, 20 }; ///< Odds ratios that are tested for, with equal weight.
+    /// Excess of the new side's failure rate that excludesExcess() counts as good.
+    double toleratedExcess_ = 0;
     /// False only in tests: compares with fixedRate_ instead of the old side's failure rate.
     bool compare_ = true;
     double fixedRate_ = 0.01;
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -16,6 +16,8 @@
     constexpr double slotTimeWeight = 0.02; ///< Weight of a new sample in the mean slot time.
     constexpr double roundTripWeight = 0.2; ///< Weight of a new sample in a region's round-trip time.
     constexpr double slowMultiple = 4; ///< Multiple of the service time that counts as slow in a rollout.
+    /// Multiple of the service time after which an unanswered request counts as overdue in a rollout.
+    constexpr double overdueMultiple = 1.5;
     /// Seconds; shorter service times vary too much to be a baseline.
     constexpr double minServiceTime = 0.05;
     /// Time for which reports to peers include a crash.
@@ -42,17 +44,27 @@
 }
 
 /// Counts attempts past the threshold as slow, however they end, without waiting for responses that may be
-/// seconds away.
+/// seconds away, and how many others are overdue.
 void Dispatcher::Core::countLateAttempts()
 {
     if (!hasRunningRamp(state_.rollouts_))
         return;
     const TimePoint now = monotonicNow();
+    std::vector<OverdueRequest> overdue;
     for (const auto& [id, pending] : pendingRequests_) {
-        if (!pending->currentUpstream_.empty()
-            && seconds(now - pending->sentAt_) > slowThreshold(pending->service_))
+        if (pending->currentUpstream_.empty() || pending->countedInRollout_)
+            continue;
+        const double slowAfter = slowThreshold(pending->service_);
+        const double age = seconds(now - pending->sentAt_);
+        if (age > slowAfter) {
             countForRollout(*pending, false, true);
+        } else if (age > slowAfter * detail::overdueMultiple / detail::slowMultiple) {
+            const UpstreamRef ref = findUpstream(state_.directory_, pending->currentUpstream_);
+            if (ref.target_)
+                overdue.push_back({ pending->service_, ref.target_->version_ });
+        }
     }
+    countOverdue(state_.rollouts_, overdue);
 }
 
 /// Removes the attempt from its upstream's load.
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -18,7 +18,7 @@
     json encode(const rollout::RampCounts& counts)
     {
         return json::array({ counts.new_, counts.newFailed_, counts.newSlow_, counts.old_, counts.oldFailed_,
-            counts.oldSlow_ });
+            counts.oldSlow_, counts.newOverdue_, counts.oldOverdue_ });
     }
 
     using RegionValues = std::vector<std::pair<uint32_t, double>>;
@@ -70,7 +70,14 @@
 
     rollout::RampCounts decodeCounts(const json& value)
     {
-        return { value.at(0), value.at(1), value.at(2), value.at(3), value.at(4), value.at(5) };
+        rollout::RampCounts counts { value.at(0), value.at(1), value.at(2), value.at(3), value.at(4),
+            value.at(5) };
+        // Hosts of earlier releases do not report overdue requests.
+        if (value.size() > 7) {
+            counts.newOverdue_ = value.at(6);
+            counts.oldOverdue_ = value.at(7);
+        }
+        return counts;
     }
 
     RampReport decodeRamp(const json& value)
--- a/src/gateway/rollouts.cc
+++ b/src/gateway/rollouts.cc
@@ -66,6 +66,21 @@
     (isNew ? counts.newSlow_ : counts.oldSlow_) += slow ? 1 : 0;
 }
 
+void countOverdue(Rollouts& rollouts, const std::vector<OverdueRequest>& overdue)
+{
+    for (auto& [service, known] : rollouts.ramps_) {
+        known.counts_.newOverdue_ = 0;
+        known.counts_.oldOverdue_ = 0;
+    }
+    for (const OverdueRequest& request : overdue) {
+        const auto known = rollouts.ramps_.find(request.service_);
+        if (known == rollouts.ramps_.end() || known->second.ramp_.state_ != RampState::Running)
+            continue;
+        const bool isNew = request.version_ == known->second.ramp_.version_;
+        (isNew ? known->second.counts_.newOverdue_ : known->second.counts_.oldOverdue_) += 1;
+    }
+}
+
 bool hasRunningRamp(const Rollouts& rollouts)
 {
     return std::any_of(rollouts.ramps_.begin(), rollouts.ramps_.end(),
--- a/src/gateway/statelog.cc
+++ b/src/gateway/statelog.cc
@@ -18,6 +18,8 @@
         switch (evidence) {
         case RampEvidence::Undecided:
             return "undecided";
+        case RampEvidence::Unproven:
+            return "unproven";
         case RampEvidence::Suspect:
             return "suspect";
         case RampEvidence::Sound:
@@ -65,7 +67,8 @@
         logEvent(LogLevel::Info, "rollout-evidence",
             { { "service", service }, { "to", known.ramp_.version_ },
                 { "evidence", evidenceText(known.evidence_) }, { "answers", std::to_string(total.new_) },
-                { "failed", std::to_string(total.newFailed_) }, { "slow", std::to_string(total.newSlow_) } });
+                { "failed", std::to_string(total.newFailed_) }, { "slow", std::to_string(total.newSlow_) },
+                { "overdue", std::to_string(total.newOverdue_) } });
     }
 }
 
--- a/src/rollout/ramp.cc
+++ b/src/rollout/ramp.cc
@@ -29,6 +29,21 @@
     constexpr double undecidedShare = 0.2;
     /// Fraction of the time; the rest is needed to end the old version.
     constexpr double undecidedUntil = 0.8;
+    /// Largest number of requests so far of a service whose undecided version gets all requests after
+    /// undecidedUntil. The version then gets 0.28 of all, which is a tenth and 50 requests at a total of 270;
+    /// the bound is that total at undecidedUntil, less a margin.
+    constexpr uint64_t maxUndecidedRequests = 160;
+    /// An unproven version is held at undecidedShare until this fraction of the time, then at unprovenShare:
+    /// 0.077 of all requests until the deadline.
+    constexpr double unprovenShareUntil = 0.7;
+    constexpr double unprovenShare = 0.05;
+    /// Fraction of the time after which an unproven version is reverted: it could no longer take all requests
+    /// and let the old version end by the deadline.
+    constexpr double unprovenUntil = 0.9;
+    /// Excess rate of overdue requests that is tolerated: upstreams that have just started need several times
+    /// as long, and some of their requests are overdue at any time.
+    /// The error probability is small because the number is assessed again with every report.
+    constexpr TestOptions overdueTest { .miss_ = 0.001, .toleratedExcess_ = 0.03 };
     /// Fewer failed or slow responses do not make a version suspect.
     constexpr uint64_t minSuspectResponses = 2;
     /// Excess rate of failed or slow responses over the old version's.
@@ -64,16 +79,30 @@
     old_ += other.old_;
     oldFailed_ += other.oldFailed_;
     oldSlow_ += other.oldSlow_;
+    newOverdue_ += other.newOverdue_;
+    oldOverdue_ += other.oldOverdue_;
     return *this;
 }
 
 RampEvidence assessEvidence(const RampCounts& total)
 {
-    const Comparison sum { total.new_, std::min(total.new_, total.newFailed_ + total.newSlow_), total.old_,
-        std::min(total.old_, total.oldFailed_ + total.oldSlow_) };
-    if (sum.new_ + sum.old_ < detail::minRequests || excludesExcess(sum, {}, detail::suspectExcess))
+    const uint64_t answers = total.new_ + total.old_;
+    const uint64_t newFaults = std::min(total.new_, total.newFailed_ + total.newSlow_);
+    const uint64_t oldFaults = std::min(total.old_, total.oldFailed_ + total.oldSlow_);
+    const Comparison answered { total.new_, newFaults, total.old_, oldFaults };
+    // The first answers are those of the fastest requests: without the overdue ones, a version of which half
+    // the requests are very slow would pass.
+    const Comparison sent { total.new_ + total.newOverdue_, newFaults + total.newOverdue_,
+        total.old_ + total.oldOverdue_, oldFaults + total.oldOverdue_ };
+    if (answers < detail::minRequests)
         return RampEvidence::Sound;
-    return sum.newFailed_ >= detail::minSuspectResponses ? RampEvidence::Suspect : RampEvidence::Undecided;
+    const bool overdueExcluded
+        = total.newOverdue_ == 0 || excludesExcess(sent, detail::overdueTest, detail::suspectExcess);
+    if (overdueExcluded && excludesExcess(answered, {}, detail::suspectExcess))
+        return RampEvidence::Sound;
+    if (newFaults >= detail::minSuspectResponses)
+        return RampEvidence::Suspect;
+    return answers <= detail::maxUndecidedRequests ? RampEvidence::Undecided : RampEvidence::Unproven;
 }
 
 double rampShare(const Ramp& ramp, int64_t nowMs, RampEvidence evidence)
@@ -88,6 +117,9 @@
     }
     if (evidence == RampEvidence::Suspect)
         return std::min(share, detail::suspectShare);
+    if (evidence == RampEvidence::Unproven)
+        return fraction < detail::unprovenShareUntil ? std::min(share, detail::undecidedShare)
+                                                     : detail::unprovenShare;
     const bool held = evidence == RampEvidence::Undecided && fraction < detail::undecidedUntil;
     return held ? std::min(share, detail::undecidedShare) : share;
 }
@@ -126,6 +158,8 @@
         return RampState::Running;
     if (evidence == RampEvidence::Suspect)
         return RampState::Reverted;
+    if (evidence == RampEvidence::Unproven && detail::elapsedFraction(ramp, nowMs) >= detail::unprovenUntil)
+        return RampState::Reverted;
     if (rampShare(ramp, nowMs, evidence) < 1)
         return RampState::Running;
     const bool oldEnded = oldInFlight == 0 || nowMs >= finish + detail::maxFinishMs;
--- a/src/rollout/test.cc
+++ b/src/rollout/test.cc
@@ -65,8 +65,9 @@
     if (sum.new_ == 0)
         return false;
     // Failure rate of the old side, shrunk towards 0.5% while it has few requests.
-    const double good
-        = std::min(0.9, (static_cast<double>(sum.oldFailed_) + 0.5) / (static_cast<double>(sum.old_) + 100));
+    const double good = std::min(0.9,
+        options.toleratedExcess_
+            + (static_cast<double>(sum.oldFailed_) + 0.5) / (static_cast<double>(sum.old_) + 100));
     const double bad = std::min(0.99, good + excess);
     const auto failed = static_cast<double>(sum.newFailed_);
     const double succeeded = static_cast<double>(sum.new_) - failed;
--- a/test/gateway/report-test.cc
+++ b/test/gateway/report-test.cc
@@ -4,6 +4,10 @@
 #include "turmericwing/base/random.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <functional>
 
 using namespace turmericwing;
 using namespace turmericwing::gateway;
@@ -27,7 +31,8 @@
         .demands_ = { { shortHash("w"), 12.5, 99 } },
         .services_ = { { shortHash("s"), 12.5, { { shortHash("a"), 0.75 }, { shortHash("b"), 0.25 } },
             { { shortHash("a"), 1.5 } } } },
-        .ramps_ = { { { "s", "v2", 5, 9, rollout::RampState::Reverted }, 44, true, { 1, 2, 3, 4, 5, 6 } } },
+        .ramps_
+        = { { { "s", "v2", 5, 9, rollout::RampState::Reverted }, 44, true, { 1, 2, 3, 4, 5, 6, 7, 8 } } },
         .crashes_ = { { { "h1", 3, 1 }, "u1", { 1000 }, { { { 1, 2 }, { 990 } } } } } };
 }
 
@@ -40,6 +45,27 @@
     CHECK(decoded.value() == makeReport());
 }
 
+TEST_CASE("a report without counts of overdue requests is read")
+{
+    // Guards against hosts of two releases that cannot read each other's reports.
+    const std::string bytes = encodeReport(makeReport());
+    nlohmann::json value = nlohmann::json::from_cbor(bytes);
+    const nlohmann::json counts { 1, 2, 3, 4, 5, 6, 7, 8 };
+    const std::function<void(nlohmann::json&)> shorten = [&](nlohmann::json& part) {
+        if (part == counts)
+            part = { 1, 2, 3, 4, 5, 6 };
+        else if (part.is_array())
+            std::for_each(part.begin(), part.end(), shorten);
+    };
+    shorten(value);
+    std::string earlier;
+    nlohmann::json::to_cbor(value, earlier);
+    REQUIRE(earlier.size() < bytes.size());
+    const auto decoded = decodeReport(earlier);
+    REQUIRE(decoded);
+    CHECK(decoded.value().ramps_[0].counts_ == rollout::RampCounts { 1, 2, 3, 4, 5, 6 });
+}
+
 TEST_CASE("damaged reports are rejected without a crash")
 {
     const std::string bytes = encodeReport(makeReport());
--- a/test/gateway/rollouts-test.cc
+++ b/test/gateway/rollouts-test.cc
@@ -77,6 +77,25 @@
     CHECK(bad);
 }
 
+TEST_CASE("overdue requests of all hosts keep a version from passing, until they are answered")
+{
+    // Guards against a verdict from the fastest answers only, and against overdue counts that outlive the
+    // requests.
+    Rollouts rollouts;
+    mergeRamp(rollouts, makeRamp(), 5, 10);
+    for (int i = 0; i < 400; ++i)
+        countAnswer(rollouts, "s", i < 40 ? "v2" : "v1", false, false);
+    HostReport peer;
+    peer.ramps_ = { { makeRamp(), 5, false, { .newOverdue_ = 6 } } };
+    countOverdue(rollouts, { { "s", "v2" }, { "s", "v2" }, { "s", "v1" }, { "other", "v2" } });
+    evaluateRamps(rollouts, { &peer });
+    CHECK(rollouts.ramps_["s"].evidence_ == rollout::RampEvidence::Unproven);
+    countOverdue(rollouts, {});
+    peer.ramps_[0].counts_.newOverdue_ = 0;
+    evaluateRamps(rollouts, { &peer });
+    CHECK(rollouts.ramps_["s"].evidence_ == rollout::RampEvidence::Sound);
+}
+
 TEST_CASE("a ramp is the same after encoding and decoding, and damaged rows are errors")
 {
     const auto decoded = decodeRamp(encodeRamp(makeRamp(RampState::Complete), 7));
--- a/test/rollout/ramp-test.cc
+++ b/test/rollout/ramp-test.cc
@@ -6,7 +6,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
+#include <vector>
 
 using namespace turmericwing;
 using namespace turmericwing::rollout;
@@ -179,6 +181,123 @@
     CHECK(overBound > 20);
 }
 
+namespace {
+
+/// Result of a simulated ramp at a service with 168 requests/s on 85 hosts.
+struct FleetOutcome {
+    uint64_t exposed_ = 0;
+    uint64_t requests_ = 0;
+    RampState end_ = RampState::Running; ///< At the deadline.
+};
+
+/// Milliseconds until the response of a version that needs 2.8 s for an object that it does not hold, twice
+/// as long on upstreams that have just started, and about 1 s for one that it holds.
+int64_t workMs(Random& random, bool hasColdCaches)
+{
+    const double kind = uniform(random);
+    const double spread = uniform(random);
+    if (kind < (hasColdCaches ? 0.45 : 0.94))
+        return static_cast<int64_t>(700 + 500 * spread);
+    if (kind < (hasColdCaches ? 0.95 : 0.99))
+        return static_cast<int64_t>(2200 + 1300 * spread);
+    return static_cast<int64_t>(5000 + 2000 * spread);
+}
+
+/// Simulates a ramp whose new version needs six times as long for a fraction `slowPart` of its requests.
+FleetOutcome simulateFleet(int64_t fleetSpanMs, double slowPart, uint64_t seed)
+{
+    constexpr int64_t reportMs = 500; ///< Between reports of a host; the other hosts know counts this old.
+    constexpr int64_t overdueMs = 3000; ///< Age from which hosts count an unanswered request as overdue.
+    constexpr int64_t slowMs = 8000; ///< Age from which hosts count it as slow.
+    constexpr int64_t timeoutMs = 15'000;
+    constexpr int64_t slowFactor = 6;
+    constexpr double requestsPerPeriod = 16.8;
+    struct Sent {
+        int64_t at_ = 0;
+        int64_t answeredAt_ = 0;
+        bool toNew_ = false;
+    };
+    const Ramp ramp { "service", "v2", 1000, 1000 + fleetSpanMs };
+    Random random(seed);
+    RampTests tests;
+    std::vector<Sent> requests;
+    FleetOutcome outcome;
+    for (int64_t at = 0; at < fleetSpanMs; at += periodMs) {
+        const int64_t reportedAt = at - at % reportMs;
+        RampCounts counts;
+        for (const Sent& sent : requests) {
+            const int64_t slowAt = sent.at_ + slowMs;
+            if (reportedAt >= std::min(sent.answeredAt_, slowAt)) {
+                (sent.toNew_ ? counts.new_ : counts.old_) += 1;
+                (sent.toNew_ ? counts.newSlow_ : counts.oldSlow_) += sent.answeredAt_ > slowAt ? 1 : 0;
+            } else if (reportedAt >= sent.at_ + overdueMs) {
+                (sent.toNew_ ? counts.newOverdue_ : counts.oldOverdue_) += 1;
+            }
+        }
+        const RampEvidence evidence = assessEvidence(counts);
+        if (outcome.end_ == RampState::Running)
+            outcome.end_ = updateRampTests(tests, counts) ? RampState::Reverted
+                                                          : rampEnd(ramp, ramp.startMs_ + at, 3, evidence);
+        const double share = outcome.end_ == RampState::Reverted ? 0
+            : outcome.end_ == RampState::Complete                ? 1
+                                                  : rampShare(ramp, ramp.startMs_ + at, evidence);
+        for (double due = requestsPerPeriod; due > 0; --due) {
+            if (due < 1 && uniform(random) >= due)
+                break;
+            const bool toNew = uniform(random) < share;
+            const bool slow = toNew && uniform(random) < slowPart;
+            const int64_t work = workMs(random, toNew) * (slow ? slowFactor : 1);
+            requests.push_back({ at, at + std::min(work, timeoutMs), toNew });
+            outcome.exposed_ += toNew ? 1 : 0;
+            ++outcome.requests_;
+        }
+    }
+    return outcome;
+}
+
+} // namespace
+
+TEST_CASE("a version that is slow for a part of its requests does not pass on the answers of the others")
+{
+    // The answers that arrived first were those of the fast requests: the version passed as sound after 7 s,
+    // got all requests and was completed. It got 690 of about 2,320 requests, where 282 were allowed.
+    for (uint64_t seed = 1; seed <= 40; ++seed) {
+        for (const double slowPart : { 0.4, 0.5, 1.0 }) {
+            const FleetOutcome outcome = simulateFleet(13'800, slowPart, seed);
+            INFO("seed ", seed, ", slow part ", slowPart, ": ", outcome.exposed_, " of ", outcome.requests_);
+            CHECK(outcome.end_ == RampState::Reverted);
+            CHECK(static_cast<double>(outcome.exposed_) <= 0.1 * static_cast<double>(outcome.requests_));
+        }
+    }
+}
+
+TEST_CASE("a good version with cold caches completes by its deadline, though its first answers take seconds")
+{
+    // Guards against overdue requests that are held against every version whose upstreams have just started.
+    for (uint64_t seed = 1; seed <= 40; ++seed) {
+        for (const int64_t fleetSpanMs : { 12'000, 13'800, 16'000 }) {
+            const FleetOutcome outcome = simulateFleet(fleetSpanMs, 0, seed);
+            INFO("seed ", seed, ", ", fleetSpanMs, " ms: ", outcome.exposed_, " of ", outcome.requests_);
+            CHECK(outcome.end_ == RampState::Complete);
+        }
+    }
+}
+
+TEST_CASE("a version without evidence gets all requests before the deadline only if there are few")
+{
+    // A version of which no answer had arrived got all requests in the last fifth of the time.
+    const Ramp ramp = makeRamp();
+    const int64_t late = ramp.startMs_ + spanMs * 85 / 100;
+    const RampEvidence few = assessEvidence({ .old_ = 150 });
+    CHECK(few == RampEvidence::Undecided);
+    CHECK(rampShare(ramp, late, few) == 1);
+    const RampEvidence many = assessEvidence({ .old_ = 2000 });
+    CHECK(many == RampEvidence::Unproven);
+    CHECK(rampShare(ramp, late, many) <= 0.1);
+    CHECK(rampEnd(ramp, late, 3, many) == RampState::Running);
+    CHECK(rampEnd(ramp, ramp.startMs_ + spanMs * 91 / 100, 3, many) == RampState::Reverted);
+}
+
 TEST_CASE("counts that decrease when a host restarts are no evidence")
 {
     RampTests tests;
