Let a retry wait for another upstream than the one that failed

Cause: a host that has no slots of its own borrows one for each attempt. The retry asked the lenders of both upstreams and took the first loan that arrived, also that of the upstream which the request had just crashed. A request is quarantined only once it has crashed two upstreams, so a third attempt followed.

A retry now waits for a slot of another upstream in service, until half of the time left for it has passed, and only then returns to the failed one. An upstream that is ejected, draining, paused or beyond its link's budget is not waited for.

--- a/include/turmericwing/routing/choice.h
+++ b/include/turmericwing/routing/choice.h
@@ -114,6 +114,8 @@
     std::string region_; ///< Region of this host.
     double bytes_ = 0; ///< Expected size of request and response, for the link budget.
     std::string except_; ///< Upstream of the failed attempt; used only if there is no other.
+    /// Whether an upstream that is in service, but has no free slot, counts as another one.
+    bool waitForOther_ = false;
 };
 
 /// Returns the name of an upstream with a free slot, or nullopt if there is none. `links` holds the budgets
--- a/src/host/dispatch.cc
+++ b/src/host/dispatch.cc
@@ -242,8 +242,11 @@
     }
 
     void applyService(const Snapshot& snapshot, const std::string& service);
-    /// Chooses an upstream and acquires one of its slots; empty when none is free.
-    std::optional<Assignment> tryAssign(detail::ServiceShard&, const DispatchRequest&);
+    /// Chooses an upstream and acquires one of its slots; empty when none is free. Before
+    /// `waitForOtherUntil`, a retry does not take a slot of the upstream of the last attempt while another
+    /// one is in service.
+    std::optional<Assignment> tryAssign(
+        detail::ServiceShard&, const DispatchRequest&, TimePoint waitForOtherUntil);
     size_t concurrency(detail::ServiceShard&, const std::string& queueKey) const;
     void updateAdmission(detail::ServiceShard&, const std::string& queueKey, const limits::AdmissionChanges&);
     /// Records loan requests in the slot table; the caller must send them.
@@ -337,7 +340,7 @@
 }
 
 std::optional<Assignment> DispatchState::tryAssign(
-    detail::ServiceShard& shard, const DispatchRequest& request)
+    detail::ServiceShard& shard, const DispatchRequest& request, TimePoint waitForOtherUntil)
 {
     const TimePoint now = monotonicNow();
     const TimePoint leaseEnd = shared_.leaseEnd();
@@ -354,8 +357,10 @@
         const auto& state = shard.choice_.upstreams_.at(name);
         counts.push_back({ name, free + state.inFlight_, free });
     }
-    routing::ChoiceRequest choice { request.service_, region_, 0,
-        request.exclude_.empty() ? std::string() : request.exclude_.back() };
+    const routing::ChoiceRequest choice { .service_ = request.service_,
+        .region_ = region_,
+        .except_ = request.exclude_.empty() ? std::string() : request.exclude_.back(),
+        .waitForOther_ = now < waitForOtherUntil };
     const auto chosen
         = routing::chooseUpstream(shard.choice_, now, choice, counts, shard.links_, shard.random_);
     if (!chosen)
@@ -468,8 +473,11 @@
     waiter.started_ = decision == limits::AdmissionDecision::Start;
     std::optional<Assignment> assignment;
     const TimePoint latestStart = request.deadline_ - typicalServiceTime;
+    // A request that crashed one upstream is quarantined only once it has crashed another. A loan of a slot
+    // of the same upstream must not come first and have it crash there again.
+    const TimePoint waitForOtherUntil = now + (latestStart - now) / 2;
     while (!waiter.refused_) {
-        if (waiter.started_ && (assignment = state_->tryAssign(*shard, request)))
+        if (waiter.started_ && (assignment = state_->tryAssign(*shard, request, waitForOtherUntil)))
             break;
         if (monotonicNow() >= latestStart)
             break;
--- a/src/routing/choice.cc
+++ b/src/routing/choice.cc
@@ -208,26 +208,33 @@
     };
     // In order of preference: own region, other regions, the upstream of the failed attempt.
     std::vector<Candidate> tiers[3];
+    bool otherInService = false;
     for (const SlotCount& count : slots) {
         const auto found = table.upstreams_.find(count.upstream_);
-        if (found == table.upstreams_.end() || count.free_ == 0)
+        if (found == table.upstreams_.end())
             continue;
         const UpstreamState& upstream = found->second;
         if (upstream.service_ != request.service_ || upstream.drain_.any() || isEjected(upstream, now)
             || now < upstream.pausedUntil_)
             continue;
-        const uint32_t bound = effectiveBound(table, upstream, now, count.held_);
-        if (upstream.inFlight_ >= bound)
-            continue;
         const bool local = upstream.region_ == request.region_;
         if (!local) {
             const auto link = links.find(upstream.region_);
             if (link == links.end() || !linkAllows(link->second, now, request.bytes_))
                 continue;
         }
+        const bool failedBefore = upstream.name_ == request.except_;
+        otherInService = otherInService || !failedBefore;
+        if (count.free_ == 0)
+            continue;
+        const uint32_t bound = effectiveBound(table, upstream, now, count.held_);
+        if (upstream.inFlight_ >= bound)
+            continue;
         const double score = table.options_.useLoad_ ? detail::score(table, upstream, now, bound, mean) : 1;
-        tiers[upstream.name_ == request.except_ ? 2 : (local ? 0 : 1)].push_back({ &upstream, score });
+        tiers[failedBefore ? 2 : (local ? 0 : 1)].push_back({ &upstream, score });
     }
+    if (request.waitForOther_ && otherInService)
+        tiers[2].clear();
     for (std::vector<Candidate>& tier : tiers) {
         if (tier.empty())
             continue;
--- a/test/routing/choice-test.cc
+++ b/test/routing/choice-test.cc
@@ -57,6 +57,27 @@
 
 } // namespace
 
+TEST_CASE("a retry can wait for a slot of another upstream than that of the failed attempt")
+{
+    // A request that crashes upstreams went back to the first one, whose lent slot arrived first, and ran a
+    // third time before it was quarantined.
+    ChoiceTable table = tableOf(2);
+    const auto retry = [&](uint32_t freeElsewhere, bool waitForOther) {
+        Random random(1);
+        return chooseUpstream(table, start,
+            { .service_ = "s", .region_ = "r", .except_ = "u0", .waitForOther_ = waitForOther },
+            { { "u0", 3, 3 }, { "u1", 3, freeElsewhere } }, {}, random);
+    };
+    CHECK(retry(1, true) == "u1");
+    CHECK(retry(0, true) == std::nullopt);
+    CHECK(retry(0, false) == "u0");
+    // An upstream that takes no requests is not waited for.
+    auto drain = table.upstreams_.at("u1").drain_;
+    drain.list_ = true;
+    setDrain(table, start, "u1", drain);
+    CHECK(retry(0, true) == "u0");
+}
+
 TEST_CASE("the least loaded upstream with a free slot is chosen")
 {
     // Guards against sending all requests to one upstream while others are idle.
