Let the rig's caller send a request to one host after a kill

No caller of the product is affected: the fault is in the rig's count, the tokens were right.

Cause: when a host was killed while a request was still on its way to it, the rig's caller went on to the next host at once, and a second time when the request arrived at the dead host. The request waited at two hosts. The first one spent a token for it; at the second it already carried one, so that no token was taken, but one more was counted. Grants after the restart were ruled out: the only holder of the share, darna-08, was up all the time.

A delivery is now dropped if the caller has gone on meanwhile.

--- a/test/scenario/rig-requests.cc
+++ b/test/scenario/rig-requests.cc
@@ -68,6 +68,9 @@
     r->hosts_.erase(r->hosts_.begin());
     r->at_ = name;
     post(detail::clientDelay, [this, r, name] {
+        // The host was killed while the request was on its way, and the caller has gone on to another one.
+        if (r->done_ || r->at_ != name)
+            return;
         Host& h = hosts_.at(name);
         if (!h.up_) {
             post(detail::clientDelay, [this, r] { toHost(r); });
