--- a/include/turmericwing/gateway/rollouts.h
+++ b/include/turmericwing/gateway/rollouts.h
@@ -87,6 +87,15 @@
 /// Counts an answer as evidence for `version`. Does nothing if the service has no running ramp.
 void countAnswer(Rollouts&, const std::string& service, const std::string& version, bool failed, bool slow);
 
+/// An unanswered request that has taken longer than usual, as evidence for a version.
+struct OverdueRequest {
+    std::string service_;
+    std::string version_;
+};
+
+/// Replaces the counts of overdue requests of all running ramps.
+void countOverdue(Rollouts&, const std::vector<OverdueRequest>&);
+
 /// Whether any service has a running ramp.
 bool hasRunningRamp(const Rollouts&);
 
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -22,7 +22,7 @@
     json encode(const rollout::RampCounts& counts)
     {
         return json::array({ counts.new_, counts.newFailed_, counts.newSlow_, counts.old_, counts.oldFailed_,
-            counts.oldSlow_ });
+            counts.oldSlow_, counts.newOverdue_, counts.oldOverdue_ });
     }
 
     using RegionValues = std::vector<std::pair<uint32_t, double>>;
@@ -77,7 +77,13 @@
     rollout::RampCounts decodeCounts(const json& value)
     {
         const auto count = [&](size_t index) { return countValue<uint64_t>(value.at(index)); };
-        return { count(0), count(1), count(2), count(3), count(4), count(5) };
+        rollout::RampCounts counts { count(0), count(1), count(2), count(3), count(4), count(5) };
+        // Hosts of earlier releases do not report overdue requests.
+        if (value.size() > 7) {
+            counts.newOverdue_ = count(6);
+            counts.oldOverdue_ = count(7);
+        }
+        return counts;
     }
 
     RampReport decodeRamp(const json& value)
@@ -91,7 +97,7 @@
             .foundBad_ = value.at(6),
             .counts_ = decodeCounts(value.at(7)),
             // Hosts of an earlier release do not send it.
-            .orderEra_ = value.size() > 8 ? value.at(8).get<uint64_t>() : 0 };
+            .orderEra_ = value.size() > 8 ? countValue<uint64_t>(value.at(8)) : 0 };
     }
 
     routing::CrashReport decodeCrash(const json& value)
