--- a/src/gateway/orders.cc
+++ b/src/gateway/orders.cc
@@ -35,7 +35,7 @@
         directory.evacuated_.erase(domain);
     for (const std::string& service : orders.rollouts_)
         rollouts.orders_.erase(service);
-    const std::vector<std::string> ended(orders.evacuations_.begin(), orders.evacuations_.end());
+    std::vector<std::string> ended(orders.evacuations_.begin(), orders.evacuations_.end());
     orders = {};
     return ended;
 }
