Test that hosts at different eras of the store agree on a ramp

It passes; it guards against reports of peers that are left out, or a ramp that starts anew, while only some hosts know that the store was restored.

--- a/test/gateway/rollouts-test.cc
+++ b/test/gateway/rollouts-test.cc
@@ -135,3 +135,37 @@
     addOrder(rollouts, now + std::chrono::seconds(2), { { "s", "v3", std::chrono::seconds(16) }, 60, 2 });
     CHECK(unstartedOrders(rollouts, now + std::chrono::seconds(10)).empty());
 }
+
+TEST_CASE("hosts that learn of a restore at different times agree on a ramp")
+{
+    // Guards against counts of peers that are left out, and against a ramp that starts anew on one host.
+    const OrderRecord order { { "s", "v2", std::chrono::seconds(16) }, 90, 1 };
+    OrderRecord again = order;
+    again.rowVersion_ = 40;
+    again.era_ = 2;
+    std::vector<Rollouts> hosts(2);
+    const auto exchange = [&] {
+        for (size_t i : { 0, 1 }) {
+            for (const RampReport& report : rampReports(hosts[1 - i]))
+                mergeRamp(hosts[i], { report.ramp_, report.orderVersion_, report.orderEra_ });
+        }
+    };
+    for (Rollouts& host : hosts) {
+        addOrder(host, now, order);
+        mergeRamp(host, { makeRamp(), 90, 1 });
+    }
+    onStoreRestored(hosts[1], now);
+    addOrder(hosts[1], now, again);
+    HostReport report { .ramps_ = rampReports(hosts[1]) };
+    report.ramps_[0].foundBad_ = true;
+    CHECK(evaluateRamps(hosts[0], { &report }) == std::vector<std::string> { "s" });
+    exchange();
+    onStoreRestored(hosts[0], now + std::chrono::seconds(1));
+    mergeRamp(hosts[1], { makeRamp(RampState::Reverted), 40, 2 });
+    exchange();
+    addOrder(hosts[0], now + std::chrono::seconds(2), again);
+    for (const Rollouts& host : hosts) {
+        CHECK(unstartedOrders(host, now + std::chrono::seconds(10)).empty());
+        CHECK(host.ramps_.at("s").ramp_ == makeRamp(RampState::Reverted));
+    }
+}
