Rename one call and move comments that the formatter had broken

The read-through of the change: heedNotice becomes applyUpstreamNotice, and comments beside members that were wrapped into fragments stand above them.

--- a/include/turmericwing/gateway/answerbudget.h
+++ b/include/turmericwing/gateway/answerbudget.h
@@ -14,8 +14,8 @@
     /// take twice its size for a moment.
     uint64_t limit_ = uint64_t { 40 } << 20;
     uint64_t heldBytes_ = 0; ///< Of unfinished answers, and of complete ones that are not yet sent on.
-    std::unordered_map<uint64_t, uint64_t>
-        unfinished_ {}; ///< Bytes of each unfinished answer, by its number.
+    /// Bytes of each unfinished answer, by its number.
+    std::unordered_map<uint64_t, uint64_t> unfinished_ {};
 };
 
 /// Sets the bytes that an unfinished answer holds.
--- a/include/turmericwing/rollout/ramp.h
+++ b/include/turmericwing/rollout/ramp.h
@@ -30,9 +30,8 @@
 /// What the responses so far show about the new version. With few requests, or with late responses, the steps
 /// would shift all requests before there is enough evidence for a decision.
 enum class RampEvidence {
-    /// Too few responses to exclude that it fails or is slow far more often than the old one, at a service
-    /// with so
-    /// few requests that even all of its last ones stay within what users tolerate.
+    /// Too few responses to exclude that it fails or is slow far more often than the old one. The service has
+    /// so few requests that even all of its last ones stay within what users tolerate.
     Undecided,
     Unproven, ///< Like Undecided, at a service with more requests.
     Suspect, ///< Not excluded either, and some responses have failed or were slow.
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -122,7 +122,7 @@
     void prepareColdBucket(ServicePool&, size_t index, TimePoint now);
     void onCallResult(const PendingRequestPtr&, UpstreamAnswer);
     void onResponse(const PendingRequestPtr&, Response, double observedSeconds);
-    void heedNotice(const PendingRequest&, const Response&);
+    void applyUpstreamNotice(const PendingRequest&, const Response&);
     void logFaultOnce(const PendingRequest&, const std::string& fault);
     std::optional<TimePoint> pauseEnd(const PendingRequest&, TimePoint now);
     void onNotRun(const PendingRequestPtr&, const Response&);
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -114,7 +114,7 @@
 {
     const TimePoint now = monotonicNow();
     const HeaderNames& names = state_.protocol_.headers_;
-    heedNotice(*pending, response);
+    applyUpstreamNotice(*pending, response);
     const UpstreamRef ref = findUpstream(state_.directory_, pending->currentUpstream_);
     // Without an id in the request, nothing shows that the statement is about this request.
     const bool notRun = !pending->requestId_.empty()
@@ -161,7 +161,7 @@
 
 /// Applies what the answer says about the state of its upstream. The answer of a misdirected request comes
 /// from another process, and an answer to a request without an id cannot be attributed.
-void Dispatcher::Core::heedNotice(const PendingRequest& pending, const Response& response)
+void Dispatcher::Core::applyUpstreamNotice(const PendingRequest& pending, const Response& response)
 {
     if (pending.requestId_.empty() || response.status_ == state_.protocol_.misdirectedStatus_)
         return;
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -33,8 +33,8 @@
 namespace detail {
 
     constexpr size_t readBufferBytes = 65536;
-    constexpr uint32_t maxAnswerHeadBytes
-        = 65536; ///< Also of a chunk's size and extension, and of a trailer.
+    /// Limit of a head, of a chunk's size with its extension, and of a trailer.
+    constexpr uint32_t maxAnswerHeadBytes = 65536;
     constexpr uint64_t maxFramingRatio = 16; ///< Bytes of chunk framing for each byte of a body.
     constexpr int maxSkippedAnswers = 16; ///< Interim answers and answers to other requests, in one call.
     constexpr size_t maxRefusedIds = 64; ///< Refused requests after which a connection is not reused.
@@ -68,8 +68,8 @@
     struct IdleConnection {
         tcp::socket socket_;
         TimePoint usableUntil_ {}; ///< The upstream may close the connection soon after.
-        std::vector<uint64_t>
-            refusedIds_; ///< Hashes of the ids of requests that failed or were refused on it.
+        /// Hashes of the ids of requests that failed or were refused on it.
+        std::vector<uint64_t> refusedIds_;
     };
 
     /// Whether an idle connection has nothing to read. Otherwise the upstream has closed it, or sent bytes
