--- a/test/gateway/drain-live-test.cc
+++ b/test/gateway/drain-live-test.cc
@@ -62,6 +62,7 @@
 
 } // namespace
 
+// Guards against work that begins when the process is about to end, and is cut without an answer.
 TEST_CASE("a request read late in a graceful stop is refused as not run, not passed on and cut")
 {
     Fixture fixture;
@@ -81,6 +82,7 @@
     CHECK(upstream.requests_ == 0);
 }
 
+// Guards against a connection that closes without an answer as the process ends.
 TEST_CASE("a request that still runs when a graceful stop ends gets an answer without a promise")
 {
     Fixture fixture;
@@ -98,6 +100,7 @@
     CHECK(eventually([&] { return upstream.callerDisconnected_.load(); }));
 }
 
+// Guards against requests that are held until the process ends, and then get neither answer nor refusal.
 TEST_CASE("a request that waits for an upstream during a graceful stop is refused as not run")
 {
     Fixture fixture;
