Exchange summaries between failure domains in place of reports of all hosts

Cause: every host sent its report to every other host, 38,000 messages a round at 195 hosts. Because of the limits on reports received, the interval between regions grew to 2.8 s, beyond the 1.5 s for which a report counts, so that live hosts counted as dead in between.

Ruled out: requests themselves (0.022 GB remain with the same traffic), reading of the store through relays (unchanged here).

Change: from 24 hosts on, a host reports within its failure domain only. Its aggregator, the first live host by rendezvous hashing, sends the sums to one host of each other failure domain, which forwards them there. Admission counts are sums since the aggregator's start; a receiver begins anew with another aggregator, so that nothing is counted twice. The list of hosts in the store names their location. Messages between hosts moved from gateway.cc to reporter.cc, with counters of their bytes.

--- a/include/turmericwing/gateway/fleet.h
+++ b/include/turmericwing/gateway/fleet.h
@@ -1,9 +1,12 @@
-// Membership of the fleet as this host sees it. A host counts as alive while its reports arrive; the store's
-// list of hosts only provides the first addresses to send reports to.
+// Membership of the fleet as this host sees it. A host counts as alive while its reports arrive, or while the
+// summaries of its failure domain name it; the store's list of hosts only provides the first addresses to
+// send to.
 #pragma once
 
+#include "turmericwing/base/random.h"
 #include "turmericwing/base/time.h"
 #include "turmericwing/gateway/report.h"
+#include "turmericwing/gateway/summary.h"
 
 #include <map>
 #include <string>
@@ -17,24 +20,63 @@
     Duration reportLifetime_ = std::chrono::milliseconds(1500);
     /// A host is removed from the store's list when it has not been alive for this long.
     Duration removalDelay_ = std::chrono::seconds(12);
+    /// Number of registered hosts, including this one, from which failure domains exchange summaries.
+    size_t minSummaryHosts_ = 24;
+    /// Time after a summary for which it and its members count as alive. Covers the change to another
+    /// aggregator, which takes a report's lifetime and one interval of summaries.
+    Duration summaryLifetime_ = std::chrono::milliseconds(3500);
+    /// Silence of a failure domain's aggregator after which a summary of another one is accepted. Less than
+    /// the time in which the members notice that it has ended.
+    Duration takeoverDelay_ = std::chrono::milliseconds(1300);
 };
 
 struct Peer {
     Address peerAddress_;
     TimePoint registeredAt_ {}; ///< When this host first learned of the peer.
     TimePoint aliveUntil_ {}; ///< End of the lifetime of its last report.
-    HostReport report_; ///< Last report received; empty before the first.
+    /// Last report received. Before the first one, or if the host is known by summaries only, it has no load.
+    HostReport report_;
+};
+
+/// Last summary accepted of another failure domain.
+struct DomainView {
+    DomainSummary summary_;
+    TimePoint receivedAt_ {};
+    TimePoint aliveUntil_ {};
 };
 
 struct Fleet {
     std::string self_; ///< Name of this host.
+    std::string failureDomain_ {}; ///< Of this host.
     FleetOptions options_ {};
     std::map<std::string, Peer> peers_ {}; ///< By name, without this host.
+    std::map<std::string, DomainView> domains_ {}; ///< By failure domain, without that of this host.
+};
+
+/// Where a host runs, as its row in the store's list says. Both are empty if the row does not say.
+struct HostLocation {
+    std::string region_;
+    std::string failureDomain_;
+    friend bool operator==(const HostLocation&, const HostLocation&) = default;
+};
+
+/// A host's row in the store's list.
+struct HostRow {
+    Address peerAddress_;
+    HostLocation location_;
+    friend bool operator==(const HostRow&, const HostRow&) = default;
 };
 
+/// Encodes the value of a row: address, region and failure domain, separated by spaces.
+std::string encodeHostRow(const HostRow&);
+
+/// Decodes the value of a row; hosts of earlier releases write the address only. Errors: Invalid.
+Result<HostRow> decodeHostRow(const std::string& value);
+
 /// Adds a host from the store's list, or updates its address; its last report is kept. Ignores this host
 /// itself.
-void registerPeer(Fleet&, TimePoint now, const std::string& name, const Address& peerAddress);
+void registerPeer(
+    Fleet&, TimePoint now, const std::string& name, const Address& peerAddress, const HostLocation& = {});
 
 /// Removes a host unless it is alive.
 void unregisterPeer(Fleet&, TimePoint now, const std::string& name);
@@ -43,10 +85,52 @@
 /// stored report, if the report is not newer than the last one, has no name, or is this host's own.
 bool receiveReport(Fleet&, TimePoint now, const HostReport&);
 
+/// Stores the summary of another failure domain and registers its members; members that it no longer names
+/// are not alive any more. Returns false, without effect, if it is of this host's own failure domain, not
+/// newer than the last one of the same aggregator, or of another aggregator while that of the last one has
+/// neither been silent for `takeoverDelay_` nor begun to leave. Two hosts that both aggregate thus never
+/// alternate.
+bool receiveSummary(Fleet&, TimePoint now, const DomainSummary&);
+
 /// Whether the peer is alive: its last report has not expired.
 inline bool isAlive(const Peer& peer, TimePoint now) { return now < peer.aliveUntil_; }
 
-/// Returns the last reports of the peers that are alive and not leaving.
+/// Whether the fleet is large enough for failure domains to exchange summaries instead of reports.
+inline bool usesSummaries(const Fleet& fleet)
+{
+    return fleet.peers_.size() + 1 >= fleet.options_.minSummaryHosts_;
+}
+
+/// Whether this host sends its reports to the peer. In a large fleet it does within its failure domain, and
+/// where the peer's failure domain is not known.
+bool receivesReports(const Fleet&, const Peer&);
+
+/// Whether this host aggregates the reports of its failure domain: the first by rendezvous hashing of the
+/// hosts that are alive there and not leaving. `leaving`: this host is leaving.
+bool isAggregator(const Fleet&, TimePoint now, bool leaving);
+
+/// Another failure domain, and a host of it that receives the summaries of this one and forwards them.
+struct SummaryTarget {
+    std::string failureDomain_;
+    std::string region_;
+    Address peerAddress_;
+};
+
+/// Returns one target for each other failure domain: its aggregator while its summaries arrive. Else it
+/// returns two targets at random among the hosts that are registered there, as any of them may be gone.
+std::vector<SummaryTarget> summaryTargets(const Fleet&, TimePoint now, Random&);
+
+/// Returns the reports and sums that together hold the load of all live peers, each once: the reports of live
+/// peers whose failure domain has no live summary, and the live summaries. `leaving`: with those of peers
+/// that are leaving, whose requests still run.
+enum class LeavingPeers { Included, Excluded };
+std::vector<const HostReport*> loadReports(const Fleet&, TimePoint now, LeavingPeers leaving);
+
+/// Whether the peer's load is part of a live summary.
+bool isSummarised(const Fleet&, const Peer&, TimePoint now);
+
+/// Returns the last reports of the peers that are alive and not leaving. Those of other failure domains may
+/// have no load.
 std::vector<const HostReport*> activeReports(const Fleet&, TimePoint now);
 
 /// Returns the number of registered peers that are not alive.
--- a/include/turmericwing/gateway/quotas.h
+++ b/include/turmericwing/gateway/quotas.h
@@ -26,18 +26,35 @@
     std::unordered_map<uint32_t, PeerDemand> workspaces_; ///< By shortHash of the name.
 };
 
-/// Demand of a workspace as this host last reported it to its peers.
+/// Demand of a workspace as this host last reported it.
 struct ReportedDemand {
     uint32_t admitted_ = 0; ///< Requests since this host's start; wraps around.
     double rate_ = 0; ///< Requests/s.
 };
 
+/// Demand of a workspace at the peers in this host's failure domain.
+struct DomainDemand {
+    uint32_t admitted_ = 0; ///< Requests of which this host has heard since its start; wraps around.
+    double rate_ = 0; ///< Requests/s.
+};
+
+/// Receivers that get the same messages. Each stream has its own record of what was reported in it.
+enum class ReportStream {
+    Hosts, ///< Reports of this host.
+    NearDomains, ///< Summaries for failure domains of this host's region.
+    FarDomains, ///< Summaries for failure domains of other regions.
+};
+
+using ReportedDemands = std::map<std::string, ReportedDemand>; ///< By workspace.
+
 /// Rate limiting state of all limited workspaces.
 struct Quotas {
     limits::FleetQuotaOptions options_ {};
     std::map<std::string, limits::FleetQuota> workspaces_ {}; ///< By name.
-    std::map<std::string, PeerDemands> peerDemands_ {}; ///< By name of the peer.
-    std::map<std::string, ReportedDemand> reported_ {}; ///< By workspace.
+    std::map<std::string, PeerDemands> peerDemands_ {}; ///< From reports, by name of the peer.
+    std::map<std::string, PeerDemands> summaryDemands_ {}; ///< From summaries, by failure domain.
+    std::unordered_map<uint32_t, DomainDemand> domainDemands_ {}; ///< By shortHash of the workspace's name.
+    std::map<ReportStream, ReportedDemands> reported_ {};
 };
 
 /// Returns whether a request of the workspace is admitted, and counts it if so.
@@ -52,9 +69,10 @@
 /// Adds the admissions and demands that peers reported, and applies the limits of the configuration.
 void updateQuotas(Quotas&, TimePoint now, const Configuration&, const Fleet&);
 
-/// Demands for the next report of this host: workspaces whose demand changed, and the others in turn, so that
-/// peers recover from lost reports. Records what was reported.
-std::vector<Demand> takeDemandsToReport(Quotas&, uint64_t sequence);
+/// Demands for the next message of a stream: workspaces whose demand changed, and the others in turn, so that
+/// receivers recover from lost messages. Summaries hold the demands of the failure domain, reports those of
+/// this host. Records what was reported.
+std::vector<Demand> takeDemandsToReport(Quotas&, uint64_t sequence, ReportStream = ReportStream::Hosts);
 
 /// Whether a workspace is near its rate, so that peers need this host's admissions sooner than by the next
 /// regular report.
--- a/include/turmericwing/gateway/report.h
+++ b/include/turmericwing/gateway/report.h
@@ -15,10 +15,11 @@
 
 namespace turmericwing::gateway {
 
-/// Number of the sender's requests that run at one upstream.
+/// Number of requests that run at one upstream.
 struct InFlight {
     uint32_t upstream_ = 0; ///< shortHash of the upstream's id.
     uint32_t count_ = 0;
+    uint32_t hosts_ = 1; ///< Hosts to which these requests belong; more than 1 in a sum over hosts.
     friend auto operator<=>(const InFlight&, const InFlight&) = default;
 };
 
@@ -82,4 +83,6 @@
 /// Decodes a report. The bytes are untrusted: anyone on the network can send them. Errors: Invalid.
 Result<HostReport> decodeReport(const std::string& bytes);
 
+inline constexpr size_t maxReportBytes = 60'000; ///< Upper bound; a UDP datagram cannot hold much more.
+
 } // namespace turmericwing::gateway
--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -113,8 +113,12 @@
 /// are at least two, else those of its region, else all.
 std::vector<std::string> lookupAddresses(const State&, TimePoint now, const LookupQuery&);
 
-/// Report of this host to its peers. Marks the demands of workspaces in it as reported.
-HostReport makeReport(State&, TimePoint now, uint64_t sequence);
+/// Report of this host to its peers. Marks the demands of workspaces in it as reported in the stream.
+HostReport makeReport(State&, TimePoint now, uint64_t sequence, ReportStream = ReportStream::Hosts);
+
+/// Summary of this host and the live peers of its failure domain. Marks the demands of workspaces in it as
+/// reported in the stream.
+DomainSummary makeSummary(State&, TimePoint now, uint64_t sequence, ReportStream);
 
 /// Updates the demand rates since the last call and moves the split of each service towards the one that
 /// matches demand and capacity of the regions, in bounded steps.
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -1,11 +1,87 @@
 // Membership of the fleet as this host sees it.
 #include "turmericwing/gateway/fleet.h"
 
+#include "turmericwing/base/hash.h"
+
 #include <algorithm>
+#include <set>
+#include <sstream>
 
 namespace turmericwing::gateway {
 
-void registerPeer(Fleet& fleet, TimePoint now, const std::string& name, const Address& peerAddress)
+namespace detail {
+
+    constexpr size_t probesPerDomain = 2; ///< Hosts tried in a failure domain that has not been heard.
+
+    bool isDomainAlive(const Fleet& fleet, const std::string& failureDomain, TimePoint now)
+    {
+        const auto view = fleet.domains_.find(failureDomain);
+        return view != fleet.domains_.end() && now < view->second.aliveUntil_;
+    }
+
+    const MemberEntry* findMember(const DomainSummary& summary, const std::string& name)
+    {
+        const auto found = std::find_if(summary.members_.begin(), summary.members_.end(),
+            [&](const MemberEntry& member) { return member.name_ == name; });
+        return found == summary.members_.end() ? nullptr : &*found;
+    }
+
+    /// Whether a summary may replace the last one of its failure domain.
+    bool replaces(
+        const FleetOptions& options, TimePoint now, const DomainSummary& summary, const DomainView& view)
+    {
+        const HostReport& sender = summary.sums_;
+        const HostReport& lastSender = view.summary_.sums_;
+        if (sender.name_ == lastSender.name_)
+            return sender.incarnation_ != lastSender.incarnation_ || sender.sequence_ > lastSender.sequence_;
+        const MemberEntry* last = findMember(summary, lastSender.name_);
+        return now >= view.receivedAt_ + options.takeoverDelay_ || (last && last->leaving_);
+    }
+
+    void registerMember(Fleet& fleet, TimePoint now, const HostReport& sums, const MemberEntry& member)
+    {
+        if (member.name_ == fleet.self_)
+            return;
+        registerPeer(fleet, now, member.name_, member.peerAddress_);
+        Peer& peer = fleet.peers_[member.name_];
+        const bool heardDirectly = isAlive(peer, now) && peer.report_.incarnation_ != 0;
+        peer.aliveUntil_ = std::max(peer.aliveUntil_, now + fleet.options_.summaryLifetime_);
+        if (heardDirectly) {
+            peer.report_.ready_ = member.ready_;
+            peer.report_.leaving_ = member.leaving_;
+            peer.report_.reachesStore_ = member.reachesStore_;
+            return;
+        }
+        peer.report_ = { .name_ = member.name_,
+            .callerAddress_ = member.callerAddress_,
+            .peerAddress_ = member.peerAddress_,
+            .region_ = sums.region_,
+            .failureDomain_ = sums.failureDomain_,
+            .ready_ = member.ready_,
+            .leaving_ = member.leaving_,
+            .reachesStore_ = member.reachesStore_ };
+    }
+
+} // namespace detail
+
+std::string encodeHostRow(const HostRow& row)
+{
+    return addressText(row.peerAddress_) + " " + row.location_.region_ + " " + row.location_.failureDomain_;
+}
+
+Result<HostRow> decodeHostRow(const std::string& value)
+{
+    std::istringstream words(value);
+    std::string address;
+    HostRow row;
+    words >> address >> row.location_.region_ >> row.location_.failureDomain_;
+    BOOST_OUTCOME_TRY(peerAddress, parseAddress(address));
+    row.peerAddress_ = peerAddress;
+    return row;
+}
+
+void registerPeer(Fleet& fleet, TimePoint now, const std::string& name, const Address& peerAddress,
+    const HostLocation& location)
 {
     if (name == fleet.self_)
         return;
@@ -13,6 +89,11 @@
     if (added)
         peer->second.registeredAt_ = now;
     peer->second.peerAddress_ = peerAddress;
+    HostReport& report = peer->second.report_;
+    if (report.failureDomain_.empty()) {
+        report.region_ = location.region_;
+        report.failureDomain_ = location.failureDomain_;
+    }
 }
 
 void unregisterPeer(Fleet& fleet, TimePoint now, const std::string& name)
@@ -36,6 +117,86 @@
     return true;
 }
 
+bool receiveSummary(Fleet& fleet, TimePoint now, const DomainSummary& summary)
+{
+    const HostReport& sums = summary.sums_;
+    if (sums.failureDomain_.empty() || sums.failureDomain_ == fleet.failureDomain_)
+        return false;
+    const auto known = fleet.domains_.find(sums.failureDomain_);
+    if (known != fleet.domains_.end() && !detail::replaces(fleet.options_, now, summary, known->second))
+        return false;
+    fleet.domains_[sums.failureDomain_] = { summary, now, now + fleet.options_.summaryLifetime_ };
+    std::set<std::string> names;
+    for (const MemberEntry& member : summary.members_) {
+        names.insert(member.name_);
+        detail::registerMember(fleet, now, sums, member);
+    }
+    for (auto& [name, peer] : fleet.peers_) {
+        if (peer.report_.failureDomain_ == sums.failureDomain_ && !names.contains(name))
+            peer.aliveUntil_ = std::min(peer.aliveUntil_, now);
+    }
+    return true;
+}
+
+bool receivesReports(const Fleet& fleet, const Peer& peer)
+{
+    const std::string& failureDomain = peer.report_.failureDomain_;
+    return !usesSummaries(fleet) || failureDomain.empty() || failureDomain == fleet.failureDomain_;
+}
+
+bool isAggregator(const Fleet& fleet, TimePoint now, bool leaving)
+{
+    const uint64_t own = rendezvousWeight(fleet.failureDomain_, fleet.self_);
+    return std::none_of(fleet.peers_.begin(), fleet.peers_.end(), [&](const auto& entry) {
+        const auto& [name, peer] = entry;
+        return peer.report_.failureDomain_ == fleet.failureDomain_ && isAlive(peer, now)
+            && !peer.report_.leaving_ && (leaving || rendezvousWeight(fleet.failureDomain_, name) > own);
+    });
+}
+
+std::vector<SummaryTarget> summaryTargets(const Fleet& fleet, TimePoint now, Random& random)
+{
+    std::map<std::string, std::vector<const Peer*>> domains;
+    for (const auto& [name, peer] : fleet.peers_) {
+        const std::string& failureDomain = peer.report_.failureDomain_;
+        if (!failureDomain.empty() && failureDomain != fleet.failureDomain_)
+            domains[failureDomain].push_back(&peer);
+    }
+    std::vector<SummaryTarget> targets;
+    for (const auto& [failureDomain, peers] : domains) {
+        if (detail::isDomainAlive(fleet, failureDomain, now)) {
+            const HostReport& sender = fleet.domains_.at(failureDomain).summary_.sums_;
+            targets.push_back({ failureDomain, sender.region_, sender.peerAddress_ });
+            continue;
+        }
+        for (size_t i = 0; i < std::min(detail::probesPerDomain, peers.size()); ++i) {
+            const Peer& peer = *peers[random() % peers.size()];
+            targets.push_back({ failureDomain, peer.report_.region_, peer.peerAddress_ });
+        }
+    }
+    return targets;
+}
+
+bool isSummarised(const Fleet& fleet, const Peer& peer, TimePoint now)
+{
+    return detail::isDomainAlive(fleet, peer.report_.failureDomain_, now);
+}
+
+std::vector<const HostReport*> loadReports(const Fleet& fleet, TimePoint now, LeavingPeers leaving)
+{
+    std::vector<const HostReport*> reports;
+    for (const auto& [name, peer] : fleet.peers_) {
+        const bool counts = leaving == LeavingPeers::Included || !peer.report_.leaving_;
+        if (isAlive(peer, now) && counts && !isSummarised(fleet, peer, now))
+            reports.push_back(&peer.report_);
+    }
+    for (const auto& [failureDomain, view] : fleet.domains_) {
+        if (now < view.aliveUntil_)
+            reports.push_back(&view.summary_.sums_);
+    }
+    return reports;
+}
+
 std::vector<const HostReport*> activeReports(const Fleet& fleet, TimePoint now)
 {
     std::vector<const HostReport*> reports;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -2,7 +2,7 @@
 #include "turmericwing/gateway/gateway.h"
 
 #include "hostregistry.h"
-#include "peers.h"
+#include "reporter.h"
 #include "rolloutwriter.h"
 #include "statelog.h"
 
@@ -28,11 +28,7 @@
 
 namespace detail {
 
-    /// Interval of ticks, and of reports in a small fleet.
-    constexpr Duration reportInterval = std::chrono::milliseconds(100);
-    /// A large fleet reports less often, so that a host receives about this many reports/s at most.
-    constexpr size_t reportsPerSecond = 200;
-    constexpr size_t remoteReportsPerSecond = 70; ///< The same limit for reports between regions.
+    constexpr Duration tickInterval = reportInterval; ///< Beliefs about peers change with their reports.
     constexpr Duration housekeepingInterval = std::chrono::seconds(1);
     /// Limit of the TTL of lookup answers, besides the configured one.
     constexpr Duration maxLookupLifetime = std::chrono::seconds(3);
@@ -69,15 +65,11 @@
         , state_(makeState(options))
         , upstreamClient_(loop, { .maxHeldAnswerBytes_ = detail::answerMemory(state_.settings_) })
         , dispatcher_(loop, state_, upstreamClient_, metrics_, dispatchOptions_)
-        , peerSocket_(loop, [this](const std::string& bytes) { onReport(bytes); })
+        , reporter_(loop, state_, [this](const HostReport& report) { onPeerReport(report); })
         , relayedStore_(makeRelayedStore(loop, store_, relayOptions_, [this] { return relayChoice_; }))
         , relayServer_(relayOptions_, [this] { return isRelayFresh(); })
         , rolloutWriter_(state_, store_)
-        , hostRegistry_(loop, state_, store_,
-              [this] {
-                  nextReport_ = {};
-                  sendReports(monotonicNow());
-              })
+        , hostRegistry_(loop, state_, store_, [this] { reporter_.sendAtOnce(monotonicNow()); })
         , tickTimer_(loop)
         , housekeepingTimer_(loop)
         , stopTimer_(loop)
@@ -95,7 +87,7 @@
     UpstreamClient upstreamClient_;
     const DispatchOptions dispatchOptions_ {};
     Dispatcher dispatcher_;
-    detail::PeerSocket peerSocket_;
+    detail::Reporter reporter_;
     const RelayOptions relayOptions_ {};
     RelayChoice relayChoice_;
     TableStore relayedStore_; ///< Reads followed tables through a relay if there is one.
@@ -110,9 +102,6 @@
     boost::asio::steady_timer housekeepingTimer_;
     boost::asio::steady_timer stopTimer_;
     std::filesystem::file_time_type settingsModifiedAt_;
-    uint64_t reportSerial_ = 0;
-    TimePoint nextReport_ {};
-    TimePoint nextRemoteReport_ {};
     bool accepting_ = true;
     std::set<std::string> lostTables_;
     UnconfirmedOrders unconfirmedOrders_;
@@ -133,8 +122,7 @@
     void onRollout(const OrderChange&, uint64_t rowVersion);
     void onUpstreams(const TableRead&, bool isFullRead);
     void onUpstream(TimePoint now, const StoredRow&);
-    void onReport(const std::string& bytes);
-    void sendReports(TimePoint now);
+    void onPeerReport(const HostReport&);
     void onTick();
     void onHousekeeping();
     void scheduleTick();
@@ -153,6 +141,7 @@
     state.protocol_ = std::move(options.protocol_);
     state.directory_.regionOf_ = state.settings_.regionOf_;
     state.fleet_.self_ = state.settings_.name_;
+    state.fleet_.failureDomain_ = state.settings_.failureDomain_;
     state.quarantine_.options_.ttlMs_ = 60'000;
     state.incarnation_ = state.random_();
     return state;
@@ -189,7 +178,7 @@
     }));
     BOOST_OUTCOME_TRY(listen(settings.peerAddress_,
         [this](Request&& request, const auto& exchange) { relayServer_.handle(request, exchange); }));
-    BOOST_OUTCOME_TRY(peerSocket_.open(settings.peerAddress_));
+    BOOST_OUTCOME_TRY(reporter_.open(settings.peerAddress_));
     follow(state_.protocol_.ordersTable_,
         [this](const TableRead& read, bool isFullRead) { onOrders(read, isFullRead); });
     follow(state_.protocol_.upstreamsTable_,
@@ -404,56 +393,19 @@
             { "address", addressText(entry.value().address_) }, { "version", version } });
 }
 
-void Gateway::Core::onReport(const std::string& bytes)
+/// Takes over what a peer, or the summary of a failure domain, says about the store, rollouts and crashes.
+void Gateway::Core::onPeerReport(const HostReport& report)
 {
-    const auto report = decodeReport(bytes);
-    if (!report) {
-        logEvent(LogLevel::Warning, "report-unreadable", { { "reason", report.error().message_ } });
-        return;
-    }
-    const TimePoint now = monotonicNow();
-    const auto known = state_.fleet_.peers_.find(report.value().name_);
-    const bool wasAlive = known != state_.fleet_.peers_.end() && isAlive(known->second, now);
-    if (!receiveReport(state_.fleet_, now, report.value()))
-        return;
-    if (!wasAlive)
-        logEvent(LogLevel::Info, "peer-heard", { { "peer", report.value().name_ } });
-    onPeerStoreContact(state_.directory_, now, std::chrono::milliseconds(report.value().storeReachableMs_));
-    for (const RampReport& ramp : report.value().ramps_) {
+    onPeerStoreContact(
+        state_.directory_, monotonicNow(), std::chrono::milliseconds(report.storeReachableMs_));
+    for (const RampReport& ramp : report.ramps_) {
         if (mergeRamp(state_.rollouts_, { ramp.ramp_, ramp.orderVersion_, ramp.orderEra_ }))
             logRamp(ramp.ramp_, "peer");
     }
-    for (const auto& crash : report.value().crashes_)
+    for (const auto& crash : report.crashes_)
         routing::addCrashReport(state_.quarantine_, wallNow(), crash);
 }
 
-void Gateway::Core::sendReports(TimePoint now)
-{
-    if (now < nextReport_)
-        return;
-    const size_t peers = state_.fleet_.peers_.size();
-    const auto sendInterval = [&](size_t perSecond) {
-        return std::max<Duration>(
-            detail::reportInterval, std::chrono::microseconds(1'000'000 * peers / perSecond));
-    };
-    const bool urgent = isNearLimit(state_.quotas_) || isDraining(state_) || !state_.observedCrashes_.empty();
-    // Hosts of other regions share few upstreams with this host, and traffic between regions is expensive.
-    const bool toAllRegions = now >= nextRemoteReport_;
-    nextReport_ = now + sendInterval(detail::reportsPerSecond) - detail::reportInterval / 20;
-    if (toAllRegions)
-        nextRemoteReport_ = now
-            + sendInterval(urgent ? detail::reportsPerSecond : detail::remoteReportsPerSecond)
-            - detail::reportInterval / 20;
-    while (!state_.observedCrashes_.empty() && now >= state_.observedCrashes_.front().reportUntil_)
-        state_.observedCrashes_.pop_front();
-    const std::string bytes = encodeReport(makeReport(state_, now, ++reportSerial_));
-    for (const auto& [name, peer] : state_.fleet_.peers_) {
-        const bool frequent = peer.report_.region_ == state_.settings_.region_ || !isAlive(peer, now);
-        if (frequent || toAllRegions)
-            peerSocket_.send(peer.peerAddress_, bytes);
-    }
-}
-
 void Gateway::Core::onLookup(const Request& request, const std::shared_ptr<Exchange>& exchange)
 {
     const size_t queryStart = request.target_.find('?');
@@ -484,10 +436,11 @@
     updateSplits(state_, now);
     if (state_.catalog_)
         updateQuotas(state_.quotas_, now, state_.catalog_->configuration(), state_.fleet_);
-    for (const std::string& service : evaluateRamps(state_.rollouts_, activeReports(state_.fleet_, now)))
+    for (const std::string& service :
+        evaluateRamps(state_.rollouts_, loadReports(state_.fleet_, now, LeavingPeers::Excluded)))
         logEvent(LogLevel::Warning, "rollout-bad", { { "service", service } });
     rolloutWriter_.startAndEndRollouts(now);
-    sendReports(now);
+    reporter_.sendDue(now);
     dispatcher_.serveWaiting();
     if (isDraining(state_))
         checkDrained(now);
@@ -517,11 +470,12 @@
     metrics_.setGauge(
         "turmericwing_peers_heard", "", "", static_cast<double>(activeReports(state_.fleet_, now).size()));
     metrics_.setGauge("turmericwing_store_reached", "", "", state_.reachesStore_ ? 1 : 0);
+    reporter_.exportTo(metrics_);
 }
 
 void Gateway::Core::scheduleTick()
 {
-    tickTimer_.expires_after(detail::reportInterval);
+    tickTimer_.expires_after(detail::tickInterval);
     tickTimer_.async_wait([this](boost::system::error_code cancelled) {
         if (cancelled)
             return;
@@ -549,9 +503,7 @@
     state_.drain_ = makeDrainSchedule(dispatchOptions_.drain_, now, state_.settings_.bounds_.stopTime_);
     logEvent(LogLevel::Info, "drain", { { "running", std::to_string(dispatcher_.pendingCount()) } });
     callerListener_->closeAfterAnswers();
-    nextReport_ = {};
-    nextRemoteReport_ = {};
-    sendReports(now);
+    reporter_.sendAtOnce(now);
     hostRegistry_.deregisterHost();
     scheduleStopPhase(now);
 }
--- a/src/gateway/hostregistry.cc
+++ b/src/gateway/hostregistry.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-    constexpr const char* hostsTable = "hosts"; ///< Rows: name to peer address.
+    constexpr const char* hostsTable = "hosts"; ///< Rows: name to address, region and failure domain.
     /// Time per host over which the hosts spread their writes after a restore of the store.
     constexpr Duration restoreInterval = std::chrono::milliseconds(10);
     constexpr Duration retryDelay = std::chrono::milliseconds(500); ///< After a failed write or read.
@@ -30,7 +30,8 @@
 {
     const StoredRow row { .table_ = hostsTable,
         .key_ = state_.settings_.name_,
-        .value_ = addressText(state_.settings_.peerAddress_) };
+        .value_ = encodeHostRow({ state_.settings_.peerAddress_,
+            { state_.settings_.region_, state_.settings_.failureDomain_ } }) };
     store_.transact_({ .writes_ = { row } }, [this, onWritten](const Result<TableRead>& answer) {
         if (!answer)
             return retry(answer.error());
@@ -66,11 +67,11 @@
         listRead_ = true;
         const TimePoint now = monotonicNow();
         for (const StoredRow& row : answer.value().rows_) {
-            if (const auto address = parseAddress(row.value_))
-                registerPeer(state_.fleet_, now, row.key_, address.value());
+            if (const auto host = decodeHostRow(row.value_))
+                registerPeer(state_.fleet_, now, row.key_, host.value().peerAddress_, host.value().location_);
             else
                 logEvent(LogLevel::Warning, "host-unreadable",
-                    { { "key", row.key_ }, { "reason", address.error().message_ } });
+                    { { "key", row.key_ }, { "reason", host.error().message_ } });
         }
         logEvent(LogLevel::Info, "registered", { { "peers", std::to_string(state_.fleet_.peers_.size()) } });
         onRead_();
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -18,16 +18,19 @@
 
     /// Longer than a peer takes to repeat its demands.
     constexpr Duration peerDemandLifetime = std::chrono::seconds(15);
-    /// Successive reports of which at least one includes a given active workspace.
+    /// Successive messages of a stream of which at least one includes a given active workspace.
     constexpr uint64_t repeatIntervalReports = 8;
     constexpr double minDemandChange = 0.1; ///< Relative change of a demand that is reported at once.
     /// Fraction of the burst below which a workspace is near its rate.
     constexpr double nearLimitFraction = 0.5;
 
+    using SumsByWorkspace = std::unordered_map<uint32_t, PeerSums>; ///< By shortHash of the name.
+
     /// Adds what is new in a peer's report to the sums. A report that was taken before changes nothing.
-    void countReport(PeerDemands& peerDemands, const HostReport& report, TimePoint now,
-        std::unordered_map<uint32_t, PeerSums>& sums)
+    void countReport(PeerDemands& peerDemands, const HostReport& report, TimePoint now, SumsByWorkspace& sums)
     {
+        // Another aggregator of a failure domain counts from its own start, too. What it counted before its
+        // first summary here may have been heard from its predecessor.
         if (peerDemands.incarnation_ != report.incarnation_)
             peerDemands = { report.incarnation_, 0, {} };
         if (peerDemands.serial_ == report.sequence_)
@@ -43,21 +46,55 @@
         }
     }
 
-    /// Demand and new admissions at all heard peers, by shortHash of the workspace's name.
-    std::unordered_map<uint32_t, PeerSums> sumReports(Quotas& quotas, const Fleet& fleet, TimePoint now)
+    /// Adds the new admissions and the demands of a sender to the sums.
+    void addPeer(PeerDemands& peerDemands, const HostReport& report, TimePoint now, SumsByWorkspace& sums)
+    {
+        countReport(peerDemands, report, now, sums);
+        for (const auto& [workspace, demand] : peerDemands.workspaces_) {
+            if (now < demand.expiresAt_)
+                sums[workspace].demand_ += demand.rate_;
+        }
+    }
+
+    /// Keeps what the summaries of this host's failure domain have to say about its peers there.
+    void recordDomainDemands(Quotas& quotas, const SumsByWorkspace& sums)
     {
-        std::unordered_map<uint32_t, PeerSums> sums;
+        for (auto& [workspace, demand] : quotas.domainDemands_)
+            demand.rate_ = 0;
+        for (const auto& [workspace, sum] : sums) {
+            DomainDemand& demand = quotas.domainDemands_[workspace];
+            demand.admitted_ += static_cast<uint32_t>(sum.admitted_);
+            demand.rate_ = sum.demand_;
+        }
+    }
+
+    /// Demand and new admissions at all heard peers.
+    SumsByWorkspace sumReports(Quotas& quotas, const Fleet& fleet, TimePoint now)
+    {
+        SumsByWorkspace ownDomain;
+        SumsByWorkspace others;
+        // The summary counts for a summarised peer. Its own count must not be continued later, as the
+        // difference would be counted twice.
         for (const auto& [name, peer] : fleet.peers_) {
-            if (!isAlive(peer, now))
+            if (isSummarised(fleet, peer, now)) {
+                quotas.peerDemands_.erase(name);
                 continue;
-            PeerDemands& peerDemands = quotas.peerDemands_[name];
-            countReport(peerDemands, peer.report_, now, sums);
-            for (const auto& [workspace, demand] : peerDemands.workspaces_) {
-                if (now < demand.expiresAt_)
-                    sums[workspace].demand_ += demand.rate_;
             }
+            if (!isAlive(peer, now))
+                continue;
+            const bool isOwnDomain = peer.report_.failureDomain_ == fleet.failureDomain_;
+            addPeer(quotas.peerDemands_[name], peer.report_, now, isOwnDomain ? ownDomain : others);
         }
-        return sums;
+        for (const auto& [failureDomain, view] : fleet.domains_) {
+            if (now < view.aliveUntil_)
+                addPeer(quotas.summaryDemands_[failureDomain], view.summary_.sums_, now, others);
+        }
+        recordDomainDemands(quotas, ownDomain);
+        for (const auto& [workspace, sum] : ownDomain) {
+            others[workspace].demand_ += sum.demand_;
+            others[workspace].admitted_ += sum.admitted_;
+        }
+        return others;
     }
 
 } // namespace detail
@@ -96,21 +133,28 @@
     }
 }
 
-std::vector<Demand> takeDemandsToReport(Quotas& quotas, uint64_t sequence)
+std::vector<Demand> takeDemandsToReport(Quotas& quotas, uint64_t sequence, ReportStream stream)
 {
     std::vector<Demand> list;
     uint64_t index = sequence;
+    ReportedDemands& reportedDemands = quotas.reported_[stream];
     for (const auto& [name, quota] : quotas.workspaces_) {
-        ReportedDemand& reported = quotas.reported_[name];
-        const bool changed = quota.admitted_ != reported.admitted_
-            || std::abs(quota.demand_ - reported.rate_)
+        ReportedDemand& reported = reportedDemands[name];
+        Demand demand { shortHash(name), quota.demand_, quota.admitted_ };
+        const auto peers = quotas.domainDemands_.find(demand.workspace_);
+        if (stream != ReportStream::Hosts && peers != quotas.domainDemands_.end()) {
+            demand.rate_ += peers->second.rate_;
+            demand.admitted_ += peers->second.admitted_;
+        }
+        const bool changed = demand.admitted_ != reported.admitted_
+            || std::abs(demand.rate_ - reported.rate_)
                 > detail::minDemandChange * std::max(1.0, reported.rate_);
         const bool repeated
-            = ++index % detail::repeatIntervalReports == 0 && (quota.admitted_ > 0 || quota.demand_ > 0);
+            = ++index % detail::repeatIntervalReports == 0 && (demand.admitted_ > 0 || demand.rate_ > 0);
         if (!changed && !repeated)
             continue;
-        reported = { quota.admitted_, quota.demand_ };
-        list.push_back({ shortHash(name), quota.demand_, quota.admitted_ });
+        reported = { demand.admitted_, demand.rate_ };
+        list.push_back(demand);
     }
     return list;
 }
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -3,6 +3,7 @@
 #include "turmericwing/gateway/report.h"
 
 #include "jsonvalues.h"
+#include "reportvalues.h"
 
 #include "turmericwing/base/cbor.h"
 #include "turmericwing/base/hash.h"
@@ -15,8 +16,6 @@
 
 namespace detail {
 
-    constexpr size_t maxReportBytes = 60'000; ///< Upper bound; a UDP datagram cannot hold much more.
-    constexpr size_t maxReportDepth = 8; ///< Levels of nested arrays; an encoded report has 5.
     constexpr size_t memberCount = 16; ///< Members of HostReport.
 
     json encode(const rollout::RampCounts& counts)
@@ -116,8 +115,26 @@
 
     Result<Address> decodeAddress(const json& value) { return parseAddress(value.get<std::string>()); }
 
-    Result<HostReport> decodeReportArray(const json& value)
+    json encode(const InFlight& entry)
     {
+        json value = json::array({ entry.upstream_, entry.count_ });
+        if (entry.hosts_ != 1)
+            value.push_back(entry.hosts_);
+        return value;
+    }
+
+    InFlight decodeInFlight(const json& value)
+    {
+        InFlight entry { countValue<uint32_t>(value.at(0)), countValue<uint32_t>(value.at(1)) };
+        if (value.size() > 2)
+            entry.hosts_ = countValue<uint32_t>(value.at(2));
+        return entry;
+    }
+
+    Result<HostReport> decodeReportValue(const json& value)
+    {
+        if (!value.is_array() || value.size() != memberCount)
+            return makeError(ErrorCode::Invalid, "report is not a CBOR array with all 16 members");
         HostReport report;
         size_t next = 0;
         report.name_ = textValue(value.at(next++));
@@ -134,8 +151,7 @@
         report.reachesStore_ = value.at(next++);
         report.storeReachableMs_ = countValue<uint32_t>(value.at(next++));
         for (const json& entry : value.at(next++))
-            report.inFlight_.push_back(
-                { countValue<uint32_t>(entry.at(0)), countValue<uint32_t>(entry.at(1)) });
+            report.inFlight_.push_back(decodeInFlight(entry));
         for (const json& entry : value.at(next++))
             report.demands_.push_back({ countValue<uint32_t>(entry.at(0)), amountValue(entry.at(1)),
                 countValue<uint32_t>(entry.at(2)) });
@@ -148,50 +164,51 @@
         return report;
     }
 
+    json encodeReportValue(const HostReport& report)
+    {
+        json inFlight = json::array();
+        for (const InFlight& entry : report.inFlight_)
+            inFlight.push_back(encode(entry));
+        json demands = json::array();
+        for (const Demand& entry : report.demands_)
+            demands.push_back(
+                json::array({ entry.workspace_, static_cast<float>(entry.rate_), entry.admitted_ }));
+        json services = json::array();
+        for (const ServiceReport& entry : report.services_)
+            services.push_back(encode(entry));
+        json ramps = json::array();
+        for (const RampReport& entry : report.ramps_)
+            ramps.push_back(encode(entry));
+        json crashes = json::array();
+        for (const auto& entry : report.crashes_)
+            crashes.push_back(encode(entry));
+        return json::array({ report.name_, report.incarnation_, report.sequence_,
+            addressText(report.callerAddress_), addressText(report.peerAddress_), report.region_,
+            report.failureDomain_, report.ready_, report.leaving_, report.reachesStore_,
+            report.storeReachableMs_, inFlight, demands, services, ramps, crashes });
+    }
+
 } // namespace detail
 
 uint32_t shortHash(const std::string& text) { return static_cast<uint32_t>(hash64(text)); }
 
 std::string encodeReport(const HostReport& report)
 {
-    json inFlight = json::array();
-    for (const InFlight& entry : report.inFlight_)
-        inFlight.push_back(json::array({ entry.upstream_, entry.count_ }));
-    json demands = json::array();
-    for (const Demand& entry : report.demands_)
-        demands.push_back(
-            json::array({ entry.workspace_, static_cast<float>(entry.rate_), entry.admitted_ }));
-    json services = json::array();
-    for (const ServiceReport& entry : report.services_)
-        services.push_back(detail::encode(entry));
-    json ramps = json::array();
-    for (const RampReport& entry : report.ramps_)
-        ramps.push_back(detail::encode(entry));
-    json crashes = json::array();
-    for (const auto& entry : report.crashes_)
-        crashes.push_back(detail::encode(entry));
-    const json value = json::array({ report.name_, report.incarnation_, report.sequence_,
-        addressText(report.callerAddress_), addressText(report.peerAddress_), report.region_,
-        report.failureDomain_, report.ready_, report.leaving_, report.reachesStore_, report.storeReachableMs_,
-        inFlight, demands, services, ramps, crashes });
     std::string bytes;
-    json::to_cbor(value, bytes);
+    json::to_cbor(detail::encodeReportValue(report), bytes);
     return bytes;
 }
 
 Result<HostReport> decodeReport(const std::string& bytes)
 {
-    if (bytes.size() > detail::maxReportBytes)
+    if (bytes.size() > maxReportBytes)
         return makeError(ErrorCode::Invalid, "report is larger than a datagram");
     // The decoder recurses for each level.
     if (const auto fault = checkCborStructure(bytes, detail::maxReportDepth))
         return makeError(ErrorCode::Invalid, std::string("report: ") + toString(*fault));
     try {
         // The decoder throws on array sizes that exceed memory even if exceptions are disabled.
-        const json value = json::from_cbor(bytes, true, false);
-        if (!value.is_array() || value.size() != detail::memberCount)
-            return makeError(ErrorCode::Invalid, "report is not a CBOR array with all 16 members");
-        return detail::decodeReportArray(value);
+        return detail::decodeReportValue(json::from_cbor(bytes, true, false));
     } catch (const json::exception& parseError) {
         return makeError(ErrorCode::Invalid, std::string("report: ") + parseError.what());
     } catch (const std::out_of_range& rangeError) {
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -127,7 +127,7 @@
             for (const auto& [home, rate] : own->second.bound_)
                 bound[shortHash(home)] += slots(own->second, rate);
         }
-        for (const HostReport* report : activeReports(state.fleet_, now)) {
+        for (const HostReport* report : loadReports(state.fleet_, now, LeavingPeers::Excluded)) {
             const ServiceReport* entry = findService(*report, shortHash(service));
             if (!entry)
                 continue;
@@ -164,7 +164,7 @@
     RegionSplit peerSplit(
         const State& state, const std::string& service, TimePoint now, const Regions& regions)
     {
-        for (const HostReport* report : activeReports(state.fleet_, now)) {
+        for (const HostReport* report : loadReports(state.fleet_, now, LeavingPeers::Excluded)) {
             const ServiceReport* entry = findService(*report, shortHash(service));
             if (report->region_ != state.settings_.region_ || !entry || entry->split_.empty())
                 continue;
@@ -270,7 +270,7 @@
     return addresses;
 }
 
-HostReport makeReport(State& state, TimePoint now, uint64_t sequence)
+HostReport makeReport(State& state, TimePoint now, uint64_t sequence, ReportStream stream)
 {
     HostReport report { .name_ = state.settings_.name_,
         .incarnation_ = state.incarnation_,
@@ -283,7 +283,7 @@
         .leaving_ = isDraining(state),
         .reachesStore_ = state.reachesStore_,
         .storeReachableMs_ = storeReachableMs(state, now),
-        .demands_ = takeDemandsToReport(state.quotas_, sequence),
+        .demands_ = takeDemandsToReport(state.quotas_, sequence, stream),
         .ramps_ = rampReports(state.rollouts_) };
     for (const auto& [name, pool] : state.directory_.services_) {
         for (const routing::Target& target : pool.targets_) {
@@ -306,6 +306,26 @@
     return report;
 }
 
+DomainSummary makeSummary(State& state, TimePoint now, uint64_t sequence, ReportStream stream)
+{
+    DomainSummary summary { .sums_ = makeReport(state, now, sequence, stream) };
+    HostReport& sums = summary.sums_;
+    summary.members_.push_back({ sums.name_, sums.callerAddress_, sums.peerAddress_, sums.ready_,
+        sums.leaving_, sums.reachesStore_ });
+    // The sums stay valid while other members serve; the members say who is leaving.
+    sums.leaving_ = false;
+    for (const auto& [name, peer] : state.fleet_.peers_) {
+        const HostReport& report = peer.report_;
+        if (report.failureDomain_ != state.settings_.failureDomain_ || !isAlive(peer, now))
+            continue;
+        summary.members_.push_back({ name, report.callerAddress_, report.peerAddress_, report.ready_,
+            report.leaving_, report.reachesStore_ });
+        addLoad(sums, report);
+        sums.storeReachableMs_ = std::max(sums.storeReachableMs_, report.storeReachableMs_);
+    }
+    return summary;
+}
+
 void applyPeerLoads(State& state, TimePoint now, const routing::PickOptions& options)
 {
     struct PeerLoad {
@@ -313,13 +333,11 @@
         uint32_t hosts_ = 0;
     };
     std::unordered_map<uint32_t, PeerLoad> loads;
-    for (const auto& [name, peer] : state.fleet_.peers_) {
-        if (!isAlive(peer, now))
-            continue;
-        for (const InFlight& entry : peer.report_.inFlight_) {
+    for (const HostReport* report : loadReports(state.fleet_, now, LeavingPeers::Included)) {
+        for (const InFlight& entry : report->inFlight_) {
             PeerLoad& load = loads[entry.upstream_];
             load.inFlight_ += entry.count_;
-            ++load.hosts_;
+            load.hosts_ += entry.hosts_;
         }
     }
     for (auto& [name, pool] : state.directory_.services_) {
