Leave out of most reports what seldom changes

Two thirds of a report were name, addresses, location and splits, which do not change from one to the next.

Change: most reports are sent in a brief form, whose sender is a hash of name and incarnation. A full one goes to peers that are not alive, in the first ten rounds of a process and in every eleventh round.

--- a/include/turmericwing/gateway/fleet.h
+++ b/include/turmericwing/gateway/fleet.h
@@ -9,6 +9,7 @@
 #include "turmericwing/gateway/summary.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,7 @@
     TimePoint aliveUntil_ {}; ///< End of the lifetime of its last report.
     /// Last report received. Before the first one, or if the host is known by summaries only, it has no load.
     HostReport report_;
+    uint32_t briefSender_ = 0; ///< Sender of the brief reports of the same run; 0 if not heard directly.
 };
 
 /// Last summary accepted of another failure domain.
@@ -85,6 +87,10 @@
 /// stored report, if the report is not newer than the last one, has no name, or is this host's own.
 bool receiveReport(Fleet&, TimePoint now, const HostReport&);
 
+/// Returns the report that a brief one stands for; nothing if no full report of that run of the host was
+/// received.
+std::optional<HostReport> expandReport(const Fleet&, BriefReport);
+
 /// Stores the summary of another failure domain and registers its members; members that it no longer names
 /// are not alive any more. Returns false, without effect, if it is of this host's own failure domain, not
 /// newer than the last one of the same aggregator, or of another aggregator while that of the last one has
--- a/include/turmericwing/gateway/report.h
+++ b/include/turmericwing/gateway/report.h
@@ -83,6 +83,29 @@
 /// Decodes a report. The bytes are untrusted: anyone on the network can send them. Errors: Invalid.
 Result<HostReport> decodeReport(const std::string& bytes);
 
+/// A report without what seldom changes: name, addresses, location and splits. Most reports between hosts are
+/// sent in this form.
+struct BriefReport {
+    uint32_t sender_ = 0; ///< briefSender() of the sender.
+    HostReport report_; ///< Without the members that are left out.
+    friend bool operator==(const BriefReport&, const BriefReport&) = default;
+};
+
+/// Returns the hash that identifies one run of a host in its brief reports.
+uint32_t briefSender(const std::string& name, uint64_t incarnation);
+
+/// Adds what a brief report leaves out from the last report of the same run of the host.
+HostReport completeReport(BriefReport, const HostReport& last);
+
+/// Encodes a report in the brief form, as CBOR.
+std::string encodeBriefReport(const HostReport&);
+
+/// Whether a datagram holds a report in the brief form.
+bool isBriefReport(const std::string& bytes);
+
+/// Decodes a report in the brief form. The bytes are untrusted. Errors: Invalid.
+Result<BriefReport> decodeBriefReport(const std::string& bytes);
+
 inline constexpr size_t maxReportBytes = 60'000; ///< Upper bound; a UDP datagram cannot hold much more.
 
 } // namespace turmericwing::gateway
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -52,6 +52,7 @@
             peer.report_.reachesStore_ = member.reachesStore_;
             return;
         }
+        peer.briefSender_ = 0;
         peer.report_ = { .name_ = member.name_,
             .callerAddress_ = member.callerAddress_,
             .peerAddress_ = member.peerAddress_,
@@ -113,10 +114,20 @@
     if (sameIncarnation && report.sequence_ <= peer.report_.sequence_)
         return false;
     peer.report_ = report;
+    peer.briefSender_ = briefSender(report.name_, report.incarnation_);
     peer.aliveUntil_ = now + fleet.options_.reportLifetime_;
     return true;
 }
 
+std::optional<HostReport> expandReport(const Fleet& fleet, BriefReport brief)
+{
+    for (const auto& [name, peer] : fleet.peers_) {
+        if (peer.briefSender_ != 0 && peer.briefSender_ == brief.sender_)
+            return completeReport(std::move(brief), peer.report_);
+    }
+    return std::nullopt;
+}
+
 bool receiveSummary(Fleet& fleet, TimePoint now, const DomainSummary& summary)
 {
     const HostReport& sums = summary.sums_;
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -5,7 +5,6 @@
 #include "jsonvalues.h"
 #include "reportvalues.h"
 
-#include "turmericwing/base/cbor.h"
 #include "turmericwing/base/hash.h"
 
 #include <nlohmann/json.hpp>
@@ -17,6 +16,9 @@
 namespace detail {
 
     constexpr size_t memberCount = 16; ///< Members of HostReport.
+    constexpr size_t briefMemberCount = 9; ///< Members of a report in the brief form.
+    /// First byte of a CBOR array of that many members.
+    constexpr char briefArrayHeader = static_cast<char>(0x80 + briefMemberCount);
 
     json encode(const rollout::RampCounts& counts)
     {
@@ -188,6 +190,77 @@
             report.storeReachableMs_, inFlight, demands, services, ramps, crashes });
     }
 
+    /// Flags of a report in the brief form.
+    enum Flag : uint32_t { ReadyFlag = 1, LeavingFlag = 2, ReachesStoreFlag = 4 };
+
+    /// Lists of the brief form are flat: the values of one entry follow those of the entry before.
+    size_t entryCount(const json& list, size_t valuesPerEntry)
+    {
+        if (!list.is_array() || list.size() % valuesPerEntry != 0)
+            throw std::out_of_range("list with an incomplete entry");
+        return list.size() / valuesPerEntry;
+    }
+
+    json encodeBriefValue(const HostReport& report)
+    {
+        json inFlight = json::array();
+        for (const InFlight& entry : report.inFlight_) {
+            inFlight.push_back(entry.upstream_);
+            inFlight.push_back(entry.count_);
+        }
+        json demands = json::array();
+        for (const Demand& entry : report.demands_) {
+            demands.push_back(entry.workspace_);
+            demands.push_back(static_cast<float>(entry.rate_));
+            demands.push_back(entry.admitted_);
+        }
+        json services = json::array();
+        for (const ServiceReport& entry : report.services_) {
+            services.push_back(entry.service_);
+            services.push_back(static_cast<float>(entry.unboundDemand_));
+            services.push_back(encode(entry.boundDemand_));
+        }
+        json ramps = json::array();
+        for (const RampReport& entry : report.ramps_)
+            ramps.push_back(encode(entry));
+        json crashes = json::array();
+        for (const auto& entry : report.crashes_)
+            crashes.push_back(encode(entry));
+        const uint32_t flags = (report.ready_ ? ReadyFlag : 0U) | (report.leaving_ ? LeavingFlag : 0U)
+            | (report.reachesStore_ ? ReachesStoreFlag : 0U);
+        return json::array({ briefSender(report.name_, report.incarnation_), report.sequence_, flags,
+            report.storeReachableMs_, inFlight, demands, services, ramps, crashes });
+    }
+
+    BriefReport decodeBriefValue(const json& value)
+    {
+        BriefReport brief { .sender_ = countValue<uint32_t>(value.at(0)) };
+        HostReport& report = brief.report_;
+        report.sequence_ = countValue<uint64_t>(value.at(1));
+        const auto flags = countValue<uint32_t>(value.at(2));
+        report.ready_ = (flags & ReadyFlag) != 0;
+        report.leaving_ = (flags & LeavingFlag) != 0;
+        report.reachesStore_ = (flags & ReachesStoreFlag) != 0;
+        report.storeReachableMs_ = countValue<uint32_t>(value.at(3));
+        const json& inFlight = value.at(4);
+        for (size_t i = 0; i < entryCount(inFlight, 2); ++i)
+            report.inFlight_.push_back(
+                { countValue<uint32_t>(inFlight[2 * i]), countValue<uint32_t>(inFlight[2 * i + 1]) });
+        const json& demands = value.at(5);
+        for (size_t i = 0; i < entryCount(demands, 3); ++i)
+            report.demands_.push_back({ countValue<uint32_t>(demands[3 * i]), amountValue(demands[3 * i + 1]),
+                countValue<uint32_t>(demands[3 * i + 2]) });
+        const json& services = value.at(6);
+        for (size_t i = 0; i < entryCount(services, 3); ++i)
+            report.services_.push_back({ countValue<uint32_t>(services[3 * i]),
+                amountValue(services[3 * i + 1]), {}, decodeRegionValues(services[3 * i + 2]) });
+        for (const json& entry : value.at(7))
+            report.ramps_.push_back(decodeRamp(entry));
+        for (const json& entry : value.at(8))
+            report.crashes_.push_back(decodeCrash(entry));
+        return brief;
+    }
+
 } // namespace detail
 
 uint32_t shortHash(const std::string& text) { return static_cast<uint32_t>(hash64(text)); }
@@ -201,19 +274,52 @@
 
 Result<HostReport> decodeReport(const std::string& bytes)
 {
-    if (bytes.size() > maxReportBytes)
-        return makeError(ErrorCode::Invalid, "report is larger than a datagram");
-    // The decoder recurses for each level.
-    if (const auto fault = checkCborStructure(bytes, detail::maxReportDepth))
-        return makeError(ErrorCode::Invalid, std::string("report: ") + toString(*fault));
-    try {
-        // The decoder throws on array sizes that exceed memory even if exceptions are disabled.
-        return detail::decodeReportValue(json::from_cbor(bytes, true, false));
-    } catch (const json::exception& parseError) {
-        return makeError(ErrorCode::Invalid, std::string("report: ") + parseError.what());
-    } catch (const std::out_of_range& rangeError) {
-        return makeError(ErrorCode::Invalid, std::string("report: ") + rangeError.what());
+    return detail::decodeChecked(bytes, detail::maxReportDepth, "report", detail::decodeReportValue);
+}
+
+uint32_t briefSender(const std::string& name, uint64_t incarnation)
+{
+    return shortHash(name + "/" + std::to_string(incarnation));
+}
+
+HostReport completeReport(BriefReport brief, const HostReport& last)
+{
+    HostReport report = std::move(brief.report_);
+    report.name_ = last.name_;
+    report.incarnation_ = last.incarnation_;
+    report.callerAddress_ = last.callerAddress_;
+    report.peerAddress_ = last.peerAddress_;
+    report.region_ = last.region_;
+    report.failureDomain_ = last.failureDomain_;
+    for (ServiceReport& service : report.services_) {
+        for (const ServiceReport& known : last.services_) {
+            if (known.service_ == service.service_)
+                service.split_ = known.split_;
+        }
     }
+    return report;
+}
+
+std::string encodeBriefReport(const HostReport& report)
+{
+    std::string bytes;
+    json::to_cbor(detail::encodeBriefValue(report), bytes);
+    return bytes;
+}
+
+bool isBriefReport(const std::string& bytes)
+{
+    return !bytes.empty() && bytes.front() == detail::briefArrayHeader;
+}
+
+Result<BriefReport> decodeBriefReport(const std::string& bytes)
+{
+    return detail::decodeChecked(
+        bytes, detail::maxReportDepth, "brief report", [](const json& value) -> Result<BriefReport> {
+            if (!value.is_array() || value.size() != detail::briefMemberCount)
+                return makeError(ErrorCode::Invalid, "brief report is not a CBOR array with all 9 members");
+            return detail::decodeBriefValue(value);
+        });
 }
 
 } // namespace turmericwing::gateway
--- a/src/gateway/reporter.cc
+++ b/src/gateway/reporter.cc
@@ -17,6 +17,12 @@
     constexpr size_t remoteReportsPerSecond = 70; ///< The same limit for reports between regions.
     /// The same limit within a failure domain, where summaries tell the rest.
     constexpr size_t domainReportsPerSecond = 100;
+    /// Rounds of reports in which the first ones of a process are full, as some receivers have not started
+    /// yet.
+    constexpr uint64_t firstFullRounds = 10;
+    /// Every so many rounds a report is full, for receivers that lost the ones before. A prime, so that it
+    /// does not always fall on rounds without other regions.
+    constexpr uint64_t fullReportRounds = 11;
     constexpr Duration nearSummaryInterval = std::chrono::milliseconds(250); ///< Within the region.
     constexpr Duration farSummaryInterval = std::chrono::seconds(1); ///< Between regions.
     /// Between regions while a workspace is near its rate or a request has crashed an upstream.
@@ -53,6 +59,8 @@
 {
     if (isSummary(bytes))
         onSummary(bytes);
+    else if (isBriefReport(bytes))
+        onBriefReport(bytes);
     else
         onReport(bytes);
 }
@@ -68,14 +76,29 @@
     const auto report = decodeReport(bytes);
     if (!report)
         return reject("report-unreadable", report.error().message_);
+    receive(report.value());
+}
+
+void Reporter::onBriefReport(const std::string& bytes)
+{
+    auto brief = decodeBriefReport(bytes);
+    if (!brief)
+        return reject("report-unreadable", brief.error().message_);
+    // A full report that was lost is sent again within a few rounds.
+    if (const auto report = expandReport(state_.fleet_, std::move(brief.value())))
+        receive(*report);
+}
+
+void Reporter::receive(const HostReport& report)
+{
     const TimePoint now = monotonicNow();
-    const auto known = state_.fleet_.peers_.find(report.value().name_);
+    const auto known = state_.fleet_.peers_.find(report.name_);
     const bool wasAlive = known != state_.fleet_.peers_.end() && isAlive(known->second, now);
-    if (!receiveReport(state_.fleet_, now, report.value()))
+    if (!receiveReport(state_.fleet_, now, report))
         return;
     if (!wasAlive)
-        logEvent(LogLevel::Info, "peer-heard", { { "peer", report.value().name_ } });
-    onHeard_(report.value());
+        logEvent(LogLevel::Info, "peer-heard", { { "peer", report.name_ } });
+    onHeard_(report);
 }
 
 void Reporter::onSummary(const std::string& bytes)
@@ -161,11 +184,16 @@
     if (toAllRegions)
         nextRemoteReport_ = now
             + sendInterval(receivers.size(), urgent ? reportsPerSecond : remoteReportsPerSecond) - tickSlack;
-    const std::string bytes = encodeReport(makeReport(state_, now, ++sequence_));
+    const HostReport report = makeReport(state_, now, ++sequence_);
+    const std::string full = encodeReport(report);
+    const std::string brief = encodeBriefReport(report);
+    const bool fullRound = ++reportRounds_ <= firstFullRounds || reportRounds_ % fullReportRounds == 0;
     for (const Peer* peer : receivers) {
-        const bool frequent = peer->report_.region_ == state_.settings_.region_ || !isAlive(*peer, now);
+        const bool alive = isAlive(*peer, now);
+        const bool frequent = peer->report_.region_ == state_.settings_.region_ || !alive;
         if (!frequent && !toAllRegions)
             continue;
+        const std::string& bytes = fullRound || !alive ? full : brief;
         socket_.send(peer->peerAddress_, bytes);
         reportBytes_ += bytes.size();
     }
--- a/src/gateway/reporter.h
+++ b/src/gateway/reporter.h
@@ -34,6 +34,8 @@
 private:
     void onMessage(const std::string& bytes);
     void onReport(const std::string& bytes);
+    void onBriefReport(const std::string& bytes);
+    void receive(const HostReport&);
     void onSummary(const std::string& bytes);
     void reject(const char* event, const std::string& reason);
     void forward(SummaryMessage);
@@ -50,6 +52,7 @@
     TimePoint nextNearSummary_ {};
     TimePoint nextFarSummary_ {};
     bool wasAggregator_ = false; ///< At the last sendDue().
+    uint64_t reportRounds_ = 0;
     uint64_t reportBytes_ = 0;
     uint64_t summaryBytes_ = 0;
     uint64_t forwardedBytes_ = 0;
--- a/src/gateway/summary.cc
+++ b/src/gateway/summary.cc
@@ -4,8 +4,6 @@
 #include "jsonvalues.h"
 #include "reportvalues.h"
 
-#include "turmericwing/base/cbor.h"
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -156,18 +154,7 @@
 
 Result<SummaryMessage> decodeSummary(const std::string& bytes)
 {
-    if (bytes.size() > maxReportBytes)
-        return makeError(ErrorCode::Invalid, "summary is larger than a datagram");
-    // The decoder recurses for each level.
-    if (const auto fault = checkCborStructure(bytes, detail::maxSummaryDepth))
-        return makeError(ErrorCode::Invalid, std::string("summary: ") + toString(*fault));
-    try {
-        return detail::decodeSummaryValue(json::from_cbor(bytes, true, false));
-    } catch (const json::exception& parseError) {
-        return makeError(ErrorCode::Invalid, std::string("summary: ") + parseError.what());
-    } catch (const std::out_of_range& rangeError) {
-        return makeError(ErrorCode::Invalid, std::string("summary: ") + rangeError.what());
-    }
+    return detail::decodeChecked(bytes, detail::maxSummaryDepth, "summary", detail::decodeSummaryValue);
 }
 
 } // namespace turmericwing::gateway
--- a/test/gateway/report-test.cc
+++ b/test/gateway/report-test.cc
@@ -2,6 +2,7 @@
 #include "turmericwing/gateway/report.h"
 
 #include "turmericwing/base/random.h"
+#include "turmericwing/gateway/fleet.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -122,3 +123,61 @@
         CHECK(isRejected([&](HostReport& report) { report.services_[0].boundDemand_[0].second = odd; }));
     }
 }
+
+TEST_CASE("a brief report stands for the full one after a full report of the same run")
+{
+    // Guards against load, flags or splits that the shorter form loses, and against one that is taken for the
+    // report of another host or of an earlier run.
+    Fleet fleet { .self_ = "h2" };
+    const TimePoint now { std::chrono::seconds(100) };
+    HostReport later = makeReport();
+    later.sequence_ = 8;
+    later.ready_ = false;
+    later.leaving_ = true;
+    later.inFlight_ = { { shortHash("u1"), 4 }, { shortHash("u2"), 1 } };
+    const std::string bytes = encodeBriefReport(later);
+    CHECK(isBriefReport(bytes));
+    CHECK_FALSE(isBriefReport(encodeReport(later)));
+    const auto decoded = decodeBriefReport(bytes);
+    REQUIRE(decoded);
+    CHECK_FALSE(expandReport(fleet, decoded.value()));
+    REQUIRE(receiveReport(fleet, now, makeReport()));
+    const auto expanded = expandReport(fleet, decoded.value());
+    REQUIRE(expanded);
+    CHECK(*expanded == later);
+    CHECK(receiveReport(fleet, now, *expanded));
+    HostReport restarted = later;
+    restarted.incarnation_ = 3;
+    CHECK_FALSE(expandReport(fleet, decodeBriefReport(encodeBriefReport(restarted)).value()));
+}
+
+TEST_CASE("a brief report takes less than half of the bytes of a full one")
+{
+    // Reports to nine peers in other failure domains cost a small fleet more traffic between them than the
+    // requests did.
+    HostReport report = makeReport();
+    report.ramps_.clear();
+    report.crashes_.clear();
+    report.callerAddress_ = { "10.200.100.101", 8389 };
+    report.peerAddress_ = { "10.200.100.101", 7460 };
+    report.name_ = "edge-amman-a-1";
+    report.region_ = "amman";
+    report.failureDomain_ = "amman-a";
+    CHECK(2 * encodeBriefReport(report).size() < encodeReport(report).size());
+}
+
+TEST_CASE("damaged brief reports are rejected without a crash")
+{
+    // Guards against one malformed datagram that ends the process.
+    const std::string bytes = encodeBriefReport(makeReport());
+    Random random(5);
+    int rejected = 0;
+    for (int i = 0; i < 20'000; ++i) {
+        std::string damaged = bytes.substr(0, random() % (bytes.size() + 1));
+        for (int flips = 0; flips < 3 && !damaged.empty(); ++flips)
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        rejected += decodeBriefReport(damaged) ? 0 : 1;
+    }
+    CHECK(rejected > 19'000);
+    CHECK_FALSE(decodeBriefReport(encodeReport(makeReport())));
+}
