Take crash evidence on the store's clock, and pass an upstream's failure on

Cause 1: crash reports of hosts, and the times of quarantines, were taken from the time of day of each host.

Change 1: the store's clock, which all hosts read. Reports with a time far ahead, from hosts of an earlier release, are ignored.

Change 2: one end for requests that no upstream will serve.

--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -89,6 +89,10 @@
 /// Estimate of the store's monotonic clock at `now`, in milliseconds.
 int64_t storeNow(const State&, TimePoint now);
 
+/// The store's clock as the time of crash evidence and quarantines. Hosts compare these times with each
+/// other, and their times of day differ and may jump.
+inline WallTime evidenceNow(const State& state, TimePoint now) { return { storeNow(state, now) }; }
+
 /// Records an answer from the store. After a gap in which entries may lapse the time for which it has been
 /// reachable starts anew.
 void storeAnswered(State&, TimePoint now);
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -142,6 +142,7 @@
     void endAttempt(PendingRequest&);
     void forwardResponse(const PendingRequestPtr&, Response);
     void refuse(const PendingRequestPtr&, Reason);
+    void endUnserved(const PendingRequestPtr&, Reason);
     void completeRequest(
         const PendingRequestPtr&, unsigned status, const char* result, const std::string& detail);
     void serveWaiting(const std::string& service);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -123,7 +123,8 @@
     if (now + detail::minSendTime > pending.expiresAt_)
         return Reason::DeadlineTooShort;
     if (!state_.quarantine_.quarantined_.empty()
-        && routing::isQuarantined(state_.quarantine_, wallNow(), detail::fingerprintOf(pending)))
+        && routing::isQuarantined(
+            state_.quarantine_, evidenceNow(state_, monotonicNow()), detail::fingerprintOf(pending)))
         return Reason::Quarantined;
     if (pending.workspace_ && !admitWithinQuota(state_.quotas_, *pending.workspace_, state_.random_))
         return Reason::RateLimited;
@@ -290,12 +291,12 @@
 void Dispatcher::Core::dispatch(const PendingRequestPtr& pending)
 {
     if (monotonicNow() + detail::minSendTime > pending->expiresAt_)
-        return refuse(pending, Reason::DeadlineTooShort);
+        return endUnserved(pending, Reason::DeadlineTooShort);
     switch (tryDispatch(pending)) {
     case routing::PickFailure::None:
         return;
     case routing::PickFailure::NoneUsable:
-        return refuse(pending, noUpstreamReason(*pending));
+        return endUnserved(pending, noUpstreamReason(*pending));
     case routing::PickFailure::NoneAvailable:
         return enqueueOrRefuse(pending);
     }
@@ -313,7 +314,7 @@
     if (routing::tryEnqueue(services_[pending->service_].waitQueue_, waiter, now))
         return;
     if (tryDispatch(pending, true) != routing::PickFailure::None)
-        refuse(pending, noUpstreamReason(*pending));
+        endUnserved(pending, noUpstreamReason(*pending));
 }
 
 std::string Dispatcher::Core::attemptHead(
@@ -393,7 +394,7 @@
             continue;
         const PendingRequestPtr pending = found->second;
         if (tryDispatch(pending, true) != routing::PickFailure::None)
-            refuse(pending, noUpstreamReason(*pending));
+            endUnserved(pending, noUpstreamReason(*pending));
     }
     const std::vector<routing::Waiter> waiters = queue.waiters_;
     size_t failedDispatches = 0;
@@ -407,7 +408,7 @@
             routing::removeWaiter(queue, waiter.id_);
         // The upstreams that may run it have left or paused while it waited.
         else if (failure == routing::PickFailure::NoneUsable)
-            refuse(pending, noUpstreamReason(*pending));
+            endUnserved(pending, noUpstreamReason(*pending));
         // Requests further back may be bound to a version or region that has capacity. The limit on failed
         // tries bounds the cost of a pass under overload.
         else if (++failedDispatches >= detail::maxFailedDispatches)
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -148,7 +148,8 @@
     }
     countForRollout(*pending, failed, observedSeconds > slowThreshold(pending->service_));
     if (!state_.quarantine_.reports_.empty())
-        routing::recordCompletion(state_.quarantine_, wallNow(), detail::fingerprintOf(*pending));
+        routing::recordCompletion(
+            state_.quarantine_, evidenceNow(state_, monotonicNow()), detail::fingerprintOf(*pending));
     endAttempt(*pending);
     pending->mayHaveRun_ = true;
     if (!failed && !isUnstated)
@@ -237,16 +238,17 @@
     if (last != lastCrashCheck_.end() && now < last->second + detail::crashDedupWindow)
         return;
     lastCrashCheck_[upstream] = now;
-    const WallTime wall = wallNow();
+    const WallTime crashedAt = evidenceNow(state_, now);
     routing::CrashReport report { .id_
         = { state_.settings_.name_, state_.incarnation_, ++state_.crashSerial_ },
         .upstream_ = upstream,
-        .at_ = wall };
+        .at_ = crashedAt };
     for (const auto& [id, pending] : pendingRequests_) {
         if (pending->currentUpstream_ != upstream)
             continue;
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - pending->sentAt_);
-        report.suspects_.push_back({ detail::fingerprintOf(*pending), { wall.ms_ - age.count() } });
+        report.suspects_.push_back(
+            { detail::fingerprintOf(*pending), { std::max<int64_t>(0, crashedAt.ms_ - age.count()) } });
     }
     const UpstreamRef ref = findUpstream(state_.directory_, upstream);
     if (!ref.record_)
@@ -259,7 +261,8 @@
 
 void Dispatcher::Core::reportCrash(routing::CrashReport report)
 {
-    const auto change = routing::addCrashReport(state_.quarantine_, wallNow(), report);
+    const auto change
+        = routing::addCrashReport(state_.quarantine_, evidenceNow(state_, monotonicNow()), report);
     logEvent(LogLevel::Info, "upstream-crashed",
         { { "upstream", report.upstream_ }, { "suspects", std::to_string(report.suspects_.size()) },
             { "quarantined", std::to_string(change.records_.size()) } });
@@ -288,6 +291,16 @@
     return pending.stopsTooSoon_ ? Reason::Draining : Reason::Overloaded;
 }
 
+/// Ends a request that no upstream will serve any more: with the failure that an upstream has returned, if
+/// any, else with a refusal. It promises that the request has not run only if no upstream can have run it.
+void Dispatcher::Core::endUnserved(const PendingRequestPtr& pending, Reason reason)
+{
+    if (pending->upstreamFailure_)
+        return forwardResponse(pending, std::move(*pending->upstreamFailure_));
+    const bool mayHaveRun = pending->mayHaveRun_ && host::outcomeOf(reason) == host::Outcome::NotRun;
+    refuse(pending, mayHaveRun ? Reason::UpstreamFailed : reason);
+}
+
 /// Retries at another upstream if allowed, else forwards the upstream's failure or refuses with `reason`.
 void Dispatcher::Core::retryOrFinish(const PendingRequestPtr& pending, Reason reason)
 {
@@ -295,9 +308,7 @@
         metrics_.countRetry(pending->service_);
         return dispatch(pending);
     }
-    if (pending->upstreamFailure_)
-        return forwardResponse(pending, std::move(*pending->upstreamFailure_));
-    refuse(pending, reason);
+    endUnserved(pending, reason);
 }
 
 /// Ends a request at its expiry, cancelling the attempt in flight.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -403,7 +403,7 @@
             logRamp(ramp.ramp_, "peer");
     }
     for (const auto& crash : report.crashes_)
-        routing::addCrashReport(state_.quarantine_, wallNow(), crash);
+        routing::addCrashReport(state_.quarantine_, evidenceNow(state_, monotonicNow()), crash);
 }
 
 void Gateway::Core::onLookup(const Request& request, const std::shared_ptr<Exchange>& exchange)
@@ -453,7 +453,7 @@
     stateLog_.logChanges(state_, now);
     upstreamClient_.closeExpired();
     hostRegistry_.removeExpiredPeers(now);
-    routing::expireQuarantine(state_.quarantine_, wallNow());
+    routing::expireQuarantine(state_.quarantine_, evidenceNow(state_, monotonicNow()));
     const auto changed = detail::modificationTime(settingsPath_);
     if (changed != settingsModifiedAt_) {
         settingsModifiedAt_ = changed;
--- a/src/routing/quarantine.cc
+++ b/src/routing/quarantine.cc
@@ -84,7 +84,10 @@
 {
     QuarantineChange change;
     expireQuarantine(table, now);
-    if (now.ms_ >= report.at_.ms_ + table.options_.ttlMs_ || table.reports_.contains(report.id_))
+    // A time far ahead comes from a host with another clock, and its report would never expire.
+    const bool otherClock = report.at_.ms_ - now.ms_ > table.options_.ttlMs_;
+    if (otherClock || now.ms_ >= report.at_.ms_ + table.options_.ttlMs_
+        || table.reports_.contains(report.id_))
         return change;
     if (table.reports_.size() >= table.options_.maxReports_) {
         table.reports_.erase(std::min_element(table.reports_.begin(), table.reports_.end(),
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -113,6 +113,20 @@
     CHECK(storeReachableMs(state, now + std::chrono::seconds(11)) == 1000);
 }
 
+TEST_CASE("crash evidence has the store's time on every host")
+{
+    // Hosts took their own time of day, so that a request that crashed an upstream behind a host whose clock
+    // was seconds ahead was not recognised at a second host.
+    State hosts[2];
+    hosts[0].storeMs_ = 5000;
+    hosts[0].storeReadAt_ = start;
+    hosts[1].storeMs_ = 6500;
+    hosts[1].storeReadAt_ = start + std::chrono::milliseconds(1500);
+    const TimePoint now = start + std::chrono::seconds(4);
+    CHECK(evidenceNow(hosts[0], now) == WallTime { 9000 });
+    CHECK(evidenceNow(hosts[1], now) == WallTime { 9000 });
+}
+
 TEST_CASE("two hosts with unequal demand together admit no more than the rate")
 {
     // One workspace sends far more than its rate, nearly all of it to one host.
--- a/test/gateway/live-test.cc
+++ b/test/gateway/live-test.cc
@@ -104,6 +104,28 @@
     CHECK(broken.requests_ > 0);
 }
 
+TEST_CASE("an upstream's failure reaches the caller where no other upstream can retry the request")
+{
+    // The gateway replaced the failure, with its signature, by a 502 of its own when the retry found no
+    // upstream.
+    Fixture fixture;
+    Upstream only(fixture.store_, "u1");
+    only.handler_ = [](const httplib::Request&, httplib::Response& response) {
+        response.status = 500;
+        response.set_content("failed", "text/plain");
+    };
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    const auto client = fixture.client();
+    for (int i = 0; i < 10; ++i) {
+        const auto read = client->Get("/read/x", fixture.headers("id-" + std::to_string(i)));
+        REQUIRE(read);
+        CHECK(read->status == 500);
+        CHECK(read->get_header_value("X-Response-Seal") == "seal-of-u1");
+        CHECK(read->body == "failed");
+    }
+}
+
 TEST_CASE("a request that crashes upstreams is quarantined, one whose answers are lost is not")
 {
     // Lost answers to a frequent request on two upstreams counted as two crashes, and the request was refused
--- a/test/routing/quarantine-test.cc
+++ b/test/routing/quarantine-test.cc
@@ -157,3 +157,18 @@
         RC_ASSERT(results[0] == results[2]);
     }));
 }
+
+TEST_CASE("a crash report with a time far ahead is ignored")
+{
+    // Guards against a report from a host with another clock, which would keep its request quarantined for as
+    // long as the clocks differ.
+    QuarantineTable table;
+    const int64_t day = 86'400'000;
+    addCrashReport(table, { 1000 }, crash(1, "u1", day, { { bad, { day - 10 } } }));
+    addCrashReport(table, { 1000 }, crash(2, "u2", day + 100, { { bad, { day + 50 } } }));
+    CHECK(table.reports_.empty());
+    CHECK_FALSE(isQuarantined(table, { 1000 }, bad));
+    // Clocks of hosts that read the same one differ by little.
+    addCrashReport(table, { 1000 }, crash(3, "u1", 1200, { { bad, { 1100 } } }));
+    CHECK(table.reports_.size() == 1);
+}
