Test answers that break off within their head

Guards against the report of other operators: a 200 with an empty or short body, framed as whole, after an upstream stopped in the head of its answer. It does not happen here: the parser ends such an answer as partial, and the caller of a request that must not run twice gets a 502 without the upstream's signature.

--- a/test/gateway/live-test.cc
+++ b/test/gateway/live-test.cc
@@ -255,6 +255,39 @@
             upstream, [&](const std::string& id) { return head + id + "\r\nConnection: close\r\n\r\nabc"; },
             true);
     }
+    // Other operators saw a 200 with an empty or short body, framed as whole, after an upstream had stopped
+    // in the head of its answer.
+    SUBCASE("within its head, after a line")
+    {
+        answerRaw(
+            upstream, [&](const std::string& id) { return head + id + "\r\n"; }, false);
+    }
+    SUBCASE("within a line of its head")
+    {
+        answerRaw(
+            upstream, [&](const std::string& id) { return head + id + "\r\nContent-Length: 9\r\nConn"; },
+            false);
+    }
+    SUBCASE("within its head, by a reset")
+    {
+        reset = true;
+        answerRaw(
+            upstream, [&](const std::string& id) { return head + id + "\r\nContent-Length: 0\r\n"; }, true);
+    }
+    SUBCASE("within its head, with an announced close")
+    {
+        answerRaw(
+            upstream, [&](const std::string& id) { return head + id + "\r\nConnection: close\r\n"; }, false);
+    }
+    SUBCASE("without its last chunk")
+    {
+        answerRaw(
+            upstream,
+            [&](const std::string& id) {
+                return head + id + "\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+            },
+            false);
+    }
     SUBCASE("malformed")
     {
         answerRaw(
