--- a/include/turmericwing/gateway/fleet.h
+++ b/include/turmericwing/gateway/fleet.h
@@ -111,6 +111,11 @@
 /// where the peer's failure domain is not known.
 bool receivesReports(const Fleet&, const Peer&);
 
+/// Interval at which a host sends its reports to `receivers` hosts, so that each of them receives about
+/// `perSecond` reports/s at most: at least `shortest`, and short enough that a few lost reports do not let a
+/// live host count as dead.
+Duration sendInterval(const FleetOptions&, size_t receivers, size_t perSecond, Duration shortest);
+
 /// Whether this host aggregates the reports of its failure domain: the first by rendezvous hashing of the
 /// hosts that are alive there and not leaving. `leaving`: this host is leaving.
 bool isAggregator(const Fleet&, TimePoint now, bool leaving);
@@ -126,10 +131,11 @@
 /// returns two targets at random among the hosts that are registered there, as any of them may be gone.
 std::vector<SummaryTarget> summaryTargets(const Fleet&, TimePoint now, Random&);
 
-/// Returns the reports and sums that together hold the load of all live peers, each once: the reports of live
-/// peers whose failure domain has no live summary, and the live summaries. `leaving`: with those of peers
-/// that are leaving, whose requests still run.
+/// Whether peers that are leaving count. Their requests still run, but callers turn to other hosts.
 enum class LeavingPeers { Included, Excluded };
+
+/// Returns the reports and sums that together hold the load of all live peers, each once: the reports of live
+/// peers whose failure domain has no live summary, and the sums of the live summaries.
 std::vector<const HostReport*> loadReports(const Fleet&, TimePoint now, LeavingPeers leaving);
 
 /// Whether the peer's load is part of a live summary.
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -11,6 +11,7 @@
 
 namespace detail {
 
+    constexpr int reportsPerLifetime = 4; ///< Fewest reports that a host sends while its last one counts.
     constexpr size_t probesPerDomain = 2; ///< Hosts tried in a failure domain that has not been heard.
 
     bool isDomainAlive(const Fleet& fleet, const std::string& failureDomain, TimePoint now)
@@ -155,6 +156,13 @@
     return !usesSummaries(fleet) || failureDomain.empty() || failureDomain == fleet.failureDomain_;
 }
 
+Duration sendInterval(const FleetOptions& options, size_t receivers, size_t perSecond, Duration shortest)
+{
+    const Duration byRate = std::chrono::microseconds(1'000'000 * receivers / perSecond);
+    return std::max(
+        shortest, std::min<Duration>(byRate, options.reportLifetime_ / detail::reportsPerLifetime));
+}
+
 bool isAggregator(const Fleet& fleet, TimePoint now, bool leaving)
 {
     const uint64_t own = rendezvousWeight(fleet.failureDomain_, fleet.self_);
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -2,7 +2,6 @@
 // small.
 #include "turmericwing/gateway/report.h"
 
-#include "jsonvalues.h"
 #include "reportvalues.h"
 
 #include "turmericwing/base/hash.h"
@@ -190,9 +189,6 @@
             report.storeReachableMs_, inFlight, demands, services, ramps, crashes });
     }
 
-    /// Flags of a report in the brief form.
-    enum Flag : uint32_t { ReadyFlag = 1, LeavingFlag = 2, ReachesStoreFlag = 4 };
-
     /// Lists of the brief form are flat: the values of one entry follow those of the entry before.
     size_t entryCount(const json& list, size_t valuesPerEntry)
     {
@@ -226,10 +222,8 @@
         json crashes = json::array();
         for (const auto& entry : report.crashes_)
             crashes.push_back(encode(entry));
-        const uint32_t flags = (report.ready_ ? ReadyFlag : 0U) | (report.leaving_ ? LeavingFlag : 0U)
-            | (report.reachesStore_ ? ReachesStoreFlag : 0U);
-        return json::array({ briefSender(report.name_, report.incarnation_), report.sequence_, flags,
-            report.storeReachableMs_, inFlight, demands, services, ramps, crashes });
+        return json::array({ briefSender(report.name_, report.incarnation_), report.sequence_,
+            encodeFlags(report), report.storeReachableMs_, inFlight, demands, services, ramps, crashes });
     }
 
     BriefReport decodeBriefValue(const json& value)
@@ -237,10 +231,7 @@
         BriefReport brief { .sender_ = countValue<uint32_t>(value.at(0)) };
         HostReport& report = brief.report_;
         report.sequence_ = countValue<uint64_t>(value.at(1));
-        const auto flags = countValue<uint32_t>(value.at(2));
-        report.ready_ = (flags & ReadyFlag) != 0;
-        report.leaving_ = (flags & LeavingFlag) != 0;
-        report.reachesStore_ = (flags & ReachesStoreFlag) != 0;
+        decodeFlags(value.at(2), report);
         report.storeReachableMs_ = countValue<uint32_t>(value.at(3));
         const json& inFlight = value.at(4);
         for (size_t i = 0; i < entryCount(inFlight, 2); ++i)
--- a/src/gateway/reporter.cc
+++ b/src/gateway/reporter.cc
@@ -12,7 +12,7 @@
 
 namespace {
 
-    /// A large fleet reports less often, so that a host receives about this many reports/s at most.
+    /// Limits the interval of reports, so that a host receives about this many reports/s at most.
     constexpr size_t reportsPerSecond = 200;
     constexpr size_t remoteReportsPerSecond = 70; ///< The same limit for reports between regions.
     /// The same limit within a failure domain, where summaries tell the rest.
@@ -30,12 +30,6 @@
     /// Ticks are late by less than this; a message that is due then is not left to the next tick.
     constexpr Duration tickSlack = reportInterval / 20;
 
-    /// Interval at which `senders` hosts send to each other so that each receives `perSecond` messages/s.
-    Duration sendInterval(size_t senders, size_t perSecond)
-    {
-        return std::max<Duration>(reportInterval, std::chrono::microseconds(1'000'000 * senders / perSecond));
-    }
-
     bool hasPeerCrash(const State& state, TimePoint now)
     {
         return std::any_of(state.fleet_.peers_.begin(), state.fleet_.peers_.end(), [&](const auto& entry) {
@@ -179,11 +173,14 @@
     const bool urgent = isNearLimit(state_.quotas_) || isDraining(state_) || !state_.observedCrashes_.empty();
     // Hosts of other regions share few upstreams with this host, and traffic between regions is expensive.
     const bool toAllRegions = large || now >= nextRemoteReport_;
-    nextReport_
-        = now + sendInterval(receivers.size(), large ? domainReportsPerSecond : reportsPerSecond) - tickSlack;
-    if (toAllRegions)
-        nextRemoteReport_ = now
-            + sendInterval(receivers.size(), urgent ? reportsPerSecond : remoteReportsPerSecond) - tickSlack;
+    const FleetOptions& options = state_.fleet_.options_;
+    const size_t perSecond = large ? domainReportsPerSecond : reportsPerSecond;
+    nextReport_ = now + sendInterval(options, receivers.size(), perSecond, reportInterval) - tickSlack;
+    if (toAllRegions) {
+        const size_t remotePerSecond = urgent ? reportsPerSecond : remoteReportsPerSecond;
+        nextRemoteReport_
+            = now + sendInterval(options, receivers.size(), remotePerSecond, reportInterval) - tickSlack;
+    }
     const HostReport report = makeReport(state_, now, ++sequence_);
     const std::string full = encodeReport(report);
     const std::string brief = encodeBriefReport(report);
--- a/src/gateway/reportvalues.h
+++ b/src/gateway/reportvalues.h
@@ -2,6 +2,8 @@
 // and a part of the summary of a failure domain.
 #pragma once
 
+#include "jsonvalues.h"
+
 #include "turmericwing/base/cbor.h"
 #include "turmericwing/gateway/report.h"
 
@@ -13,6 +15,24 @@
 
 constexpr size_t maxReportDepth = 8; ///< Levels of nested arrays; an encoded report has 5.
 
+/// Flags of a host, in the brief form of its report and in summaries.
+enum HostFlag : uint32_t { ReadyFlag = 1, LeavingFlag = 2, ReachesStoreFlag = 4 };
+
+template <typename Host> uint32_t encodeFlags(const Host& host)
+{
+    return (host.ready_ ? ReadyFlag : 0U) | (host.leaving_ ? LeavingFlag : 0U)
+        | (host.reachesStore_ ? ReachesStoreFlag : 0U);
+}
+
+/// Throws std::out_of_range if the value is no whole number.
+template <typename Host> void decodeFlags(const nlohmann::json& value, Host& host)
+{
+    const auto flags = countValue<uint32_t>(value);
+    host.ready_ = (flags & ReadyFlag) != 0;
+    host.leaving_ = (flags & LeavingFlag) != 0;
+    host.reachesStore_ = (flags & ReachesStoreFlag) != 0;
+}
+
 nlohmann::json encodeReportValue(const HostReport&);
 
 /// Errors: Invalid. Throws json::exception and std::out_of_range for members of another type or out of range.
--- a/src/gateway/summary.cc
+++ b/src/gateway/summary.cc
@@ -1,7 +1,6 @@
 // Sums over the reports of a failure domain, and their CBOR encoding.
 #include "turmericwing/gateway/summary.h"
 
-#include "jsonvalues.h"
 #include "reportvalues.h"
 
 #include <nlohmann/json.hpp>
@@ -74,7 +73,7 @@
         return json::array({ member.name_, addressText(member.callerAddress_),
             member.peerAddress_.ip_ == member.callerAddress_.ip_ ? json(member.peerAddress_.port_)
                                                                  : json(addressText(member.peerAddress_)),
-            (member.ready_ ? 1U : 0U) | (member.leaving_ ? 2U : 0U) | (member.reachesStore_ ? 4U : 0U) });
+            encodeFlags(member) });
     }
 
     Result<MemberEntry> decodeMember(const json& value)
@@ -88,10 +87,7 @@
             BOOST_OUTCOME_TRY(peerAddress, parseAddress(value.at(2).get<std::string>()));
             member.peerAddress_ = peerAddress;
         }
-        const auto flags = countValue<uint32_t>(value.at(3));
-        member.ready_ = (flags & 1U) != 0;
-        member.leaving_ = (flags & 2U) != 0;
-        member.reachesStore_ = (flags & 4U) != 0;
+        decodeFlags(value.at(3), member);
         if (member.name_.empty())
             return makeError(ErrorCode::Invalid, "summary has a member without a name");
         return member;
--- a/test/gateway/summary-test.cc
+++ b/test/gateway/summary-test.cc
@@ -423,6 +423,17 @@
     CHECK(receivesReports(fleet, fleet.peers_.at("c1")));
 }
 
+TEST_CASE("a host of a large failure domain reports often enough to count as alive")
+{
+    // At 1,000 hosts in nine failure domains, the limit on reports received would let two thirds of a
+    // report's lifetime pass between two of them, so that one lost report made a live host count as dead.
+    const FleetOptions options;
+    const Duration shortest = milliseconds(100);
+    CHECK(sendInterval(options, 10, 200, shortest) == shortest);
+    CHECK(sendInterval(options, 22, 100, shortest) == milliseconds(220));
+    CHECK(sendInterval(options, 111, 100, shortest) <= options.reportLifetime_ / 4);
+}
+
 TEST_CASE("a row of the host list holds the location, and rows of earlier releases are read without it")
 {
     // Guards against a host that cannot find the others during an upgrade.
