--- a/src/gateway/summary.cc
+++ b/src/gateway/summary.cc
@@ -21,13 +21,13 @@
     void addRegionValues(std::vector<std::pair<uint32_t, double>>& sums,
         const std::vector<std::pair<uint32_t, double>>& values)
     {
-        for (const auto& [region, value] : values) {
+        for (const auto& value : values) {
             const auto sum = std::find_if(
-                sums.begin(), sums.end(), [&](const auto& entry) { return entry.first == region; });
+                sums.begin(), sums.end(), [&](const auto& entry) { return entry.first == value.first; });
             if (sum == sums.end())
-                sums.emplace_back(region, value);
+                sums.push_back(value);
             else
-                sum->second += value;
+                sum->second += value.second;
         }
     }
 
