--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -470,6 +470,8 @@
     metrics_.setGauge(
         "turmericwing_peers_heard", "", "", static_cast<double>(activeReports(state_.fleet_, now).size()));
     metrics_.setGauge("turmericwing_store_reached", "", "", state_.reachesStore_ ? 1 : 0);
+    metrics_.setGauge("turmericwing_configuration_version", "", "",
+        state_.catalog_ ? static_cast<double>(state_.catalog_->configuration().version_) : 0);
     reporter_.exportTo(metrics_);
 }
 
