--- /dev/null
+++ b/test/gateway/callergone-live-test.cc
@@ -0,0 +1,140 @@
+// Tests of callers that leave while their host is behind. They guard against requests that are sent on after
+// their callers have left.
+#include "live.h"
+
+#include <boost/asio/post.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::gateway::test;
+
+namespace {
+
+/// Keeps the event loop of a gateway busy until release(), as a slow turn or a frozen process does.
+class BusyLoop {
+public:
+    explicit BusyLoop(Fixture& fixture)
+    {
+        boost::asio::post(fixture.loop_, [this] {
+            busy_ = true;
+            while (!released_)
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        });
+        REQUIRE(eventually([this] { return busy_.load(); }));
+    }
+
+    ~BusyLoop() { release(); }
+    BusyLoop(const BusyLoop&) = delete;
+    BusyLoop& operator=(const BusyLoop&) = delete;
+
+    void release() { released_ = true; }
+
+private:
+    std::atomic<bool> busy_ = false;
+    std::atomic<bool> released_ = false;
+};
+
+int connectTo(const Address& address)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to {};
+    to.sin_family = AF_INET;
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    to.sin_port = htons(address.port_);
+    REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to)) == 0);
+    return fd;
+}
+
+std::string requestBytes(const std::string& id)
+{
+    return "GET /read/" + id + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id
+        + "\r\nX-Deadline-Ms: 3000\r\nAuthorization: Token key-1\r\n\r\n";
+}
+
+void sendRequest(int fd, const std::string& id)
+{
+    const std::string bytes = requestBytes(id);
+    REQUIRE(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+}
+
+/// Ends a connection with a reset, as a caller's host does that is killed.
+void resetConnection(int fd)
+{
+    const linger atOnce { 1, 0 };
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+    close(fd);
+}
+
+/// Sends one request that is answered, so that all requests before it have been handled.
+void waitForHandling(const Fixture& fixture)
+{
+    const auto answer = fixture.client()->Get("/read/last", Fixture::headers("last"));
+    REQUIRE(answer);
+    REQUIRE(answer->status == 200);
+}
+
+} // namespace
+
+TEST_CASE("a request whose caller left before it was read is not sent on")
+{
+    // The host read the request, sent it to an upstream, and only then read the end of the connection.
+    Fixture fixture;
+    Upstream upstream(fixture.store_, "u1");
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    {
+        BusyLoop busy(fixture);
+        for (int i = 0; i < 8; ++i) {
+            const int fd = connectTo(fixture.settings_.callerAddress_);
+            sendRequest(fd, "gone-" + std::to_string(i));
+            i % 2 == 0 ? static_cast<void>(close(fd)) : resetConnection(fd);
+        }
+    }
+    waitForHandling(fixture);
+    CHECK(upstream.requests_ == 1);
+}
+
+TEST_CASE("a request on a used connection whose caller left while the host was behind is not sent on")
+{
+    Fixture fixture;
+    Upstream upstream(fixture.store_, "u1");
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    const int fd = connectTo(fixture.settings_.callerAddress_);
+    sendRequest(fd, "first");
+    REQUIRE(eventually([&] { return upstream.requests_ == 1; }));
+    char buffer[4096];
+    REQUIRE(recv(fd, buffer, sizeof(buffer), 0) > 0);
+    {
+        BusyLoop busy(fixture);
+        sendRequest(fd, "gone");
+        close(fd);
+    }
+    waitForHandling(fixture);
+    CHECK(upstream.requests_ == 2);
+}
+
+TEST_CASE("a caller that stays is served after the host was behind")
+{
+    // Guards against a check for callers that have left which takes a caller with more to say for one.
+    Fixture fixture;
+    Upstream upstream(fixture.store_, "u1");
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    const int fd = connectTo(fixture.settings_.callerAddress_);
+    {
+        BusyLoop busy(fixture);
+        sendRequest(fd, "one");
+        sendRequest(fd, "two");
+    }
+    std::string received;
+    char buffer[4096];
+    while (received.find("answer of u1") == received.rfind("answer of u1")) {
+        const ssize_t size = recv(fd, buffer, sizeof(buffer), 0);
+        REQUIRE(size > 0);
+        received.append(buffer, static_cast<size_t>(size));
+    }
+    close(fd);
+    CHECK(upstream.requests_ == 2);
+}
