Look whether a caller has left before its request is sent on

Upstreams worked for callers that had left (GONE). Cause: a host that is behind reads a request and sends it on in one step, and reads the end of the connection in the next turn.

Ruled out: paused reading of pipelined bytes (these callers do not pipeline).

The dispatcher asks the connection before each attempt; a peek finds the end that waits behind the request.

--- a/include/turmericwing/gateway/listener.h
+++ b/include/turmericwing/gateway/listener.h
@@ -25,6 +25,9 @@
     virtual void respond(Response) = 0;
     /// Sets a handler that is called at most once, if the caller disconnects before the response.
     virtual void onCallerGone(std::function<void()>) = 0;
+    /// Whether the end of the caller's connection has reached this host, also if its handler has not been
+    /// called yet: a host that is behind reads a request and the end of its connection in separate turns.
+    virtual bool isCallerGone() = 0;
 };
 
 using RequestHandler = std::function<void(Request&&, const std::shared_ptr<Exchange>&)>;
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -260,8 +260,8 @@
     return routing::pickTarget(pool.targets_, options_.pick_, request, now, permit, distance);
 }
 
-/// Sends the request if an upstream has capacity for it. Otherwise returns why not. `allowNonPreferred`
-/// permits upstreams outside the object's preferred ones.
+/// Sends the request if an upstream has capacity for it, or ends it if its caller has left. Otherwise returns
+/// why not. `allowNonPreferred` permits upstreams outside the object's preferred ones.
 routing::PickFailure Dispatcher::Core::tryDispatch(const PendingRequestPtr& pending, bool allowNonPreferred)
 {
     const auto found = state_.directory_.services_.find(pending->service_);
@@ -283,7 +283,10 @@
         return result.failure_;
     if (pending->stopsTooSoon_)
         return routing::PickFailure::NoneUsable;
-    sendAttempt(pending, pool, *result.pick_);
+    if (pending->exchange_->isCallerGone())
+        onCallerDisconnected(pending);
+    else
+        sendAttempt(pending, pool, *result.pick_);
     return routing::PickFailure::None;
 }
 
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -2,6 +2,7 @@
 #include "turmericwing/gateway/listener.h"
 
 #include "parsing.h"
+#include "tcpoptions.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -86,6 +87,7 @@
 
         void respond(Response) override;
         void onCallerGone(std::function<void()> handler) override { callerGoneHandler_ = std::move(handler); }
+        bool isCallerGone() override;
 
         /// Whether the connection has no request, not even one that has not been read yet.
         bool isIdle() const;
@@ -138,6 +140,11 @@
         return phase_ == Phase::Idle && (socket_.available(error) == 0 || error);
     }
 
+    bool Connection::isCallerGone()
+    {
+        return phase_ == Phase::Closed || peekSocket(socket_) == PeekResult::Ended;
+    }
+
     void Connection::startTimer(Duration time)
     {
         timer_.expires_after(time);
--- a/src/gateway/tcpoptions.cc
+++ b/src/gateway/tcpoptions.cc
@@ -1,7 +1,9 @@
-// TCP options of the gateway's outgoing connections.
+// TCP options of the gateway's outgoing connections, and a look at received bytes.
 #include "tcpoptions.h"
 
+#include <cerrno>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace turmericwing::gateway::detail {
 
@@ -22,4 +24,14 @@
     setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
 }
 
+PeekResult peekSocket(boost::asio::ip::tcp::socket& socket)
+{
+    char byte = 0;
+    const ssize_t peeked = ::recv(socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    if (peeked > 0)
+        return PeekResult::Bytes;
+    const bool nothing = peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return nothing ? PeekResult::Nothing : PeekResult::Ended;
+}
+
 } // namespace turmericwing::gateway::detail
--- a/src/gateway/tcpoptions.h
+++ b/src/gateway/tcpoptions.h
@@ -1,4 +1,4 @@
-// TCP options that detect broken connections.
+// TCP options that detect broken connections, and a look at what a connection has received.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -15,4 +15,13 @@
 /// Sets TCP_NODELAY and the options above. Options that the system lacks are skipped.
 void setTcpOptions(boost::asio::ip::tcp::socket&);
 
+enum class PeekResult {
+    Nothing, ///< The connection is open and has no bytes to read.
+    Bytes, ///< There are bytes to read; the connection may have ended after them.
+    Ended, ///< The other side has closed or reset the connection.
+};
+
+/// Tells what has been received, without reading it and without waiting.
+PeekResult peekSocket(boost::asio::ip::tcp::socket&);
+
 } // namespace turmericwing::gateway::detail
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -19,7 +19,6 @@
 #include <array>
 #include <charconv>
 #include <optional>
-#include <sys/socket.h>
 #include <unordered_map>
 #include <vector>
 
@@ -76,10 +75,7 @@
     /// that belong to no request.
     bool isSilent(IdleConnection& connection)
     {
-        char byte = 0;
-        const ssize_t peeked
-            = ::recv(connection.socket_.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-        return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        return peekSocket(connection.socket_) == PeekResult::Nothing;
     }
 
 } // namespace detail
