Let relays send no more at a time than their links carry

A relay answered all followers at once.

A relay now counts the bytes that its connections have not sent yet, and refuses an answer beyond half a second of the host's link (link-mbps) with 429. The follower reads the store at once and calls the relay again for the next change; only other failures make it avoid the relay. Weighed: compressed answers (ten times smaller, but each host would pay for it in time of the event loop) and relays chosen by their links (their rank would change with each report).

--- a/include/turmericwing/gateway/relay.h
+++ b/include/turmericwing/gateway/relay.h
@@ -2,17 +2,20 @@
 //
 // In a large fleet, a few hosts of each region (the relays) follow the store and the others follow a relay.
 // Relays use the store's eras and versions, so a follower can switch to another relay or to the store at any
-// call. A relay answers only while the last answer it received from the store is recent, which bounds how
-// stale its followers become. A follower does not go back to an earlier era: it reads the store directly
-// while its relay has not noticed yet that the store was restored.
+// call. A relay answers no more followers at a time than its link carries at once; the others read the store.
+// It answers only while the last answer it received from the store is recent, which bounds how stale its
+// followers become. A follower does not go back to an earlier era: it reads the store directly while its
+// relay has not noticed yet that the store was restored.
 #pragma once
 
 #include "turmericwing/gateway/fleet.h"
 #include "turmericwing/gateway/listener.h"
 #include "turmericwing/gateway/tablestore.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -26,6 +29,9 @@
     Duration relayWait_ = std::chrono::seconds(1); ///< Longest wait of a relay's follow call to the store.
     Duration followerWait_ = std::chrono::seconds(2); ///< Longest wait of a follow call to a relay.
     Duration avoidDuration_ = std::chrono::seconds(2); ///< Time without calls to relays after one failed.
+    /// Bytes of answers that a relay may have passed to its connections and that are not yet sent. A small
+    /// host that relays a large table to all followers would be unreachable for seconds.
+    uint64_t maxOutgoingBytes_ = uint64_t { 4 } << 20;
 };
 
 /// Names of the relays of this host's region, the same on all hosts with the same view of the fleet. Empty in
@@ -60,6 +66,9 @@
 /// Encodes the body of a relay's answer as CBOR.
 std::string encodeTableRead(const TableRead&);
 
+/// About the size of the encoded answer; less than a twentieth too low.
+uint64_t encodedSize(const TableRead&);
+
 /// Decodes the body of a relay's answer. Errors: Invalid.
 Result<TableRead> decodeTableRead(const std::string& bytes);
 
@@ -75,8 +84,9 @@
     void onChanged(const std::string& table, const TableRead&);
 
     /// Answers a read or follow call. A follow call without new changes stays pending until there are some,
-    /// at most `followerWait_`. Responds with 404 to other targets, 410 when the position is too old, and 503
-    /// when the copy is stale, missing or of an earlier era than the position.
+    /// at most `followerWait_`. Responds with 404 to other targets, 410 when the position is too old, 503
+    /// when the copy is stale, missing or of an earlier era than the position, and 429 when the answer would
+    /// exceed `maxOutgoingBytes_`.
     void handle(const Request&, const std::shared_ptr<Exchange>&);
 
     /// Answers pending calls whose wait has ended, and all of them with 503 when the copies are stale.
@@ -91,11 +101,14 @@
     };
 
     void answerPending(const std::string& table);
+    void respond(Exchange&, const Result<TableRead>&);
 
     const RelayOptions options_;
     std::function<bool()> isFresh_;
     std::map<std::string, TableCopy> copies_;
     std::vector<PendingCall> pendingCalls_;
+    /// Bytes of answers that are not yet sent. Shared with the answers, which may outlive the server.
+    std::shared_ptr<uint64_t> outgoingBytes_ = std::make_shared<uint64_t>(0);
 };
 
 /// Where a host reads followed tables.
@@ -110,8 +123,8 @@
     const RelayOptions&, const Fleet&, TimePoint now, const std::string& ownRegion, bool ownHostEligible);
 
 /// Returns a store that reads and follows through the relay that `choice` returns, or through `direct` when
-/// there is none or it fails. Its reset_ aborts calls to a relay, which are then repeated on `direct`. Follow
-/// calls through a relay wait up to `followerWait_`, whatever their `wait` is.
+/// there is none, it fails or has too much to send. Its reset_ aborts calls to a relay, which are then
+/// repeated on `direct`. Follow calls through a relay wait up to `followerWait_`, whatever their `wait` is.
 TableStore makeRelayedStore(
     boost::asio::io_context&, const TableStore& direct, RelayOptions, std::function<RelayChoice()> choice);
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -43,6 +43,15 @@
         return static_cast<uint64_t>(settings.memoryMb_ * 1'048'576 * answerMemoryFraction);
     }
 
+    /// Time in which the host's link can send what a relay has passed to its followers' connections.
+    constexpr double relaySendSeconds = 0.5;
+
+    RelayOptions relayOptions(const Settings& settings)
+    {
+        const double bytesPerSecond = settings.linkMbps_ * 1e6 / 8;
+        return { .maxOutgoingBytes_ = static_cast<uint64_t>(bytesPerSecond * relaySendSeconds) };
+    }
+
     std::filesystem::file_time_type modificationTime(const std::string& path)
     {
         std::error_code error;
@@ -63,6 +72,7 @@
         , settingsPath_(std::move(options.settingsPath_))
         , store_(std::move(options.store_))
         , state_(makeState(options))
+        , relayOptions_(detail::relayOptions(state_.settings_))
         , upstreamClient_(loop, { .maxHeldAnswerBytes_ = detail::answerMemory(state_.settings_) })
         , dispatcher_(loop, state_, upstreamClient_, metrics_, dispatchOptions_)
         , reporter_(loop, state_, [this](const HostReport& report) { onPeerReport(report); })
@@ -83,12 +93,12 @@
     const std::string settingsPath_;
     TableStore store_;
     State state_;
+    const RelayOptions relayOptions_;
     host::Metrics metrics_;
     UpstreamClient upstreamClient_;
     const DispatchOptions dispatchOptions_ {};
     Dispatcher dispatcher_;
     detail::Reporter reporter_;
-    const RelayOptions relayOptions_ {};
     RelayChoice relayChoice_;
     TableStore relayedStore_; ///< Reads followed tables through a relay if there is one.
     RelayServer relayServer_;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -26,6 +26,9 @@
     /// than the store, which the follower then reads.
     constexpr Duration relayTransferTimeout = std::chrono::seconds(1);
 
+    constexpr unsigned busyStatus = 429; ///< The relay has too much to send now.
+    constexpr uint64_t rowOverhead = 32; ///< Bytes of an encoded row beside its texts, at most.
+
     Response relayResponse(const Result<TableRead>& read)
     {
         if (read)
@@ -86,6 +89,8 @@
             "the relay refused with status " + std::to_string(answer.value().status_));
     }
 
+    bool isBusy(const Result<HttpAnswer>& answer) { return answer && answer.value().status_ == busyStatus; }
+
     /// A follower's connections to its relay, shared by the handlers of its calls.
     struct RelayClient {
         boost::asio::io_context& loop_;
@@ -135,9 +140,11 @@
             };
         }
 
-        void onFailure(const Error& error)
+        /// A busy relay is called again at once: only this answer was too large for its link.
+        void onFailure(const Error& error, bool isBusy)
         {
-            avoidedUntil_ = monotonicNow() + options_.avoidDuration_;
+            if (!isBusy)
+                avoidedUntil_ = monotonicNow() + options_.avoidDuration_;
             host::logEvent(host::LogLevel::Info, "relay-failed",
                 { { "relay", addressText(address_) }, { "reason", error.message_ } });
         }
@@ -233,6 +240,14 @@
     return bytes;
 }
 
+uint64_t encodedSize(const TableRead& read)
+{
+    uint64_t bytes = 0;
+    for (const StoredRow& row : read.rows_)
+        bytes += detail::rowOverhead + row.table_.size() + row.key_.size() + row.value_.size();
+    return bytes;
+}
+
 Result<TableRead> decodeTableRead(const std::string& bytes)
 {
     // The decoder recurses for each level.
@@ -278,14 +293,26 @@
     std::vector<PendingCall> remaining;
     for (PendingCall& pending : std::exchange(pendingCalls_, {})) {
         if (pending.table_ == table)
-            pending.exchange_->respond(
-                detail::relayResponse(changesSince(copies_[table], pending.position_)));
+            respond(*pending.exchange_, changesSince(copies_[table], pending.position_));
         else
             remaining.push_back(std::move(pending));
     }
     pendingCalls_ = std::move(remaining);
 }
 
+/// Responds with the rows, or with a refusal if they are more than the host's link carries now.
+void RelayServer::respond(Exchange& exchange, const Result<TableRead>& read)
+{
+    const uint64_t bytes = read ? encodedSize(read.value()) : 0;
+    if (bytes > 0 && *outgoingBytes_ + bytes > options_.maxOutgoingBytes_)
+        return exchange.respond({ .status_ = detail::busyStatus });
+    Response response = detail::relayResponse(read);
+    *outgoingBytes_ += bytes;
+    response.hold_ = std::shared_ptr<const void>(
+        nullptr, [outgoing = outgoingBytes_, bytes](const void*) { *outgoing -= bytes; });
+    exchange.respond(std::move(response));
+}
+
 void RelayServer::handle(const Request& request, const std::shared_ptr<Exchange>& exchange)
 {
     const auto call = detail::parseCall(request.target_);
@@ -295,10 +322,10 @@
     if (!isFresh_() || copy == copies_.end())
         return exchange->respond({ .status_ = 503 });
     if (!call->follow_)
-        return exchange->respond(detail::relayResponse(tableSnapshot(copy->second)));
+        return respond(*exchange, tableSnapshot(copy->second));
     const auto changes = changesSince(copy->second, call->position_);
     if (!changes || !changes.value().rows_.empty())
-        return exchange->respond(detail::relayResponse(changes));
+        return respond(*exchange, changes);
     pendingCalls_.push_back(
         { call->table_, call->position_, monotonicNow() + options_.followerWait_, exchange });
 }
@@ -311,8 +338,7 @@
         if (!fresh)
             pending.exchange_->respond({ .status_ = 503 });
         else if (now >= pending.deadline_)
-            pending.exchange_->respond(
-                detail::relayResponse(changesSince(copies_[pending.table_], pending.position_)));
+            respond(*pending.exchange_, changesSince(copies_[pending.table_], pending.position_));
         else
             remaining.push_back(std::move(pending));
     }
@@ -335,7 +361,7 @@
                 auto read = client->checkEra(detail::parseRelayResponse(answer));
                 if (read)
                     return handler(std::move(read));
-                client->onFailure(read.error());
+                client->onFailure(read.error(), detail::isBusy(answer));
                 client->direct_.read_(table, client->recordEra(handler));
             });
     };
@@ -356,7 +382,7 @@
                 const bool versionTooOld = !read && read.error().code_ == ErrorCode::NotFound;
                 if (read || versionTooOld)
                     return handler(std::move(read));
-                client->onFailure(read.error());
+                client->onFailure(read.error(), detail::isBusy(answer));
                 client->direct_.follow_(table, position, wait, client->recordEra(handler));
             });
     };
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -12,6 +12,8 @@
 
     constexpr double minMemoryMb = 1;
     constexpr double maxMemoryMb = 1'048'576;
+    constexpr double minLinkMbps = 0.1;
+    constexpr double maxLinkMbps = 1e6;
 
     /// A non-negative number and the text after it, its unit.
     struct Quantity {
@@ -59,6 +61,14 @@
             addFault(file, 0, key, "is not from 1 to 1048576");
     }
 
+    void takeLink(IniFile& file, double& value)
+    {
+        static const std::string key = "limits.link-mbps";
+        takeNumber(file, key, value);
+        if (value < minLinkMbps || value > maxLinkMbps)
+            addFault(file, 0, key, "is not from 0.1 to 1000000");
+    }
+
     Bounds takeBounds(IniFile& file)
     {
         Bounds bounds;
@@ -126,6 +136,7 @@
     settings.regionOf_ = detail::takeRegions(file);
     settings.regionOf_[settings.failureDomain_] = settings.region_;
     detail::takeMemory(file, settings.memoryMb_);
+    detail::takeLink(file, settings.linkMbps_);
     settings.bounds_ = detail::takeBounds(file);
     if (!file.faults_.empty())
         return makeError(ErrorCode::Invalid, faultText(file));
--- a/test/gateway/relay-test.cc
+++ b/test/gateway/relay-test.cc
@@ -39,6 +39,14 @@
     return fleet;
 }
 
+/// An exchange that keeps its response, as a connection does until it is sent.
+struct KeptResponse : Exchange {
+    Response response_;
+    void respond(Response response) override { response_ = std::move(response); }
+    void onCallerGone(std::function<void()>) override { }
+    bool isCallerGone() override { return false; }
+};
+
 /// A store, a relay that serves its copy, and a follower of the relay, all on one event loop.
 struct Chain {
     boost::asio::io_context loop_ { 1 };
@@ -47,7 +55,7 @@
     uint64_t directEra_ = 0; ///< Era of the store's own answers.
     Address address_ { "127.0.0.1", static_cast<uint16_t>(11'000 + getpid() % 900) };
     RelayChoice choice_ { .relay_ = address_ };
-    RelayServer server_ { {}, [this] { return isFresh_; } };
+    RelayServer server_;
     Listener listener_ { loop_,
         { .address_ = address_,
             .handler_ = [this](Request&& request, const std::shared_ptr<Exchange>& exchange) {
@@ -61,7 +69,8 @@
         .reset_ = [] {} };
     TableStore follower_ = makeRelayedStore(loop_, direct_, {}, [this] { return choice_; });
 
-    Chain()
+    explicit Chain(const RelayOptions& options = {})
+        : server_(options, [this] { return isFresh_; })
     {
         REQUIRE(listener_.start());
         server_.onReplaced("servers", { { makeRow("u1", 5), makeRow("u2", 7) }, 7, 1000 });
@@ -173,6 +182,40 @@
     CHECK(chain.directCalls_ == 2);
 }
 
+TEST_CASE("a relay sends no more at a time than its link carries, and refuses the rest at once")
+{
+    // A host with a link of 10 Mbit/s sent a configuration of 1 MB to each of 13 followers; callers could not
+    // reach it meanwhile, and the followers had the configuration seconds later than from the store.
+    RelayServer server({ .maxOutgoingBytes_ = 250'000 }, [] { return true; });
+    const StoredRow large { "op", "config", std::string(100'000, 'c'), 8, false };
+    server.onReplaced("op", { { large }, 8, 1000 });
+    std::vector<std::shared_ptr<KeptResponse>> followers;
+    const auto call = [&] {
+        followers.push_back(std::make_shared<KeptResponse>());
+        server.handle({ "GET", "/read/op", {}, {}, {} }, followers.back());
+        return followers.back()->response_.status_;
+    };
+    CHECK(call() == 200);
+    CHECK(call() == 200);
+    CHECK(call() == 429);
+    followers.front()->response_ = {}; // As after it was sent.
+    CHECK(call() == 200);
+    CHECK(call() == 429);
+}
+
+TEST_CASE("a follower reads the store while its relay is busy, and then the relay again")
+{
+    Chain chain({ .maxOutgoingBytes_ = 1000 });
+    chain.server_.onChanged("servers", { { makeRow(std::string(2000, 'u'), 8) }, 8, 1000 });
+    const TimePoint begin = monotonicNow();
+    CHECK(chain.follow({ 0, 7 }).value().rows_.front().key_ == "direct");
+    CHECK(monotonicNow() - begin < std::chrono::seconds(1));
+    CHECK(chain.directCalls_ == 1);
+    chain.server_.onChanged("servers", { { makeRow("u3", 10) }, 10, 1100 });
+    CHECK(chain.follow({ 0, 9 }).value().rows_.front().key_ == "u3");
+    CHECK(chain.directCalls_ == 1);
+}
+
 TEST_CASE("a deeply nested answer of a relay is an error")
 {
     // The CBOR decoder recurses for each level, so an answer of nested arrays overflowed the stack.
--- a/test/gateway/settings-test.cc
+++ b/test/gateway/settings-test.cc
@@ -49,6 +49,16 @@
     checkFault(good + "[limits]\nmemory-mb = much\n", "limits.memory-mb: 'much' is not a number");
 }
 
+TEST_CASE("the speed of the host's link is read, and has a default")
+{
+    // Guards against a relay that takes a small host's link for a fast one.
+    CHECK(load(good).value().linkMbps_ == 1000);
+    CHECK(load(good + "[limits]\nlink-mbps = 10.0\n").value().linkMbps_ == 10);
+    checkFault(good + "[limits]\nlink-mbps = 0\n", "limits.link-mbps: is not from 0.1 to 1000000");
+    checkFault(good + "[limits]\nlink-mbps = 1e300\n", "limits.link-mbps: is not from 0.1 to 1000000");
+    checkFault(good + "[limits]\nlink-mbps = fast\n", "limits.link-mbps: 'fast' is not a number");
+}
+
 TEST_CASE("valid settings are read, and unknown fields are ignored")
 {
     const auto settings
