Show with a failing test that the limits of upstreams are not kept

An upstream in need names in its answers the requests/s that it takes from all hosts together (LIMIT).

--- a/test/gateway/live.h
+++ b/test/gateway/live.h
@@ -19,6 +19,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <vector>
 
 namespace turmericwing::gateway::test {
 
@@ -68,6 +69,8 @@
             response.set_header("X-Attempt-Id", request.get_header_value("X-Attempt-Id"));
             if (leaving_)
                 response.set_header("Server-Leaving", "1");
+            for (const std::string& limit : namedLimits())
+                response.set_header("Server-Limit", limit);
             if (const std::string pause = requestedPause(); !pause.empty())
                 return refuse(response, pause);
             response.set_header("X-Response-Seal", "seal-of-" + id_);
@@ -96,6 +99,13 @@
         retryAfter_ = retryAfter;
     }
 
+    /// From now on all answers have these limit fields, in requests/s.
+    void nameLimits(std::vector<std::string> limits)
+    {
+        std::lock_guard lock(mutex_);
+        limits_ = std::move(limits);
+    }
+
     standin::RowStore& store_;
     const std::string id_;
     const std::string domain_;
@@ -119,6 +129,12 @@
         return retryAfter_;
     }
 
+    std::vector<std::string> namedLimits() const
+    {
+        std::lock_guard lock(mutex_);
+        return limits_;
+    }
+
     static void refuse(httplib::Response& response, const std::string& retryAfter)
     {
         response.status = 503;
@@ -128,6 +144,7 @@
 
     mutable std::mutex mutex_;
     std::string retryAfter_;
+    std::vector<std::string> limits_;
 };
 
 /// Returns a configuration with routes for /read/ and /write/ and one workspace.
