Keep to the limits that upstreams name, on all hosts

Cause: the field was not read, and nothing bound hosts together in what they send to one upstream. The adapter reads the field; gateway/upstreamlimits takes answers and the statements of peers to limits/upstreamlimit; reports and summaries have them as a last member that is only there while there are any, so that hosts of an earlier release read all others. The dispatcher asks for each candidate when the host may send: never and too late for the request's wait count as not usable, so that it goes elsewhere or is refused at once. Regions count the slots that a limit leaves as capacity.

Ruled out: sharing among all hosts whatever their region.

--- a/include/turmericwing/gateway/directory.h
+++ b/include/turmericwing/gateway/directory.h
@@ -15,6 +15,7 @@
 #include "turmericwing/base/time.h"
 #include "turmericwing/gateway/catalog.h"
 #include "turmericwing/limits/bucket.h"
+#include "turmericwing/limits/upstreamlimit.h"
 #include "turmericwing/routing/pick.h"
 
 #include <map>
@@ -46,6 +47,8 @@
     bool leavingSeen_ = false;
     /// Rate limit while cold, if this host owns a share of the rate.
     std::optional<limits::Bucket> coldBucket_;
+    limits::UpstreamLimit limit_ {}; ///< Request rate that this run of the upstream has asked for.
+    uint32_t incarnationHash_ = 0; ///< Of this run, in reports.
     bool faultLogged_ = false; ///< A malformed announcement was logged, once for each incarnation.
 };
 
--- a/include/turmericwing/gateway/report.h
+++ b/include/turmericwing/gateway/report.h
@@ -9,6 +9,7 @@
 #include "turmericwing/routing/quarantine.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -52,6 +53,14 @@
     friend bool operator==(const RampReport&, const RampReport&) = default;
 };
 
+/// What an upstream said last about its limit, as heard by the sender or by hosts that it speaks for.
+struct LimitReport {
+    uint32_t incarnation_ = 0; ///< incarnationHash of the upstream.
+    std::optional<double> rate_; ///< Requests/s from all hosts together; empty if the limit has ended.
+    uint32_t ageMs_ = 0; ///< Milliseconds since the answer was received, when the report was made.
+    friend bool operator==(const LimitReport&, const LimitReport&) = default;
+};
+
 struct HostReport {
     std::string name_;
     uint64_t incarnation_ = 0; ///< Random number that identifies one run of the process.
@@ -71,12 +80,17 @@
     std::vector<RampReport> ramps_;
     /// Recent crashes; each is repeated for a few seconds, as reports may be lost.
     std::vector<routing::CrashReport> crashes_;
+    /// Encoded only if not empty: hosts of earlier releases reject reports with this member.
+    std::vector<LimitReport> limits_;
     friend bool operator==(const HostReport&, const HostReport&) = default;
 };
 
 /// Returns the hash that identifies an upstream, workspace, service or region in reports.
 uint32_t shortHash(const std::string&);
 
+/// Returns the hash that identifies one run of an upstream in reports.
+uint32_t incarnationHash(const std::string& upstream, int64_t startedMs);
+
 /// Encodes a report as CBOR. The size is not checked.
 std::string encodeReport(const HostReport&);
 
--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -11,6 +11,7 @@
 #include "turmericwing/gateway/quotas.h"
 #include "turmericwing/gateway/rollouts.h"
 #include "turmericwing/gateway/settings.h"
+#include "turmericwing/gateway/upstreamlimits.h"
 #include "turmericwing/routing/quarantine.h"
 #include "turmericwing/routing/regionsplit.h"
 #include "turmericwing/routing/retry.h"
@@ -63,6 +64,7 @@
     Directory directory_;
     Fleet fleet_;
     Quotas quotas_;
+    UpstreamLimits upstreamLimits_;
     Rollouts rollouts_;
     routing::QuarantineTable quarantine_;
     std::deque<ObservedCrash> observedCrashes_;
--- a/include/turmericwing/routing/upstreamstate.h
+++ b/include/turmericwing/routing/upstreamstate.h
@@ -18,6 +18,11 @@
     bool leaving_ = false;
     /// Seconds for which the upstream wants no requests from this host; finite and not negative.
     std::optional<double> pauseSeconds_;
+    /// Requests/s that the upstream takes from all hosts together, for as long as its answers say so; finite
+    /// and not negative.
+    std::optional<double> requestRate_;
+    /// The answer names a rate that cannot be read; it neither sets nor ends a limit.
+    bool isRateMalformed_ = false;
     std::string fault_; ///< Describes a field that was ignored because it is malformed; empty if none was.
     friend bool operator==(const UpstreamNotice&, const UpstreamNotice&) = default;
 };
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -2,6 +2,7 @@
 #include "turmericwing/gateway/directory.h"
 
 #include "turmericwing/base/hash.h"
+#include "turmericwing/gateway/report.h"
 
 #include <algorithm>
 
@@ -53,7 +54,8 @@
         ServicePool& pool = directory.services_[entry.service_];
         pool.targets_.push_back(makeTarget(directory, entry));
         pool.targets_.back().announced_ = routing::takeState(directory.unlistedStates_, incarnationOf(entry));
-        pool.records_.push_back({ .entry_ = entry });
+        pool.records_.push_back(
+            { .entry_ = entry, .incarnationHash_ = incarnationHash(entry.id_, entry.startedMs_) });
         directory.serviceOf_[entry.id_] = entry.service_;
     }
 
@@ -120,8 +122,10 @@
     if (added) {
         detail::add(directory, entry);
         known = findUpstream(directory, entry.id_);
-        known.record_->leavingSeen_ = departed && departed->record_.leavingSeen_
-            && !detail::isOtherRun(departed->record_.entry_, entry);
+        if (departed && !detail::isOtherRun(departed->record_.entry_, entry)) {
+            known.record_->leavingSeen_ = departed->record_.leavingSeen_;
+            known.record_->limit_ = departed->record_.limit_;
+        }
         directory.departed_.erase(entry.id_);
     }
     // remainingColdTime_ is fixed when the entry is written, so only a changed value may make the upstream
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -123,6 +123,8 @@
     void onCallResult(const PendingRequestPtr&, UpstreamAnswer);
     void onResponse(const PendingRequestPtr&, Response, double observedSeconds);
     void applyUpstreamNotice(const PendingRequest&, const Response&);
+    void applyUpstreamLimit(const PendingRequest&, const Response&, const routing::UpstreamNotice&);
+    TimePoint startDeadline(const PendingRequest&) const;
     void logFaultOnce(const PendingRequest&, const std::string& fault);
     std::optional<TimePoint> pauseEnd(const PendingRequest&, TimePoint now);
     void onNotRun(const PendingRequestPtr&, const Response&);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -175,13 +175,20 @@
     return known;
 }
 
-/// Whether version, evacuation and cold-start limits let the request go to the target.
+/// Whether version, evacuation, the upstream's own limit and cold-start limits let the request go to the
+/// target.
 routing::Permission Dispatcher::Core::permission(const PendingRequest& pending, const ServiceSpec* service,
     const routing::Target& target, const UpstreamRecord& record, TimePoint now) const
 {
     if (!pending.version_.allows(target.version_)
         || state_.directory_.evacuated_.contains(target.failureDomain_))
         return routing::Permission::Never;
+    const auto allowedAt = limits::nextRequestAt(record.limit_, now);
+    // A part of the limit that comes too late for the request is none: it need not wait for it.
+    if (!allowedAt || (*allowedAt > now && *allowedAt > startDeadline(pending)))
+        return routing::Permission::Never;
+    if (*allowedAt > now)
+        return routing::Permission::Later;
     if (now >= target.coldUntil_ || !service || service->coldRate_ <= 0)
         return routing::Permission::Now;
     // Only hosts that own a share of the cold-start rate send to a cold upstream.
@@ -305,16 +312,20 @@
     }
 }
 
+/// Latest time at which a request that waits may be sent.
+TimePoint Dispatcher::Core::startDeadline(const PendingRequest& pending) const
+{
+    const Duration longest
+        = std::chrono::duration_cast<Duration>(pending.route_->latencyTarget_ * options_.maxWaitFraction_);
+    return std::min(pending.expiresAt_, pending.request_.receivedAt_ + longest);
+}
+
 /// Queues the request. If it is not expected to start in time there, tries any upstream, then refuses it.
 void Dispatcher::Core::enqueueOrRefuse(const PendingRequestPtr& pending)
 {
-    const TimePoint now = monotonicNow();
-    const Duration longest
-        = std::chrono::duration_cast<Duration>(pending->route_->latencyTarget_ * options_.maxWaitFraction_);
-    const TimePoint startBy = std::min(pending->expiresAt_, pending->request_.receivedAt_ + longest);
     const routing::Waiter waiter { pending->id_, detail::rankOf(*pending), pending->request_.receivedAt_,
-        startBy };
-    if (routing::tryEnqueue(services_[pending->service_].waitQueue_, waiter, now))
+        startDeadline(*pending) };
+    if (routing::tryEnqueue(services_[pending->service_].waitQueue_, waiter, monotonicNow()))
         return;
     if (tryDispatch(pending, true) != routing::PickFailure::None)
         endUnserved(pending, noUpstreamReason(*pending));
@@ -347,6 +358,7 @@
     UpstreamRecord& record = pool.records_[pick.index_];
     if (record.coldBucket_ && now < target.coldUntil_)
         limits::takeTokens(*record.coldBucket_, 1, now);
+    limits::takeRequest(record.limit_, now);
     routing::recordStart(services_[pending->service_].waitQueue_, now);
     if (pending->object_)
         routing::recordUse(
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -1,5 +1,6 @@
 // Outcome of attempts: responses, transport errors, retries, refusals and the completion of requests.
 #include "dispatchcore.h"
+#include "statelog.h"
 
 #include "turmericwing/host/log.h"
 
@@ -169,6 +170,7 @@
     const routing::UpstreamNotice notice = state_.protocol_.parseNotice_(response);
     if (!notice.fault_.empty())
         logFaultOnce(pending, notice.fault_);
+    applyUpstreamLimit(pending, response, notice);
     const std::string& upstream = pending.currentUpstream_;
     const auto status
         = recordNotice(state_.directory_, monotonicNow(), { pending.upstreamStartedMs_, upstream }, notice);
@@ -188,6 +190,22 @@
     scheduleServeWaiting(pending.service_);
 }
 
+/// Applies the limit that the answer names, or that it names none.
+void Dispatcher::Core::applyUpstreamLimit(
+    const PendingRequest& pending, const Response& response, const routing::UpstreamNotice& notice)
+{
+    if (notice.isRateMalformed_)
+        return;
+    const bool ran = headerValue(response.headers_, state_.protocol_.headers_.notRun_).empty();
+    const auto change = recordLimit(state_.upstreamLimits_, state_.directory_, state_.fleet_, monotonicNow(),
+        { { pending.upstreamStartedMs_, pending.currentUpstream_ }, notice.requestRate_, pending.sentAt_,
+            ran });
+    if (!change)
+        return;
+    detail::logLimitChange(*change, pending.requestId_);
+    scheduleServeWaiting(pending.service_);
+}
+
 /// Logs a malformed announcement, once for each incarnation of an upstream to bound the volume.
 void Dispatcher::Core::logFaultOnce(const PendingRequest& pending, const std::string& fault)
 {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -403,7 +403,8 @@
             { "address", addressText(entry.value().address_) }, { "version", version } });
 }
 
-/// Takes over what a peer, or the summary of a failure domain, says about the store, rollouts and crashes.
+/// Takes over what a peer, or the summary of a failure domain, says about the store, rollouts, upstreams'
+/// limits and crashes.
 void Gateway::Core::onPeerReport(const HostReport& report)
 {
     onPeerStoreContact(
@@ -412,6 +413,7 @@
         if (mergeRamp(state_.rollouts_, { ramp.ramp_, ramp.orderVersion_, ramp.orderEra_ }))
             logRamp(ramp.ramp_, "peer");
     }
+    hearLimits(state_.upstreamLimits_, state_.fleet_, monotonicNow(), report);
     for (const auto& crash : report.crashes_)
         routing::addCrashReport(state_.quarantine_, evidenceNow(state_, monotonicNow()), crash);
 }
@@ -442,6 +444,9 @@
         logEvent(LogLevel::Info, "evacuation-ended",
             { { "failure-domain", domain }, { "reason", "not written again after the store was restored" } });
     applyPeerLoads(state_, now, dispatchOptions_.pick_);
+    for (const LimitChange& change :
+        updateLimits(state_.upstreamLimits_, state_.directory_, state_.fleet_, now))
+        detail::logLimitChange(change, {});
     updateRelay(now);
     updateSplits(state_, now);
     if (state_.catalog_)
@@ -480,6 +485,8 @@
     metrics_.setGauge(
         "turmericwing_peers_heard", "", "", static_cast<double>(activeReports(state_.fleet_, now).size()));
     metrics_.setGauge("turmericwing_store_reached", "", "", state_.reachesStore_ ? 1 : 0);
+    metrics_.setGauge("turmericwing_upstreams_limited", "", "",
+        static_cast<double>(limitedCount(state_.upstreamLimits_, state_.directory_, now)));
     metrics_.setGauge("turmericwing_configuration_version", "", "",
         state_.catalog_ ? static_cast<double>(state_.catalog_->configuration().version_) : 0);
     reporter_.exportTo(metrics_);
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -14,10 +14,12 @@
 
 namespace detail {
 
-    constexpr size_t memberCount = 16; ///< Members of HostReport.
-    constexpr size_t briefMemberCount = 9; ///< Members of a report in the brief form.
-    /// First byte of a CBOR array of that many members.
+    constexpr size_t memberCount = 16; ///< Members of HostReport without limits.
+    constexpr size_t briefMemberCount = 9; ///< Members of a report in the brief form, without limits.
+    /// First byte of a CBOR array of that many members, and with limits.
     constexpr char briefArrayHeader = static_cast<char>(0x80 + briefMemberCount);
+    constexpr char briefArrayHeaderWithLimits = static_cast<char>(briefArrayHeader + 1);
+    constexpr size_t valuesPerLimit = 3; ///< Of the flat list of limits.
 
     json encode(const rollout::RampCounts& counts)
     {
@@ -132,9 +134,41 @@
         return entry;
     }
 
+    /// Lists of the brief form and limits are flat: the values of one entry follow those of the entry before.
+    size_t entryCount(const json& list, size_t valuesPerEntry)
+    {
+        if (!list.is_array() || list.size() % valuesPerEntry != 0)
+            throw std::out_of_range("list with an incomplete entry");
+        return list.size() / valuesPerEntry;
+    }
+
+    /// Flat: incarnation, rate or null, and age of each.
+    json encodeLimits(const std::vector<LimitReport>& limits)
+    {
+        json list = json::array();
+        for (const LimitReport& limit : limits) {
+            list.push_back(limit.incarnation_);
+            list.push_back(limit.rate_ ? json(static_cast<float>(*limit.rate_)) : json());
+            list.push_back(limit.ageMs_);
+        }
+        return list;
+    }
+
+    std::vector<LimitReport> decodeLimits(const json& list)
+    {
+        std::vector<LimitReport> limits;
+        for (size_t i = 0; i < entryCount(list, valuesPerLimit); ++i) {
+            const json& rate = list[valuesPerLimit * i + 1];
+            limits.push_back({ countValue<uint32_t>(list[valuesPerLimit * i]),
+                rate.is_null() ? std::nullopt : std::optional(amountValue(rate)),
+                countValue<uint32_t>(list[valuesPerLimit * i + 2]) });
+        }
+        return limits;
+    }
+
     Result<HostReport> decodeReportValue(const json& value)
     {
-        if (!value.is_array() || value.size() != memberCount)
+        if (!value.is_array() || (value.size() != memberCount && value.size() != memberCount + 1))
             return makeError(ErrorCode::Invalid, "report is not a CBOR array with all 16 members");
         HostReport report;
         size_t next = 0;
@@ -162,6 +196,8 @@
             report.ramps_.push_back(decodeRamp(entry));
         for (const json& entry : value.at(next++))
             report.crashes_.push_back(decodeCrash(entry));
+        if (next < value.size())
+            report.limits_ = decodeLimits(value.at(next));
         return report;
     }
 
@@ -179,19 +215,14 @@
         for (const Demand& entry : report.demands_)
             demands.push_back(
                 json::array({ entry.workspace_, static_cast<float>(entry.rate_), entry.admitted_ }));
-        return json::array(
+        json value = json::array(
             { report.name_, report.incarnation_, report.sequence_, addressText(report.callerAddress_),
                 addressText(report.peerAddress_), report.region_, report.failureDomain_, report.ready_,
                 report.leaving_, report.reachesStore_, report.storeReachableMs_, encodeAll(report.inFlight_),
                 demands, encodeAll(report.services_), encodeAll(report.ramps_), encodeAll(report.crashes_) });
-    }
-
-    /// Lists of the brief form are flat: the values of one entry follow those of the entry before.
-    size_t entryCount(const json& list, size_t valuesPerEntry)
-    {
-        if (!list.is_array() || list.size() % valuesPerEntry != 0)
-            throw std::out_of_range("list with an incomplete entry");
-        return list.size() / valuesPerEntry;
+        if (!report.limits_.empty())
+            value.push_back(encodeLimits(report.limits_));
+        return value;
     }
 
     json encodeBriefValue(const HostReport& report)
@@ -213,9 +244,12 @@
             services.push_back(static_cast<float>(entry.unboundDemand_));
             services.push_back(encode(entry.boundDemand_));
         }
-        return json::array({ briefSender(report.name_, report.incarnation_), report.sequence_,
+        json value = json::array({ briefSender(report.name_, report.incarnation_), report.sequence_,
             encodeFlags(report), report.storeReachableMs_, inFlight, demands, services,
             encodeAll(report.ramps_), encodeAll(report.crashes_) });
+        if (!report.limits_.empty())
+            value.push_back(encodeLimits(report.limits_));
+        return value;
     }
 
     BriefReport decodeBriefValue(const json& value)
@@ -241,6 +275,8 @@
             report.ramps_.push_back(decodeRamp(entry));
         for (const json& entry : value.at(8))
             report.crashes_.push_back(decodeCrash(entry));
+        if (value.size() > briefMemberCount)
+            report.limits_ = decodeLimits(value.at(briefMemberCount));
         return brief;
     }
 
@@ -248,6 +284,11 @@
 
 uint32_t shortHash(const std::string& text) { return static_cast<uint32_t>(hash64(text)); }
 
+uint32_t incarnationHash(const std::string& upstream, int64_t startedMs)
+{
+    return shortHash(upstream + "/" + std::to_string(startedMs));
+}
+
 std::string encodeReport(const HostReport& report)
 {
     std::string bytes;
@@ -292,14 +333,16 @@
 
 bool isBriefReport(const std::string& bytes)
 {
-    return !bytes.empty() && bytes.front() == detail::briefArrayHeader;
+    return !bytes.empty()
+        && (bytes.front() == detail::briefArrayHeader || bytes.front() == detail::briefArrayHeaderWithLimits);
 }
 
 Result<BriefReport> decodeBriefReport(const std::string& bytes)
 {
     return detail::decodeChecked(
         bytes, detail::maxReportDepth, "brief report", [](const json& value) -> Result<BriefReport> {
-            if (!value.is_array() || value.size() != detail::briefMemberCount)
+            const size_t size = value.is_array() ? value.size() : 0;
+            if (size != detail::briefMemberCount && size != detail::briefMemberCount + 1)
                 return makeError(ErrorCode::Invalid, "brief report is not a CBOR array with all 9 members");
             return detail::decodeBriefValue(value);
         });
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -59,10 +59,16 @@
         demand.requestCount_ = 0;
     }
 
+    /// Mean seconds for which a request occupies a slot.
+    double slotSeconds(const ServiceDemand& demand)
+    {
+        return demand.slotSeconds_ > 0 ? demand.slotSeconds_ : initialSlotTime;
+    }
+
     /// Slots that requests at the rate occupy: rate x slot time.
     double slots(const ServiceDemand& demand, const DemandRate& rate)
     {
-        return rate.rate_ * (demand.slotSeconds_ > 0 ? demand.slotSeconds_ : initialSlotTime);
+        return rate.rate_ * slotSeconds(demand);
     }
 
     const ServiceReport* findService(const HostReport& report, uint32_t service)
@@ -92,13 +98,18 @@
     {
         Regions regions;
         const VersionFilter versions = majorityVersion(state, service, pool, now);
-        for (const routing::Target& target : pool.targets_) {
+        const auto demand = state.demand_.find(service);
+        const double slotTime = demand == state.demand_.end() ? initialSlotTime : slotSeconds(demand->second);
+        for (size_t i = 0; i < pool.targets_.size(); ++i) {
+            const routing::Target& target = pool.targets_[i];
             const bool isAvailable = target.usable_ && !target.announced_.leaving_
                 && versions.allows(target.version_) && now >= target.coldUntil_
                 && !state.directory_.evacuated_.contains(target.failureDomain_);
             RegionLoad& region = regions[target.region_];
             region.region_ = target.region_;
-            region.capacity_ += isAvailable ? target.slots_ : 0;
+            if (isAvailable)
+                region.capacity_
+                    += usableSlots(state.upstreamLimits_, pool.records_[i], now, target.slots_, slotTime);
         }
         return regions;
     }
@@ -284,7 +295,9 @@
         .reachesStore_ = state.reachesStore_,
         .storeReachableMs_ = storeReachableMs(state, now),
         .demands_ = takeDemandsToReport(state.quotas_, sequence, stream),
-        .ramps_ = rampReports(state.rollouts_) };
+        .ramps_ = rampReports(state.rollouts_),
+        .limits_
+        = limitsToReport(state.upstreamLimits_, state.directory_, now, stream != ReportStream::Hosts) };
     for (const auto& [name, pool] : state.directory_.services_) {
         for (const routing::Target& target : pool.targets_) {
             if (target.inFlight_ > 0)
--- a/src/gateway/statelog.cc
+++ b/src/gateway/statelog.cc
@@ -28,8 +28,34 @@
         return "sound";
     }
 
+    const char* sourceName(limits::LimitSource source)
+    {
+        switch (source) {
+        case limits::LimitSource::Answer:
+            return "answer";
+        case limits::LimitSource::Peer:
+            return "peer";
+        case limits::LimitSource::Summary:
+            break;
+        }
+        return "summary";
+    }
+
+    std::string rateText(const std::optional<double>& rate)
+    {
+        return rate ? std::to_string(*rate).substr(0, 8) : "none";
+    }
+
 } // namespace
 
+void logLimitChange(const LimitChange& change, const std::string& request)
+{
+    logEvent(LogLevel::Info, "upstream-limit",
+        { { "upstream", change.upstream_ }, { "service", change.service_ },
+            { "per_s", rateText(change.after_) }, { "before", rateText(change.before_) },
+            { "source", sourceName(change.source_) }, { "request", request } });
+}
+
 void StateLog::logChanges(const State& state, TimePoint now)
 {
     logSplits(state);
--- a/src/gateway/statelog.h
+++ b/src/gateway/statelog.h
@@ -1,4 +1,5 @@
-// Logs changes of the host's state: splits, rollout evidence, and peers that are no longer alive.
+// Logs changes of the host's state: splits, rollout evidence, limits of upstreams, and peers that are no
+// longer alive.
 #pragma once
 
 #include "turmericwing/gateway/state.h"
@@ -9,6 +10,9 @@
 
 namespace turmericwing::gateway::detail {
 
+/// Logs a change of an upstream's limit. `request` is the id of the request whose answer told it, if any did.
+void logLimitChange(const LimitChange&, const std::string& request);
+
 /// Logs what differs from the state at the previous call.
 class StateLog {
 public:
--- a/test/adapter/documents-test.cc
+++ b/test/adapter/documents-test.cc
@@ -178,3 +178,29 @@
     CHECK_FALSE(parse({ "1", "1" }).pauseSeconds_);
     CHECK_FALSE(parse({ "1", "1" }).fault_.empty());
 }
+
+TEST_CASE("a limit is read from any answer, and odd values are ignored with a fault")
+{
+    // An odd limit must neither stop all requests to an upstream nor end a limit that was named before.
+    const auto parse = [](std::vector<std::string> values, unsigned status = 200) {
+        gateway::Response answer { .status_ = status };
+        for (const std::string& value : values)
+            answer.headers_.push_back({ "server-limit", value });
+        return makeProtocol().parseNotice_(answer);
+    };
+    CHECK(parse({ "2.5" }).requestRate_ == 2.5);
+    CHECK(parse({ "2.5" }, 503).requestRate_ == 2.5);
+    CHECK(parse({ "0" }).requestRate_ == 0);
+    CHECK(parse({ "0.0" }).requestRate_ == 0);
+    CHECK(parse({ "1000000000000" }).requestRate_ == 1e12);
+    CHECK(parse({}) == routing::UpstreamNotice {});
+    for (const char* value : { "", "-1", "-0.0", "nan", "inf", "1e3", "+1", "0x10", "2/s", "2,5", "1 2" }) {
+        INFO("value: ", value);
+        CHECK_FALSE(parse({ value }).requestRate_);
+        CHECK(parse({ value }).isRateMalformed_);
+        CHECK_FALSE(parse({ value }).fault_.empty());
+    }
+    CHECK(parse({ std::string(400, '9') }).isRateMalformed_);
+    CHECK(parse({ "2", "2" }).isRateMalformed_);
+    CHECK(parse({ "2", "3" }).isRateMalformed_);
+}
--- a/test/adapter/words-test.sh
+++ b/test/adapter/words-test.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 words='X-Attempt-Id|X-Response-Seal|X-Deadline-Ms|X-Expect-Instance|X-Affinity-Key|X-Not-Run|X-Server-Load'
-words+='|Server-Leaving|Store-Era'
+words+='|Server-Leaving|Server-Limit|Store-Era'
 words+='|X-Tenant|X-Cold-Ms|X-Instance-Id|/api/|rows-tx|rows-get|rows-feed|op/config|op/rollout|op/evacuate'
 words+='|home_regions|api_keys|rate_per_s|cold_per_s|cold_left|has_more|tombstone'
 found=$(grep -rnE "$words" src include || true)
