Do not name the end of a pause while a limited upstream serves

A refusal names the end of the earliest pause if all upstreams of the service are paused. The limit is asked for on its own and only where an upstream is picked.

connectTo of two live tests is one in live.h.

--- a/include/turmericwing/routing/pick.h
+++ b/include/turmericwing/routing/pick.h
@@ -93,7 +93,7 @@
     bool isPreferred_ = false; ///< The upstream is a preferred one for the object.
 };
 
-/// Decision of `permit` on a target.
+/// Decision of `permit` on a target, in increasing order.
 enum class Permission {
     Never, ///< Not for this request, for example because of its version.
     Later, ///< Not now, for example because a cold target has used up its rate.
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -118,6 +118,7 @@
     std::string attemptHead(const PendingRequest&, const routing::Target&, TimePoint now) const;
     routing::Permission permission(const PendingRequest&, const ServiceSpec*, const routing::Target&,
         const UpstreamRecord&, TimePoint now) const;
+    routing::Permission limitPermission(const PendingRequest&, const UpstreamRecord&, TimePoint now) const;
     void choosePreferredRegion(PendingRequest&);
     void prepareColdBucket(ServicePool&, size_t index, TimePoint now);
     void onCallResult(const PendingRequestPtr&, UpstreamAnswer);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -175,7 +175,20 @@
     return known;
 }
 
-/// Whether version, evacuation, the upstream's own limit and cold-start limits let the request go to the
+/// Whether the limit that the upstream has named lets the request go there. A part of the limit that comes
+/// too late for the request is none: it need not wait for it.
+routing::Permission Dispatcher::Core::limitPermission(
+    const PendingRequest& pending, const UpstreamRecord& record, TimePoint now) const
+{
+    const auto allowedAt = limits::nextRequestAt(record.limit_, now);
+    if (!allowedAt)
+        return routing::Permission::Never;
+    if (*allowedAt <= now)
+        return routing::Permission::Now;
+    return *allowedAt > startDeadline(pending) ? routing::Permission::Never : routing::Permission::Later;
+}
+
+/// Whether version, evacuation and cold-start limits let the request go to the
 /// target.
 routing::Permission Dispatcher::Core::permission(const PendingRequest& pending, const ServiceSpec* service,
     const routing::Target& target, const UpstreamRecord& record, TimePoint now) const
@@ -183,12 +196,6 @@
     if (!pending.version_.allows(target.version_)
         || state_.directory_.evacuated_.contains(target.failureDomain_))
         return routing::Permission::Never;
-    const auto allowedAt = limits::nextRequestAt(record.limit_, now);
-    // A part of the limit that comes too late for the request is none: it need not wait for it.
-    if (!allowedAt || (*allowedAt > now && *allowedAt > startDeadline(pending)))
-        return routing::Permission::Never;
-    if (*allowedAt > now)
-        return routing::Permission::Later;
     if (now >= target.coldUntil_ || !service || service->coldRate_ <= 0)
         return routing::Permission::Now;
     // Only hosts that own a share of the cold-start rate send to a cold upstream.
@@ -261,7 +268,10 @@
     const ServiceSpec* service = pending.catalog_->findService(pending.service_);
     const auto permit = [&](const routing::Target& target) {
         const auto index = static_cast<size_t>(&target - pool.targets_.data());
-        return permission(pending, service, target, pool.records_[index], now);
+        const UpstreamRecord& record = pool.records_[index];
+        // Permission is ordered: the lower one of both holds.
+        return std::min(
+            permission(pending, service, target, record, now), limitPermission(pending, record, now));
     };
     const auto distance = [&](const routing::Target& target) { return roundTrip(state_, target); };
     return routing::pickTarget(pool.targets_, options_.pick_, request, now, permit, distance);
--- a/test/gateway/callergone-live-test.cc
+++ b/test/gateway/callergone-live-test.cc
@@ -35,17 +35,6 @@
     std::atomic<bool> released_ = false;
 };
 
-int connectTo(const Address& address)
-{
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in to {};
-    to.sin_family = AF_INET;
-    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    to.sin_port = htons(address.port_);
-    REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to)) == 0);
-    return fd;
-}
-
 std::string requestBytes(const std::string& id)
 {
     return "GET /read/" + id + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id
--- a/test/gateway/drain-live-test.cc
+++ b/test/gateway/drain-live-test.cc
@@ -22,19 +22,6 @@
     };
 }
 
-int connectTo(const Address& address)
-{
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in target {};
-    target.sin_family = AF_INET;
-    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    target.sin_port = htons(address.port_);
-    const timeval limit { 5, 0 };
-    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-    REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&target), sizeof(target)) == 0);
-    return fd;
-}
-
 void sendText(int fd, const std::string& text)
 {
     REQUIRE(send(fd, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
--- a/test/gateway/limited-live-test.cc
+++ b/test/gateway/limited-live-test.cc
@@ -75,6 +75,23 @@
     CHECK(sent.other_ == 0);
 }
 
+TEST_CASE("callers are not sent away until a pause ends while a limited upstream serves")
+{
+    // The refusal named the end of the pause, as if the limited upstream took no request at all.
+    Fixture fixture;
+    Upstream paused(fixture.store_, "u1");
+    Upstream limited(fixture.store_, "u2");
+    paused.requestPause("60");
+    limited.nameLimits({ "0" });
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    sendFor(fixture, std::chrono::milliseconds(500));
+    const auto answer = fixture.client()->Get("/read/x", Fixture::headers("last"));
+    REQUIRE(answer);
+    REQUIRE(answer->status == 503);
+    CHECK(std::stod(answer->get_header_value("Retry-After")) < 10);
+}
+
 TEST_CASE("a limit ends with an answer that names none")
 {
     Fixture fixture;
--- a/test/gateway/live.h
+++ b/test/gateway/live.h
@@ -53,6 +53,21 @@
     }
 }
 
+/// Connects to a loopback address. Returns the socket, whose reads end after 5 s.
+inline int connectTo(const Address& address)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in target {};
+    target.sin_family = AF_INET;
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    target.sin_port = htons(address.port_);
+    const timeval limit { 5, 0 };
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    if (connect(fd, reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0)
+        throw std::runtime_error("cannot connect to " + addressText(address));
+    return fd;
+}
+
 /// An upstream whose answers the test defines.
 class Upstream {
 public:
