Let the soak tell a host to reload only once its program is loaded

Traced: status 1 is SIGHUP; the log of host-5 has a stop at 13:51:42.904 and the next start 0.34 s later, and none of the run in between, which the signal ended while the program was being loaded. Until the program runs, SIGHUP ends any process; no code of this project can keep it.

The soak now waits until the process has blocked SIGHUP or handles it, as the system shows in its masks, and sends it then. The check on ends of hosts is unchanged.

--- a/support/soak/soak-main.cc
+++ b/support/soak/soak-main.cc
@@ -83,8 +83,7 @@
                 injector, randomDuration(world.random_, 200, 3000), [&] { pauseHost(world, host, false); });
             return "pause " + host.name_;
         case 2:
-            if (host.pid_ != 0)
-                kill(host.pid_, SIGHUP);
+            reloadHost(host);
             return "reload " + host.name_;
         default:
             stopHostGracefully(world, host);
--- a/support/soak/world.cc
+++ b/support/soak/world.cc
@@ -9,6 +9,7 @@
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 namespace turmericwing::soak {
@@ -27,6 +28,8 @@
     constexpr auto startupTime = std::chrono::seconds(2);
     /// Time to load the program on a busy machine.
     constexpr auto programLoadTime = std::chrono::milliseconds(300);
+    /// Longest wait until a program that is being loaded can be told to reload.
+    constexpr auto maxLoadWait = std::chrono::seconds(5);
     constexpr auto requestDeadline = std::chrono::milliseconds(2000);
     /// Callers wait this long beyond the deadline.
     constexpr auto responseSlack = std::chrono::milliseconds(1500);
@@ -42,6 +45,21 @@
             + std::to_string(index + 1);
     }
 
+    /// Whether a process of this run has blocked SIGHUP or handles it, from the masks that the system shows
+    /// of it.
+    bool survivesReload(pid_t pid)
+    {
+        constexpr uint64_t hangupBit = uint64_t { 1 } << (SIGHUP - 1);
+        std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+        uint64_t mask = 0;
+        for (std::string name; file >> name;) {
+            if ((name == "SigBlk:" || name == "SigCgt:") && file >> std::hex >> mask
+                && (mask & hangupBit) != 0)
+                return true;
+        }
+        return false;
+    }
+
     void writeSettings(const World& world, const HostProcess& host, size_t index)
     {
         const std::string domain = index % 2 == 0 ? "a" : "b";
@@ -329,6 +347,16 @@
     kill(host.pid_, SIGTERM);
 }
 
+void reloadHost(const HostProcess& host)
+{
+    if (host.pid_ == 0 || host.killed_)
+        return;
+    const TimePoint giveUpAt = monotonicNow() + maxLoadWait;
+    while (!survivesReload(host.pid_) && monotonicNow() < giveUpAt)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    kill(host.pid_, SIGHUP);
+}
+
 void reapHosts(World& world)
 {
     for (const auto& host : world.hosts_) {
--- a/support/soak/world.h
+++ b/support/soak/world.h
@@ -91,6 +91,10 @@
 void startHost(World&, HostProcess&);
 void killHost(World&, HostProcess&);
 void pauseHost(World&, HostProcess&, bool paused);
+/// Sends SIGHUP as soon as the program has blocked or handles it: before, while it is being loaded, the
+/// signal ends any process.
+void reloadHost(const HostProcess&);
+
 /// Sends SIGTERM; does nothing if the host was killed or is already stopping.
 void stopHostGracefully(World&, HostProcess&);
 
