Share the limit of an upstream in an unknown region among all hosts

An upstream whose failure domain is not in a host's settings has no region, and no host had a part of its limit: it would have got no request as long as it was limited. All hosts share it now. The new case of upstreamlimits-test failed before and passes. Comments of the limits reworded after a reading of the diff.

--- a/include/turmericwing/gateway/upstreamlimits.h
+++ b/include/turmericwing/gateway/upstreamlimits.h
@@ -17,9 +17,9 @@
 /// State of the limits beside that of each upstream, which its UpstreamRecord has.
 struct UpstreamLimits {
     limits::UpstreamLimitOptions options_ {};
-    /// Hosts that share the limits of a region's upstreams, by region; those of the region itself, which
-    /// reach them at the least cost, or all hosts if none lives there. Kept up to date only while limits are
-    /// known.
+    /// Hosts that share the limits of a region's upstreams, by region: those of the region itself, which send
+    /// most requests there, or all hosts if none of it is alive or, under "", the region is not known. Kept
+    /// up to date only while limits are known.
     std::map<std::string, limits::LimitSharers> sharers_ {};
     TimePoint knownUntil_ {}; ///< When the last limit that is known expires.
     /// Latest statements of peers since the last update, by incarnationHash.
--- a/include/turmericwing/limits/upstreamlimit.h
+++ b/include/turmericwing/limits/upstreamlimit.h
@@ -1,13 +1,13 @@
 // Shares among the hosts the request rate that an upstream names as its limit.
 //
 // An upstream in need says in its answers how many requests/s it takes from all hosts together, for as long
-// as it says so. What one host hears, it tells the others with the time since then; the latest statement of
-// an incarnation holds on all of them, whoever heard it. The limit ends with an answer that names none, with
+// as it says so. A host tells the others what it has heard, and how long ago; the latest statement about an
+// incarnation holds on all of them, whoever heard it. The limit ends with an answer that names none, with
 // the incarnation, or when no host has heard it for `lifetime_`.
 //
 // A few of the live hosts, the owners, may send to a limited upstream. They are selected by rendezvous
-// hashing, and each gets an equal part of the rate and a burst of one request, so that no host has to wait
-// for the others. Parts of the rate of hosts that are not heard stay with those hosts.
+// hashing, and each gets an equal part of the rate and a burst of one request, so that the sum is bounded
+// without messages between them. Parts of the rate of hosts that are not heard stay with those hosts.
 #pragma once
 
 #include "turmericwing/limits/bucket.h"
@@ -22,8 +22,7 @@
     double minOwners_ = 3; ///< Owners of an upstream with a limit of 0.
     /// Further owners for each request/s of the limit, so that a part does not refill for many seconds.
     double ownersPerRate_ = 1.5;
-    /// Requests/s that all hosts together send below which a limit does not count, as only an answer tells
-    /// that it has ended.
+    /// Requests/s; lower limits count as this, because only the answer to a request tells that one has ended.
     double minRate_ = 0.4;
     double maxRate_ = 1e6; ///< Requests/s; higher limits count as this.
     Duration lifetime_ = std::chrono::seconds(30); ///< Without a host that hears it again.
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -188,8 +188,7 @@
     return *allowedAt > startDeadline(pending) ? routing::Permission::Never : routing::Permission::Later;
 }
 
-/// Whether version, evacuation and cold-start limits let the request go to the
-/// target.
+/// Whether version, evacuation and cold-start limits let the request go to the target.
 routing::Permission Dispatcher::Core::permission(const PendingRequest& pending, const ServiceSpec* service,
     const routing::Target& target, const UpstreamRecord& record, TimePoint now) const
 {
--- a/src/gateway/upstreamlimits.cc
+++ b/src/gateway/upstreamlimits.cc
@@ -39,14 +39,15 @@
         const Directory& directory, const Fleet& fleet, TimePoint now)
     {
         const auto own = directory.regionOf_.find(fleet.failureDomain_);
-        std::map<std::string, limits::LimitSharers> sharers;
+        // All hosts share the limits of upstreams whose region is not known.
+        std::map<std::string, limits::LimitSharers> sharers { { "", sharersIn(fleet, now, {}, true) } };
         for (const auto& [failureDomain, region] : directory.regionOf_) {
             if (sharers.contains(region))
                 continue;
             const bool hasSelf = own != directory.regionOf_.end() && own->second == region;
             auto local = sharersIn(fleet, now, region, hasSelf);
             if (!hasSelf && local.others_.empty())
-                local = sharersIn(fleet, now, {}, true);
+                local = sharers[""];
             sharers.emplace(region, std::move(local));
         }
         return sharers;
@@ -56,7 +57,7 @@
     {
         const auto region = directory.regionOf_.find(record.entry_.failureDomain_);
         const auto sharers
-            = region == directory.regionOf_.end() ? all.sharers_.end() : all.sharers_.find(region->second);
+            = all.sharers_.find(region == directory.regionOf_.end() ? std::string() : region->second);
         if (sharers != all.sharers_.end())
             limits::assignPart(record.limit_, all.options_, now, record.entry_.id_, sharers->second);
     }
--- a/test/gateway/upstreamlimits-test.cc
+++ b/test/gateway/upstreamlimits-test.cc
@@ -156,6 +156,16 @@
     CHECK(rate == doctest::Approx(50));
 }
 
+TEST_CASE("a limited upstream in an unknown region is still used")
+{
+    // No host had a part of its limit, so it got no requests at all.
+    Host host("h1");
+    upsertEntry(host.directory_, after(1), makeEntry("elsewhere", "new-domain"));
+    host.answer("elsewhere", 100.0, after(1));
+    REQUIRE(host.isLimited("elsewhere", after(1)));
+    CHECK(host.nextRequestAt("elsewhere", after(1)));
+}
+
 TEST_CASE("a refusal that names no limit ends none")
 {
     Host host("h1");
