--- a/include/turmericwing/gateway/relay.h
+++ b/include/turmericwing/gateway/relay.h
@@ -66,7 +66,7 @@
 /// Encodes the body of a relay's answer as CBOR.
 std::string encodeTableRead(const TableRead&);
 
-/// About the size of the encoded answer; less than a twentieth too low.
+/// Bytes that the rows take in the encoded answer, at most.
 uint64_t encodedSize(const TableRead&);
 
 /// Decodes the body of a relay's answer. Errors: Invalid.
