--- a/test/gateway/callergone-live-test.cc
+++ b/test/gateway/callergone-live-test.cc
@@ -86,6 +86,7 @@
 
 TEST_CASE("a request on a used connection whose caller left while the host was behind is not sent on")
 {
+    // Guards against a look that only new connections get: callers keep theirs for many requests.
     Fixture fixture;
     Upstream upstream(fixture.store_, "u1");
     fixture.start();
