Describe announced limits in the field's terms, and say what their tests guard

The head comment of limits/upstreamlimit.h followed the users' page in its words; it and two comments beside it now say rate limit and announce, as the code does for the other states of upstreams. Each test of the limits names the failure that it guards against. Comments only; no code has changed.

--- a/include/turmericwing/gateway/report.h
+++ b/include/turmericwing/gateway/report.h
@@ -53,7 +53,8 @@
     friend bool operator==(const RampReport&, const RampReport&) = default;
 };
 
-/// What an upstream said last about its limit, as heard by the sender or by hosts that it speaks for.
+/// Latest rate limit that an upstream announced, to the sender of a report or to a member of the failure
+/// domain that a summary is of.
 struct LimitReport {
     uint32_t incarnation_ = 0; ///< incarnationHash of the upstream.
     std::optional<double> rate_; ///< Requests/s from all hosts together; empty if the limit has ended.
--- a/include/turmericwing/limits/upstreamlimit.h
+++ b/include/turmericwing/limits/upstreamlimit.h
@@ -1,9 +1,9 @@
-// Shares among the hosts the request rate that an upstream names as its limit.
+// Shares a rate limit that an upstream announces among the hosts of the fleet.
 //
-// An upstream in need says in its answers how many requests/s it takes from all hosts together, for as long
-// as it says so. A host tells the others what it has heard, and how long ago; the latest statement about an
-// incarnation holds on all of them, whoever heard it. The limit ends with an answer that names none, with
-// the incarnation, or when no host has heard it for `lifetime_`.
+// An overloaded upstream can announce in its answers a rate limit, in requests/s, for the whole fleet. A host
+// tells the others what it has heard, and how long ago; the latest statement about an incarnation holds on
+// all of them, whoever heard it. The limit ends with an answer that names none, with the incarnation, or when
+// no host has heard it for `lifetime_`.
 //
 // A few of the live hosts, the owners, may send to a limited upstream. They are selected by rendezvous
 // hashing, and each gets an equal part of the rate and a burst of one request, so that the sum is bounded
--- a/include/turmericwing/routing/upstreamstate.h
+++ b/include/turmericwing/routing/upstreamstate.h
@@ -18,8 +18,8 @@
     bool leaving_ = false;
     /// Seconds for which the upstream wants no requests from this host; finite and not negative.
     std::optional<double> pauseSeconds_;
-    /// Requests/s that the upstream takes from all hosts together, for as long as its answers say so; finite
-    /// and not negative.
+    /// Rate limit of the upstream for the whole fleet, in requests/s; finite and not negative. Empty if the
+    /// answer announces none.
     std::optional<double> requestRate_;
     /// The answer names a rate that cannot be read; it neither sets nor ends a limit.
     bool isRateMalformed_ = false;
--- a/test/gateway/limited-live-test.cc
+++ b/test/gateway/limited-live-test.cc
@@ -42,6 +42,7 @@
 
 TEST_CASE("an upstream gets no more than the limit that it names, and the rest is refused at once")
 {
+    // The limit was not read: all requests were sent to the upstream.
     Fixture fixture;
     Upstream upstream(fixture.store_, "u1");
     upstream.nameLimits({ "0.5" });
@@ -61,6 +62,7 @@
 
 TEST_CASE("requests go to an upstream without a limit")
 {
+    // Guards against refusals while another upstream has capacity.
     Fixture fixture;
     Upstream limited(fixture.store_, "u1");
     Upstream unlimited(fixture.store_, "u2");
@@ -94,6 +96,7 @@
 
 TEST_CASE("a limit ends with an answer that names none")
 {
+    // Guards against a limit that stays in force after the upstream has recovered.
     Fixture fixture;
     Upstream upstream(fixture.store_, "u1");
     upstream.nameLimits({ "2" });
@@ -109,6 +112,7 @@
 
 TEST_CASE("a new run of an upstream has no limit")
 {
+    // Guards against a limit that is kept by id, which a restarted upstream can have again.
     Fixture fixture;
     Upstream upstream(fixture.store_, "u1");
     upstream.nameLimits({ "0" });
@@ -123,6 +127,7 @@
 
 TEST_CASE("a limit that cannot be read has no effect")
 {
+    // Guards against a malformed field that takes an upstream out of use.
     const std::vector<std::vector<std::string>> malformed { { "-1" }, { "nan" }, { "inf" }, { "1e400" },
         { "ten" }, { "" }, { "0.5", "0.5" }, { "1,5" } };
     for (const auto& limits : malformed) {
--- a/test/gateway/upstreamlimits-test.cc
+++ b/test/gateway/upstreamlimits-test.cc
@@ -76,6 +76,7 @@
 
 TEST_CASE("a host keeps to a limit that only its peer has heard")
 {
+    // Guards against hosts that send without a limit until their own first answer.
     Host first("h1");
     Host second("h2");
     const auto change = first.answer("near", 3.0, after(1));
@@ -95,6 +96,7 @@
 
 TEST_CASE("the end of a limit reaches the hosts that have only heard of it")
 {
+    // Guards against hosts without a part, which get no answers that could tell them.
     Host first("h1");
     Host second("h2");
     first.answer("near", 3.0, after(1));
@@ -111,6 +113,7 @@
 
 TEST_CASE("a limit belongs to one run of an upstream")
 {
+    // Guards against late news that limit a restarted upstream.
     Host host("h1");
     host.answer("near", 0.0, after(1));
     CHECK(host.nextRequestAt("near", after(1)) > after(1));
@@ -168,6 +171,7 @@
 
 TEST_CASE("a refusal that names no limit ends none")
 {
+    // Guards against a full upstream that gets all requests again because its refusals lack the field.
     Host host("h1");
     host.answer("near", 1.0, after(1));
     CHECK_FALSE(recordLimit(host.limits_, host.directory_, host.fleet_, after(3),
@@ -177,6 +181,7 @@
 
 TEST_CASE("limits are reported for some seconds after they were heard")
 {
+    // Guards against reports that grow with every limit there ever was.
     Host host("h1");
     host.answer("near", 1e300, after(1));
     const auto reported = host.report(after(2)).limits_;
--- a/test/limits/upstreamlimit-test.cc
+++ b/test/limits/upstreamlimit-test.cc
@@ -278,6 +278,7 @@
 
 TEST_CASE("a fleet stays within an upstream's limit and uses it")
 {
+    // Guards against parts that add up to more than the limit, and against parts too small to be of use.
     for (const size_t hosts : fleetSizes) {
         for (const double limit : { 0.5, 2.0, 10.0, 40.0 }) {
             CAPTURE(hosts);
@@ -305,6 +306,7 @@
 
 TEST_CASE("hosts that freeze and go on do not send what they saved up")
 {
+    // Guards against parts that fill without bound while a host does nothing.
     for (const size_t hosts : fleetSizes) {
         CAPTURE(hosts);
         const Counts counts = Simulation(
@@ -316,6 +318,7 @@
 
 TEST_CASE("hosts that are cut off from the others keep to their part of the limit")
 {
+    // Guards against two sides of a partition that each use the whole limit.
     for (const size_t hosts : fleetSizes) {
         for (const size_t cutOff : { size_t { 1 }, hosts / 3, hosts / 2 }) {
             CAPTURE(hosts);
@@ -330,6 +333,7 @@
 
 TEST_CASE("the end of a limit is known on all hosts soon, also of a limit of zero")
 {
+    // Guards against a limit that no request can find ended, and against old news that restore it.
     for (const size_t hosts : fleetSizes) {
         for (const double limit : { 0.0, 5.0 }) {
             CAPTURE(hosts);
@@ -369,6 +373,7 @@
 
 TEST_CASE("the latest statement holds, whoever heard it")
 {
+    // Guards against hosts that follow their own older answer against a later one of a peer.
     UpstreamLimit limit;
     CHECK(applyStatement(limit, {}, timeAt(5), { 4.0, timeAt(5) }));
     CHECK_FALSE(applyStatement(limit, {}, timeAt(6), { 9.0, timeAt(4), LimitSource::Peer }));
@@ -392,6 +397,7 @@
 
 TEST_CASE("a limit that nobody hears again lapses")
 {
+    // Guards against a limit without end of an upstream that gets no requests.
     UpstreamLimit limit;
     const UpstreamLimitOptions options;
     REQUIRE(applyStatement(limit, options, timeAt(5), { 4.0, timeAt(5) }));
@@ -401,6 +407,7 @@
 
 TEST_CASE("limits out of range count as the nearest one that is in use")
 {
+    // Guards against a limit of 0 that can never end, and against overflow.
     UpstreamLimit limit;
     const UpstreamLimitOptions options;
     REQUIRE(applyStatement(limit, options, timeAt(1), { 0.0, timeAt(1) }));
