--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -441,6 +441,20 @@
     bool stopping_ = false;
 };
 
+/// A port that is free on the address now.
+inline int freePort(const std::string& ip)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address = endpoint(ip, 0);
+    socklen_t size = sizeof(address);
+    int port = 0;
+    if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0
+        && getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0)
+        port = ntohs(address.sin_port);
+    close(fd);
+    return port;
+}
+
 /// A gateway process, started with the command and the settings template of the deploy folder.
 class Gateway {
 public:
@@ -473,6 +487,12 @@
             for (size_t at; (at = text.find(placeholder)) != std::string::npos;)
                 text.replace(at, placeholder.size(), value);
         }
+        // The template fixes this port; the script takes a free one.
+        const std::string metrics = "metrics-port = ";
+        if (const size_t at = text.find(metrics); at != std::string::npos) {
+            const size_t value = at + metrics.size();
+            text.replace(value, text.find('\n', value) - value, std::to_string(freePort(place_.ip_)));
+        }
         std::ofstream(settingsPath()) << text;
     }
 
@@ -534,20 +554,6 @@
     pid_t pid_ = -1;
 };
 
-/// A port that is free on the address now.
-inline int freePort(const std::string& ip)
-{
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = endpoint(ip, 0);
-    socklen_t size = sizeof(address);
-    int port = 0;
-    if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) == 0
-        && getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0)
-        port = ntohs(address.sin_port);
-    close(fd);
-    return port;
-}
-
 /// Opens a connection; -1 if that fails within a second.
 inline int connectTo(const std::string& ip, int port)
 {
