--- a/src/gateway/rolloutwriter.cc
+++ b/src/gateway/rolloutwriter.cc
@@ -151,8 +151,22 @@
         return sum;
     }
 
+    /// Logs on what the end of a rollout was decided.
+    void RolloutWriter::logDecision(TimePoint now, const RampRecord& known, RampState state) const
+    {
+        const rollout::RampCounts& total = known.tests_.seen_;
+        logEvent(LogLevel::Info, "rollout-decided",
+            { { "service", known.ramp_.service_ }, { "to", known.ramp_.version_ },
+                { "state", stateText(state) }, { "found_bad", known.foundBad_ ? "yes" : "no" },
+                { "answers", std::to_string(total.new_) }, { "failed", std::to_string(total.newFailed_) },
+                { "old_answers", std::to_string(total.old_) },
+                { "peers", std::to_string(activeReports(state_.fleet_, now).size()) } });
+    }
+
     void RolloutWriter::finish(TimePoint now, const RampRecord& known, RampState state)
     {
+        if (now >= writeBlockedUntil_[known.ramp_.service_])
+            logDecision(now, known, state);
         Ramp ended = known.ramp_;
         ended.state_ = state;
         write(now, { ended, known.orderVersion_, known.orderEra_ });
--- a/src/gateway/rolloutwriter.h
+++ b/src/gateway/rolloutwriter.h
@@ -46,6 +46,7 @@
     bool isLost(const RampRecord&);
     void write(TimePoint now, const StoredRamp&);
     void onWritten(const StoredRamp&, const Result<TableRead>&);
+    void logDecision(TimePoint now, const RampRecord&, rollout::RampState) const;
     void finish(TimePoint now, const RampRecord&, rollout::RampState);
     /// Requests of all hosts in flight at upstreams of other versions.
     uint32_t oldInFlight(const rollout::Ramp&) const;
