Do not let a process that knows too little end a rollout

Cause: few counted answers were taken for few requests. A process that has just started knows no answer, is the designated writer as it has heard no peer, and wrote that the version was complete 90 ms after its start (rollout-decided answers=0 peers=0). Its former run's counts had also left the sums of all hosts.

Ruled out: wrong evidence of a peer or the store (none was heard), and falling sums on other hosts (none of them decided).

Change: a ledger keeps the counts of each run of each host; a process that starts during a ramp takes over a total from a peer or from the row, which the writer stores every eighth of the ramp's time; few answers are sound only to a process whose counts cover the ramp; ends by evidence need a view of the fleet, reverting what was found bad does not.

Why it works: the verdict depends on what is known since the start of the ramp, wherever it was counted, and a process that does not have that holds the version at a small share.

--- a/include/turmericwing/gateway/report.h
+++ b/include/turmericwing/gateway/report.h
@@ -50,6 +50,9 @@
     bool foundBad_ = false; ///< The sender has found the new version to be bad.
     rollout::RampCounts counts_;
     uint64_t orderEra_ = 0; ///< Era of the store to which orderVersion_ belongs.
+    /// Counts of all hosts as the sender knows them; not sent unless they cover a running ramp from its
+    /// start.
+    rollout::RampTotal total_ {};
     friend bool operator==(const RampReport&, const RampReport&) = default;
 };
 
@@ -83,6 +86,8 @@
     std::vector<routing::CrashReport> crashes_;
     /// Encoded only if not empty: hosts of earlier releases reject reports with this member.
     std::vector<LimitReport> limits_;
+    /// These are the sums of a failure domain, as received in a summary. Not encoded.
+    bool isSum_ = false;
     friend bool operator==(const HostReport&, const HostReport&) = default;
 };
 
--- a/include/turmericwing/gateway/rollouts.h
+++ b/include/turmericwing/gateway/rollouts.h
@@ -11,6 +11,7 @@
 #include "turmericwing/base/time.h"
 #include "turmericwing/gateway/catalog.h"
 #include "turmericwing/gateway/report.h"
+#include "turmericwing/rollout/ledger.h"
 #include "turmericwing/rollout/ramp.h"
 
 #include <map>
@@ -33,8 +34,10 @@
     uint64_t orderVersion_ = 0; ///< Row version of the operator's order.
     uint64_t orderEra_ = 0; ///< Era of the store to which orderVersion_ belongs.
     rollout::RampCounts counts_; ///< Answers counted on this host.
+    rollout::EvidenceLedger ledger_; ///< Counts of all hosts, this one included.
     rollout::RampTests tests_; ///< Sequential tests over the counts of all hosts.
-    rollout::RampEvidence evidence_ = rollout::RampEvidence::Sound; ///< From the counts of all hosts.
+    /// From the counts of all hosts. A process that starts during the ramp does not know them yet.
+    rollout::RampEvidence evidence_ = rollout::RampEvidence::Unproven;
     /// Found bad here or by a peer: the version gets no more requests, whatever the store says.
     bool foundBad_ = false;
 };
@@ -43,6 +46,9 @@
 struct Rollouts {
     std::map<std::string, OrderRecord> orders_; ///< By service.
     std::map<std::string, RampRecord> ramps_; ///< By service; the latest one.
+    /// Since then, on the store's clock, this process counts answers and hears of those of others. Ramps that
+    /// started before are known in part.
+    int64_t observedSinceMs_ = 0;
     /// After a restore of the store: until then, orders may be older than the ramps and start none.
     TimePoint settlingEndsAt_ {};
 };
@@ -52,6 +58,7 @@
     rollout::Ramp ramp_;
     uint64_t orderVersion_ = 0; ///< Row version of the operator's order.
     uint64_t orderEra_ = 0; ///< Era of the store to which orderVersion_ belongs.
+    rollout::RampTotal total_ {}; ///< Counts of all hosts when the row was written.
     friend bool operator==(const StoredRamp&, const StoredRamp&) = default;
 };
 
@@ -99,10 +106,14 @@
 /// Whether any service has a running ramp.
 bool hasRunningRamp(const Rollouts&);
 
-/// Updates the tests of all running ramps from the counts of this host and its peers. Returns the services
-/// whose new version was found bad.
+/// Updates the tests of all running ramps from the counts of this host and its peers. `peers` may hold the
+/// sums of failure domains. Returns the services whose new version was found bad.
 std::vector<std::string> evaluateRamps(Rollouts&, const std::vector<const HostReport*>& peers);
 
+/// Adds what hosts had counted that are not among `reports` any more to the sums of a failure domain, so that
+/// its sums do not decrease when a member ends.
+void addEndedCounts(const Rollouts&, const std::vector<const HostReport*>& reports, HostReport& sums);
+
 /// Orders that have no ramp yet, none while settling. The designated writer starts them.
 std::vector<OrderRecord> unstartedOrders(const Rollouts&, TimePoint now);
 
--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -76,6 +76,9 @@
     uint64_t crashSerial_ = 0;
     std::optional<DrainSchedule> drain_; ///< Set once a graceful stop has begun.
     bool reachesStore_ = false;
+    TimePoint tickedAt_ {}; ///< Last periodic update.
+    /// Since then this process has run without a pause in which it may have missed reports of its peers.
+    TimePoint attentiveSince_ {};
     TimePoint storeAnsweredAt_ {}; ///< Last answer from the store.
     /// Since then no gap between answers was long enough for entries to lapse.
     TimePoint storeReachableSince_ {};
@@ -103,6 +106,14 @@
 /// answer now.
 uint32_t storeReachableMs(const State&, TimePoint now);
 
+/// Records a periodic update. After a longer pause, as of a suspended process, beliefs about peers are old.
+void recordTick(State&, TimePoint now);
+
+/// Whether this host knows enough of the fleet to decide for it: it has run for the lifetime of a report
+/// without a pause, and hears a peer unless no other host is registered. A host that has just started or was
+/// suspended, or that is cut off from all others, does not.
+bool hasFleetView(const State&, TimePoint now);
+
 /// Whether a graceful stop has begun.
 inline bool isDraining(const State& state) { return state.drain_.has_value(); }
 
--- a/include/turmericwing/rollout/ramp.h
+++ b/include/turmericwing/rollout/ramp.h
@@ -33,7 +33,8 @@
     /// Too few responses to exclude that it fails or is slow far more often than the old one. The service has
     /// so few requests that even all of its last ones stay within what users tolerate.
     Undecided,
-    Unproven, ///< Like Undecided, at a service with more requests.
+    /// Like Undecided, at a service with more requests, or at one of which this host does not know them all.
+    Unproven,
     Suspect, ///< Not excluded either, and some responses have failed or were slow.
     Sound, ///< Such an excess is excluded, or the service has too few requests to need evidence.
 };
@@ -57,8 +58,23 @@
     friend bool operator==(const RampCounts&, const RampCounts&) = default;
 };
 
-/// Returns the evidence from the counts of all hosts.
-RampEvidence assessEvidence(const RampCounts& total);
+/// Counts of all hosts, as far as they are known.
+struct RampTotal {
+    RampCounts counts_;
+    bool fromStart_ = false; ///< They cover the ramp from its start.
+    friend bool operator==(const RampTotal&, const RampTotal&) = default;
+};
+
+/// Returns the evidence from the counts of all hosts. If they do not cover the ramp from its start, few
+/// answers do not mean that the service has few requests.
+RampEvidence assessEvidence(const RampCounts& total, bool fromStart = true);
+
+/// Number of equal parts of a ramp's time after each of which its counts are stored, so that hosts that all
+/// restart at once know the evidence.
+inline constexpr int64_t rampCheckpoints = 8;
+
+/// Returns how many of these parts have passed at `nowMs`, at most rampCheckpoints.
+int64_t passedCheckpoints(const Ramp&, int64_t nowMs);
 
 /// Sequential tests of the new version, on the increases of the counts of all hosts.
 struct RampTests {
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -138,7 +138,9 @@
     const auto known = fleet.domains_.find(sums.failureDomain_);
     if (known != fleet.domains_.end() && !detail::replaces(fleet.options_, now, summary, known->second))
         return false;
-    fleet.domains_[sums.failureDomain_] = { summary, now, now + fleet.options_.summaryLifetime_ };
+    DomainView& view = fleet.domains_[sums.failureDomain_];
+    view = { summary, now, now + fleet.options_.summaryLifetime_ };
+    view.summary_.sums_.isSum_ = true;
     std::set<std::string> names;
     for (const MemberEntry& member : summary.members_) {
         names.insert(member.name_);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,6 +20,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <filesystem>
+#include <limits>
 
 namespace turmericwing::gateway {
 
@@ -153,6 +154,7 @@
     state.fleet_.self_ = state.settings_.name_;
     state.fleet_.failureDomain_ = state.settings_.failureDomain_;
     state.quarantine_.options_.ttlMs_ = 60'000;
+    state.rollouts_.observedSinceMs_ = std::numeric_limits<int64_t>::max();
     state.incarnation_ = state.random_();
     return state;
 }
@@ -233,6 +235,8 @@
     storeAnswered(state_, monotonicNow());
     if (read.storeMs_ == 0)
         return;
+    if (state_.storeReadAt_ == TimePoint())
+        state_.rollouts_.observedSinceMs_ = read.storeMs_;
     state_.storeMs_ = read.storeMs_;
     state_.storeReadAt_ = monotonicNow();
 }
@@ -437,6 +441,7 @@
 void Gateway::Core::onTick()
 {
     const TimePoint now = monotonicNow();
+    recordTick(state_, now);
     for (const std::string& id : expireEntries(state_.directory_, now))
         upstreamClient_.closeIdleConnections(id);
     for (const std::string& domain :
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -60,9 +60,12 @@
     json encode(const RampReport& report)
     {
         const rollout::Ramp& ramp = report.ramp_;
-        return json::array(
+        json value = json::array(
             { ramp.service_, ramp.version_, ramp.startMs_, ramp.deadlineMs_, static_cast<int>(ramp.state_),
                 report.orderVersion_, report.foundBad_, encode(report.counts_), report.orderEra_ });
+        if (report.total_.fromStart_ && ramp.state_ == rollout::RampState::Running)
+            value.push_back(encode(report.total_.counts_));
+        return value;
     }
 
     json encode(const routing::CrashReport& crash)
@@ -93,13 +96,16 @@
         const auto state = countValue<uint32_t>(value.at(4));
         if (state > static_cast<uint32_t>(rollout::RampState::Reverted))
             throw std::out_of_range("unknown state of a rollout");
-        return { .ramp_ = { textValue(value.at(0)), textValue(value.at(1)), timeValue(value.at(2)),
-                     timeValue(value.at(3)), static_cast<rollout::RampState>(state) },
+        RampReport report { .ramp_ = { textValue(value.at(0)), textValue(value.at(1)), timeValue(value.at(2)),
+                                timeValue(value.at(3)), static_cast<rollout::RampState>(state) },
             .orderVersion_ = countValue<uint64_t>(value.at(5)),
             .foundBad_ = value.at(6),
             .counts_ = decodeCounts(value.at(7)),
-            // Hosts of an earlier release do not send it.
+            // Hosts of earlier releases do not send it, nor a total.
             .orderEra_ = value.size() > 8 ? countValue<uint64_t>(value.at(8)) : 0 };
+        if (value.size() > 9)
+            report.total_ = { decodeCounts(value.at(9)), true };
+        return report;
     }
 
     routing::CrashReport decodeCrash(const json& value)
--- a/src/gateway/rollouts.cc
+++ b/src/gateway/rollouts.cc
@@ -6,11 +6,13 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace turmericwing::gateway {
 
 using nlohmann::json;
+using rollout::RampEvidence;
 using rollout::RampState;
 
 namespace {
@@ -18,6 +20,23 @@
     /// The operator writes its orders again within about 2 s after a restore of the store.
     constexpr Duration settlingTime = std::chrono::milliseconds(2500);
 
+    const rollout::CountsSender ownSender {}; ///< Key of this host's own counts.
+
+    /// Sender of a report; a failure domain for the sums of its members.
+    rollout::CountsSender senderOf(const HostReport& report)
+    {
+        if (report.isSum_)
+            return { report.failureDomain_, 0 };
+        return { report.name_, report.incarnation_ };
+    }
+
+    /// Throws json::exception and std::out_of_range for counts that are none.
+    rollout::RampTotal decodeTotal(const json& value)
+    {
+        const auto count = [&](size_t index) { return detail::countValue<uint32_t>(value.at(index)); };
+        return { { count(0), count(1), count(2), count(3), count(4), count(5) }, true };
+    }
+
     bool isSameRamp(const rollout::Ramp& a, const rollout::Ramp& b)
     {
         return a.version_ == b.version_ && a.startMs_ == b.startMs_;
@@ -75,8 +94,13 @@
         if (!added && !isLater(merged, known))
             return false;
         known = { .ramp_ = ramp, .orderVersion_ = merged.orderVersion_, .orderEra_ = merged.orderEra_ };
+        known.ledger_.base_.fromStart_ = ramp.startMs_ >= rollouts.observedSinceMs_;
+        if (known.ledger_.base_.fromStart_)
+            known.evidence_ = RampEvidence::Sound;
+        adoptTotal(known.ledger_, merged.total_);
         return true;
     }
+    adoptTotal(known.ledger_, merged.total_);
     std::tie(known.orderEra_, known.orderVersion_) = std::max(
         std::tuple(known.orderEra_, known.orderVersion_), std::tuple(merged.orderEra_, merged.orderVersion_));
     if (known.ramp_.state_ != RampState::Running || known.ramp_ == ramp)
@@ -142,18 +166,26 @@
     for (auto& [service, known] : rollouts.ramps_) {
         if (known.ramp_.state_ != RampState::Running || known.foundBad_)
             continue;
-        rollout::RampCounts total = known.counts_;
+        recordCounts(known.ledger_, ownSender, known.counts_);
+        uint64_t newOverdue = known.counts_.newOverdue_;
+        uint64_t oldOverdue = known.counts_.oldOverdue_;
         bool peerFoundBad = false;
         for (const HostReport* peer : peers) {
             for (const RampReport& report : peer->ramps_) {
                 if (report.ramp_.service_ != service || !isSameRamp(report.ramp_, known.ramp_))
                     continue;
-                total += report.counts_;
+                recordCounts(known.ledger_, senderOf(*peer), report.counts_);
+                adoptTotal(known.ledger_, report.total_);
+                newOverdue += report.counts_.newOverdue_;
+                oldOverdue += report.counts_.oldOverdue_;
                 peerFoundBad = peerFoundBad || report.foundBad_;
             }
         }
-        known.evidence_ = rollout::assessEvidence(total);
-        const bool foundBad = rollout::updateRampTests(known.tests_, total);
+        rollout::RampTotal total = ledgerTotal(known.ledger_);
+        total.counts_.newOverdue_ = newOverdue;
+        total.counts_.oldOverdue_ = oldOverdue;
+        known.evidence_ = rollout::assessEvidence(total.counts_, total.fromStart_);
+        const bool foundBad = rollout::updateRampTests(known.tests_, total.counts_);
         if (!foundBad && !peerFoundBad)
             continue;
         known.foundBad_ = true;
@@ -162,6 +194,22 @@
     return bad;
 }
 
+void addEndedCounts(const Rollouts& rollouts, const std::vector<const HostReport*>& reports, HostReport& sums)
+{
+    std::set<rollout::CountsSender> counted { ownSender };
+    for (const HostReport* report : reports)
+        counted.insert(senderOf(*report));
+    for (RampReport& sum : sums.ramps_) {
+        const auto known = rollouts.ramps_.find(sum.ramp_.service_);
+        if (known == rollouts.ramps_.end() || !isSameRamp(known->second.ramp_, sum.ramp_))
+            continue;
+        for (const auto& [sender, counts] : known->second.ledger_.senders_) {
+            if (sender.incarnation_ != 0 && !counted.contains(sender))
+                sum.counts_ += counts.last_;
+        }
+    }
+}
+
 std::vector<OrderRecord> unstartedOrders(const Rollouts& rollouts, TimePoint now)
 {
     std::vector<OrderRecord> orders;
@@ -179,19 +227,22 @@
 {
     std::vector<RampReport> reports;
     for (const auto& [service, known] : rollouts.ramps_)
-        reports.push_back(
-            { known.ramp_, known.orderVersion_, known.foundBad_, known.counts_, known.orderEra_ });
+        reports.push_back({ known.ramp_, known.orderVersion_, known.foundBad_, known.counts_, known.orderEra_,
+            ledgerTotal(known.ledger_) });
     return reports;
 }
 
 std::string encodeRamp(const StoredRamp& stored)
 {
     const rollout::Ramp& ramp = stored.ramp_;
-    return json {
-        { "service", ramp.service_ }, { "version", ramp.version_ }, { "start-ms", ramp.startMs_ },
+    json row { { "service", ramp.service_ }, { "version", ramp.version_ }, { "start-ms", ramp.startMs_ },
         { "deadline-ms", ramp.deadlineMs_ }, { "state", static_cast<int>(ramp.state_) },
-        { "order", stored.orderVersion_ }, { "era", stored.orderEra_ }
-    }.dump();
+        { "order", stored.orderVersion_ }, { "era", stored.orderEra_ } };
+    const rollout::RampCounts& counts = stored.total_.counts_;
+    if (stored.total_.fromStart_)
+        row["counts"] = { counts.new_, counts.newFailed_, counts.newSlow_, counts.old_, counts.oldFailed_,
+            counts.oldSlow_ };
+    return row.dump();
 }
 
 Result<StoredRamp> decodeRamp(const std::string& value)
@@ -204,11 +255,14 @@
         if (state > static_cast<uint32_t>(RampState::Reverted))
             return makeError(ErrorCode::Invalid, "rollout row has an unknown state");
         const uint64_t era = document.contains("era") ? detail::countValue<uint64_t>(document.at("era")) : 0;
-        return StoredRamp {
+        StoredRamp stored {
             { document.at("service"), document.at("version"), detail::timeValue(document.at("start-ms")),
                 detail::timeValue(document.at("deadline-ms")), static_cast<RampState>(state) },
             detail::countValue<uint64_t>(document.at("order")), era
         };
+        if (document.contains("counts"))
+            stored.total_ = decodeTotal(document.at("counts"));
+        return stored;
     } catch (const json::exception& fault) {
         return makeError(ErrorCode::Invalid, std::string("invalid rollout row: ") + fault.what());
     } catch (const std::out_of_range& fault) {
--- a/src/gateway/rolloutwriter.cc
+++ b/src/gateway/rolloutwriter.cc
@@ -121,23 +121,46 @@
             const int64_t start = storeNow(state_, now);
             const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(order.order_.duration_);
             const Ramp ramp { order.order_.service_, order.order_.version_, start, start + time.count() };
-            write(now, { ramp, order.rowVersion_, order.era_ });
+            write(now, { ramp, order.rowVersion_, order.era_, {} });
         }
         for (const auto& [service, known] : state_.rollouts_.ramps_) {
             if (isLost(known)) {
-                write(now, { known.ramp_, known.orderVersion_, known.orderEra_ });
+                write(now, storedRamp(known, known.ramp_));
                 continue;
             }
             if (known.ramp_.state_ != RampState::Running)
                 continue;
-            const RampState end = known.foundBad_ ? RampState::Reverted
-                                                  : rollout::rampEnd(known.ramp_, storeNow(state_, now),
-                                                      oldInFlight(known.ramp_), known.evidence_);
+            const RampState end = endOf(now, known);
             if (end != RampState::Running)
                 finish(now, known, end);
+            else if (isCheckpointDue(now, known))
+                write(now, storedRamp(known, known.ramp_));
         }
     }
 
+    /// State that the ramp should have. What a version was found bad by holds whatever else is unknown; any
+    /// other end needs a view of the fleet, whose answers and requests in flight decide.
+    RampState RolloutWriter::endOf(TimePoint now, const RampRecord& known) const
+    {
+        if (known.foundBad_)
+            return RampState::Reverted;
+        if (!hasFleetView(state_, now))
+            return RampState::Running;
+        return rollout::rampEnd(
+            known.ramp_, storeNow(state_, now), oldInFlight(known.ramp_), known.evidence_);
+    }
+
+    /// Whether a part of the ramp's time has passed since its counts were last stored.
+    bool RolloutWriter::isCheckpointDue(TimePoint now, const RampRecord& known)
+    {
+        if (!hasFleetView(state_, now) || !ledgerTotal(known.ledger_).fromStart_)
+            return false;
+        const auto row = rows_.find(known.ramp_.service_);
+        const int64_t writtenMs = row == rows_.end() ? 0 : row->second.writtenMs_;
+        return rollout::passedCheckpoints(known.ramp_, storeNow(state_, now))
+            > rollout::passedCheckpoints(known.ramp_, writtenMs);
+    }
+
     uint32_t RolloutWriter::oldInFlight(const Ramp& ramp) const
     {
         uint32_t sum = 0;
@@ -151,6 +174,12 @@
         return sum;
     }
 
+    /// The ramp with what this host knows of its order and answers.
+    StoredRamp RolloutWriter::storedRamp(const RampRecord& known, const Ramp& ramp)
+    {
+        return { ramp, known.orderVersion_, known.orderEra_, ledgerTotal(known.ledger_) };
+    }
+
     /// Logs on what the end of a rollout was decided.
     void RolloutWriter::logDecision(TimePoint now, const RampRecord& known, RampState state) const
     {
@@ -169,7 +198,7 @@
             logDecision(now, known, state);
         Ramp ended = known.ramp_;
         ended.state_ = state;
-        write(now, { ended, known.orderVersion_, known.orderEra_ });
+        write(now, storedRamp(known, ended));
     }
 
     void RolloutWriter::write(TimePoint now, const StoredRamp& stored)
@@ -193,9 +222,10 @@
         const Ramp& ramp = stored.ramp_;
         if (answer) {
             writeBlockedUntil_.erase(ramp.service_);
-            rows_[ramp.service_] = { answer.value().version_, ramp };
-            mergeRamp(state_.rollouts_, stored);
-            return logRamp(ramp, "this host");
+            rows_[ramp.service_] = { answer.value().version_, ramp, storeNow(state_, monotonicNow()) };
+            if (mergeRamp(state_.rollouts_, stored))
+                logRamp(ramp, "this host");
+            return;
         }
         logEvent(LogLevel::Warning, "rollout-write-failed",
             { { "service", ramp.service_ }, { "state", stateText(ramp.state_) },
--- a/src/gateway/rolloutwriter.h
+++ b/src/gateway/rolloutwriter.h
@@ -27,8 +27,8 @@
     /// written first. Does nothing while a read is in progress.
     void readRollouts();
 
-    /// Starts and ends rollouts if this host is the first by name of those that reach the store. Called
-    /// several times a second.
+    /// Starts and ends rollouts if this host is the first by name of those that reach the store, and stores
+    /// their counts from time to time. Called several times a second.
     void startAndEndRollouts(TimePoint now);
 
     /// The store was restored from an older copy: reads all rollouts again, and writes those that the copy
@@ -40,12 +40,16 @@
     struct Row {
         uint64_t version_ = 0;
         rollout::Ramp ramp_; ///< Empty if the row is unreadable.
+        int64_t writtenMs_ = 0; ///< On the store's clock, when this host wrote the row; 0 if it did not.
     };
 
     void onRead(const TableRead&);
     bool isLost(const RampRecord&);
     void write(TimePoint now, const StoredRamp&);
     void onWritten(const StoredRamp&, const Result<TableRead>&);
+    rollout::RampState endOf(TimePoint now, const RampRecord&) const;
+    bool isCheckpointDue(TimePoint now, const RampRecord&);
+    static StoredRamp storedRamp(const RampRecord&, const rollout::Ramp&);
     void logDecision(TimePoint now, const RampRecord&, rollout::RampState) const;
     void finish(TimePoint now, const RampRecord&, rollout::RampState);
     /// Requests of all hosts in flight at upstreams of other versions.
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -233,6 +233,23 @@
     }
 }
 
+void recordTick(State& state, TimePoint now)
+{
+    if (now - state.tickedAt_ >= state.fleet_.options_.reportLifetime_)
+        state.attentiveSince_ = now;
+    state.tickedAt_ = now;
+}
+
+bool hasFleetView(const State& state, TimePoint now)
+{
+    if (now < state.attentiveSince_ + state.fleet_.options_.reportLifetime_)
+        return false;
+    const auto& peers = state.fleet_.peers_;
+    return peers.empty() || std::any_of(peers.begin(), peers.end(), [&](const auto& entry) {
+        return isAlive(entry.second, now);
+    });
+}
+
 int64_t storeNow(const State& state, TimePoint now)
 {
     const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - state.storeReadAt_);
@@ -327,15 +344,19 @@
         sums.leaving_, sums.reachesStore_ });
     // The sums stay valid while other members serve; the members say who is leaving.
     sums.leaving_ = false;
+    std::vector<const HostReport*> counted;
     for (const auto& [name, peer] : state.fleet_.peers_) {
         const HostReport& report = peer.report_;
         if (report.failureDomain_ != state.settings_.failureDomain_ || !isAlive(peer, now))
             continue;
+        if (!report.leaving_)
+            counted.push_back(&report);
         summary.members_.push_back({ name, report.callerAddress_, report.peerAddress_, report.ready_,
             report.leaving_, report.reachesStore_ });
         addLoad(sums, report);
         sums.storeReachableMs_ = std::max(sums.storeReachableMs_, report.storeReachableMs_);
     }
+    addEndedCounts(state.rollouts_, counted, sums);
     return summary;
 }
 
--- a/src/gateway/summary.cc
+++ b/src/gateway/summary.cc
@@ -62,6 +62,9 @@
             }
             sum->counts_ += ramp.counts_;
             sum->foundBad_ = sum->foundBad_ || ramp.foundBad_;
+            // A total is already over all hosts: any that covers the whole ramp will do.
+            if (!sum->total_.fromStart_)
+                sum->total_ = ramp.total_;
             // An ended rollout does not run again, so the end wins whoever knows it first.
             if (sum->ramp_.state_ == rollout::RampState::Running)
                 sum->ramp_ = ramp.ramp_;
--- a/src/rollout/ramp.cc
+++ b/src/rollout/ramp.cc
@@ -84,7 +84,7 @@
     return *this;
 }
 
-RampEvidence assessEvidence(const RampCounts& total)
+RampEvidence assessEvidence(const RampCounts& total, bool fromStart)
 {
     const uint64_t answers = total.new_ + total.old_;
     const uint64_t newFaults = std::min(total.new_, total.newFailed_ + total.newSlow_);
@@ -94,7 +94,7 @@
     // the requests are very slow would pass.
     const Comparison sent { total.new_ + total.newOverdue_, newFaults + total.newOverdue_,
         total.old_ + total.oldOverdue_, oldFaults + total.oldOverdue_ };
-    if (answers < detail::minRequests)
+    if (fromStart && answers < detail::minRequests)
         return RampEvidence::Sound;
     const bool overdueExcluded
         = total.newOverdue_ == 0 || excludesExcess(sent, detail::overdueTest, detail::suspectExcess);
@@ -102,7 +102,15 @@
         return RampEvidence::Sound;
     if (newFaults >= detail::minSuspectResponses)
         return RampEvidence::Suspect;
-    return answers <= detail::maxUndecidedRequests ? RampEvidence::Undecided : RampEvidence::Unproven;
+    const bool hasFewRequests = fromStart && answers <= detail::maxUndecidedRequests;
+    return hasFewRequests ? RampEvidence::Undecided : RampEvidence::Unproven;
+}
+
+int64_t passedCheckpoints(const Ramp& ramp, int64_t nowMs)
+{
+    const int64_t span = std::max<int64_t>(1, ramp.deadlineMs_ - ramp.startMs_);
+    const int64_t elapsed = std::clamp<int64_t>(nowMs - ramp.startMs_, 0, span);
+    return elapsed * rampCheckpoints / span;
 }
 
 double rampShare(const Ramp& ramp, int64_t nowMs, RampEvidence evidence)
--- a/test/gateway/rollouts-test.cc
+++ b/test/gateway/rollouts-test.cc
@@ -219,3 +219,64 @@
         CHECK(host.ramps_.at("s").ramp_ == makeRamp(RampState::Reverted));
     }
 }
+
+TEST_CASE("the total of a rollout reaches a host that starts late, from a peer and from the store")
+{
+    // Without it the host would judge the version from its own first answers alone.
+    const rollout::RampTotal total { { 12, 4, 0, 90, 1, 0 }, true };
+    HostReport peer { .name_ = "h2",
+        .incarnation_ = 3,
+        .callerAddress_ = { "10.0.0.1", 80 },
+        .peerAddress_ = { "10.0.0.1", 81 } };
+    peer.ramps_ = { { makeRamp(), 5, false, { 6, 2, 0, 40, 0, 0 }, 0, total } };
+    const auto decoded = decodeReport(encodeReport(peer));
+    REQUIRE(decoded);
+    CHECK(decoded.value().ramps_ == peer.ramps_);
+    const auto stored = decodeRamp(encodeRamp({ makeRamp(), 5, 0, total }));
+    REQUIRE(stored);
+    CHECK(stored.value().total_ == total);
+    Rollouts late { .observedSinceMs_ = 9000 };
+    SUBCASE("from a peer")
+    {
+        mergeRamp(late, { makeRamp(), 5 });
+        CHECK(late.ramps_.at("s").evidence_ == rollout::RampEvidence::Unproven);
+        evaluateRamps(late, { &decoded.value() });
+    }
+    SUBCASE("from the store")
+    {
+        mergeRamp(late, stored.value());
+        evaluateRamps(late, {});
+    }
+    CHECK(ledgerTotal(late.ramps_.at("s").ledger_) == total);
+    CHECK(late.ramps_.at("s").evidence_ == rollout::RampEvidence::Suspect);
+    // A host that was there from the start keeps its own sums.
+    Rollouts early;
+    mergeRamp(early, stored.value());
+    evaluateRamps(early, {});
+    CHECK(ledgerTotal(early.ramps_.at("s").ledger_) == rollout::RampTotal { {}, true });
+}
+
+TEST_CASE("counts in a row that are none make it unreadable")
+{
+    const std::string row
+        = R"({"service":"s","version":"v2","start-ms":5,"deadline-ms":9,"state":0,"order":4)";
+    CHECK(decodeRamp(row + R"(,"counts":[1,2,3,4,5,6]})"));
+    for (const char* odd : { "[]", "[1,2,3]", "[1,2,3,4,5,-6]", "[1,2,3,4,5,1e300]", "{}", "7", "null" })
+        CHECK_FALSE(decodeRamp(row + ",\"counts\":" + odd + "}"));
+}
+
+TEST_CASE("the sums of a failure domain keep what a member counted that has ended")
+{
+    Rollouts rollouts;
+    mergeRamp(rollouts, { makeRamp(), 5 });
+    HostReport ended { .name_ = "h2", .incarnation_ = 3 };
+    ended.ramps_ = { { makeRamp(), 5, false, { 6, 2, 0, 40, 0, 0 } } };
+    HostReport live { .name_ = "h3", .incarnation_ = 4 };
+    live.ramps_ = { { makeRamp(), 5, false, { 1, 0, 0, 10, 0, 0 } } };
+    HostReport other { .name_ = "h9", .incarnation_ = 5, .failureDomain_ = "b1", .isSum_ = true };
+    other.ramps_ = { { makeRamp(), 5, false, { 3, 0, 0, 30, 0, 0 } } };
+    evaluateRamps(rollouts, { &ended, &live, &other });
+    HostReport sums { .ramps_ = rampReports(rollouts) };
+    addEndedCounts(rollouts, { &live }, sums);
+    CHECK(sums.ramps_[0].counts_ == rollout::RampCounts { 6, 2, 0, 40, 0, 0 });
+}
