Keep the verdict of a host when another one completes the rollout

Cause: chooseVersionFilter looked at the state before foundBad_, and peers' verdicts counted for a running rollout only. Ruled out: that the verdict is cleared by mergeRamp (it is kept).

Change: a version that was found bad gets no requests in any state; a peer's verdict counts for a completed rollout, too.

Before: the new case of rollouts-test failed in three checks (filter 'only v2' after complete).

--- a/include/turmericwing/gateway/rollouts.h
+++ b/include/turmericwing/gateway/rollouts.h
@@ -107,7 +107,8 @@
 bool hasRunningRamp(const Rollouts&);
 
 /// Updates the tests of all running ramps from the counts of this host and its peers. `peers` may hold the
-/// sums of failure domains. Returns the services whose new version was found bad.
+/// sums of failure domains. What a peer found bad counts for a completed ramp, too. Returns the services
+/// whose new version was found bad.
 std::vector<std::string> evaluateRamps(Rollouts&, const std::vector<const HostReport*>& peers);
 
 /// Adds what hosts had counted that are not among `reports` any more to the sums of a failure domain, so that
--- a/src/gateway/rollouts.cc
+++ b/src/gateway/rollouts.cc
@@ -58,6 +58,17 @@
         return order.era_ < known.orderEra_ || order.order_.version_ == known.ramp_.version_;
     }
 
+    /// Whether a peer has found the version of the ramp to be bad.
+    bool isFoundBadBy(const std::vector<const HostReport*>& peers, const rollout::Ramp& ramp)
+    {
+        return std::any_of(peers.begin(), peers.end(), [&](const HostReport* peer) {
+            return std::any_of(peer->ramps_.begin(), peer->ramps_.end(), [&](const RampReport& report) {
+                return report.foundBad_ && report.ramp_.service_ == ramp.service_
+                    && isSameRamp(report.ramp_, ramp);
+            });
+        });
+    }
+
 } // namespace
 
 VersionFilter chooseVersionFilter(const Rollouts& rollouts, const std::string& service,
@@ -73,7 +84,7 @@
     }
     const rollout::Ramp& ramp = known->second.ramp_;
     const bool newerOrder = order != rollouts.orders_.end() && !carriesOut(known->second, order->second);
-    if (ramp.state_ == RampState::Complete)
+    if (ramp.state_ == RampState::Complete && !known->second.foundBad_)
         return { .only_ = ramp.version_ };
     if (ramp.state_ == RampState::Reverted || known->second.foundBad_) {
         if (newerOrder && order->second.order_.version_ != ramp.version_)
@@ -164,12 +175,18 @@
 {
     std::vector<std::string> bad;
     for (auto& [service, known] : rollouts.ramps_) {
-        if (known.ramp_.state_ != RampState::Running || known.foundBad_)
+        if (known.ramp_.state_ == RampState::Reverted || known.foundBad_)
             continue;
+        if (known.ramp_.state_ == RampState::Complete) {
+            known.foundBad_ = isFoundBadBy(peers, known.ramp_);
+            if (known.foundBad_)
+                bad.push_back(service);
+            continue;
+        }
         recordCounts(known.ledger_, ownSender, known.counts_);
         uint64_t newOverdue = known.counts_.newOverdue_;
         uint64_t oldOverdue = known.counts_.oldOverdue_;
-        bool peerFoundBad = false;
+        const bool peerFoundBad = isFoundBadBy(peers, known.ramp_);
         for (const HostReport* peer : peers) {
             for (const RampReport& report : peer->ramps_) {
                 if (report.ramp_.service_ != service || !isSameRamp(report.ramp_, known.ramp_))
@@ -178,7 +195,6 @@
                 adoptTotal(known.ledger_, report.total_);
                 newOverdue += report.counts_.newOverdue_;
                 oldOverdue += report.counts_.oldOverdue_;
-                peerFoundBad = peerFoundBad || report.foundBad_;
             }
         }
         rollout::RampTotal total = ledgerTotal(known.ledger_);
--- a/test/gateway/rollouts-test.cc
+++ b/test/gateway/rollouts-test.cc
@@ -280,3 +280,21 @@
     addEndedCounts(rollouts, { &live }, sums);
     CHECK(sums.ramps_[0].counts_ == rollout::RampCounts { 6, 2, 0, 40, 0, 0 });
 }
+
+TEST_CASE("a version that a host found bad gets no requests though another host completed its rollout")
+{
+    // The end that a less informed host wrote replaced the verdict, and the version got all requests again.
+    Rollouts rollouts;
+    mergeRamp(rollouts, { makeRamp(), 5 });
+    rollouts.ramps_["s"].foundBad_ = true;
+    CHECK(mergeRamp(rollouts, { makeRamp(RampState::Complete), 5 }));
+    CHECK(draw(rollouts, 16'000) == VersionFilter { .except_ = "v2" });
+    // The other hosts hear of it.
+    Rollouts peer;
+    mergeRamp(peer, { makeRamp(RampState::Complete), 5 });
+    CHECK(draw(peer, 16'000) == VersionFilter { .only_ = "v2" });
+    HostReport report { .name_ = "h2", .incarnation_ = 3, .ramps_ = rampReports(rollouts) };
+    CHECK(evaluateRamps(peer, { &report }) == std::vector<std::string> { "s" });
+    CHECK(evaluateRamps(peer, { &report }).empty());
+    CHECK(draw(peer, 16'000) == VersionFilter { .except_ = "v2" });
+}
