Leave the rows of hosts in place when this host hears few of them

What could happen: hosts that did not hear each other for 13.5 s forgot each other for good, and removed each other's rows, so that hosts that start later did not find them.

Cause: removeExpiredPeers asked how long a peer had been silent, not whether this host hears anybody; the list is read at the start only. A host that was suspended did the same in its first second. Ruled out: removal by the store.

--- a/src/gateway/hostregistry.h
+++ b/src/gateway/hostregistry.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <optional>
 
 namespace turmericwing::gateway::detail {
 
@@ -30,19 +31,25 @@
     void deregisterHost();
 
     /// Removes peers that have not been alive for long; until then they count when limits are divided
-    /// among the hosts, and are sent reports. Only the designated writer removes their rows from the store.
+    /// among the hosts, and are sent reports. Only the designated writer removes their rows from the store,
+    /// and only while it hears most hosts. A host that hears fewer may be cut off: it registers again from
+    /// time to time, which also tries the hosts that it has forgotten. A host that was just suspended removes
+    /// none.
     void removeExpiredPeers(TimePoint now);
 
 private:
     void writeRow(const std::function<void()>& onWritten);
     void read();
     void retry(const Error&);
+    bool hearsMostPeers(TimePoint now) const;
 
     State& state_;
     TableStore& store_;
     bool listRead_ = false; ///< Whether the list was read at least once.
     std::function<void()> onRead_;
     boost::asio::steady_timer retryTimer_;
+    /// When a host that may be cut off registers again; empty while it hears most of the others.
+    std::optional<TimePoint> rejoinAt_;
 };
 
 } // namespace turmericwing::gateway::detail
