Take answers that break off for a sign of a crash, too

What could happen: a request that crashes upstreams after the first byte of an answer, or after an interim answer, was never recognised.

Cause: checkForCrash required that no byte of an answer had come. Ruled out: the probe and the attribution, which work once the check is made.

Change: what counts is that the connection ended and was not given up by this host (a malformed or oversized answer is no sign of a crash).

--- a/include/turmericwing/gateway/upstreams.h
+++ b/include/turmericwing/gateway/upstreams.h
@@ -56,6 +56,8 @@
     bool reused_ = false; ///< The request was sent over an idle connection.
     Duration connectTime_ {}; ///< Time to set up a new connection, about one round trip.
     bool answerBegun_ = false; ///< If Broken: part of an answer was received.
+    /// If Broken: the connection ended, in place of an answer that this host gave up.
+    bool connectionEnded_ = false;
 };
 
 class UpstreamClient {
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -238,7 +238,7 @@
             { "reason", answer.failureReason_ } });
     if (sent)
         countForRollout(*pending, true, false);
-    if (sent && !answer.answerBegun_)
+    if (sent && answer.connectionEnded_)
         checkForCrash(pending->currentUpstream_, now);
     upstreamClient_.closeIdleConnections(pending->currentUpstream_);
     endAttempt(*pending);
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -151,6 +151,7 @@
         uint64_t receivedBytes_ = 0; ///< Of the answer that is being parsed.
         uint64_t headBytes_ = 0; ///< Of these, those of its head; 0 until the head is complete.
         bool answerBegun_ = false;
+        bool connectionEnded_ = false; ///< Not by this host.
         TimePoint connectStarted_ {};
         Duration connectTime_ {};
         bool reused_ = false;
@@ -323,6 +324,7 @@
             if (!parsing && parser_->is_done() && isOwnAnswer())
                 return onAnswer();
         }
+        connectionEnded_ = true;
         fail((parser_->is_header_done() ? "answer broke off: " : "no answer: ") + error.message());
     }
 
@@ -388,7 +390,8 @@
         handler_ = nullptr;
         close();
         releaseAnswer();
-        handler({ outcome, std::move(response), detail, reused_, connectTime_, answerBegun_ });
+        handler(
+            { outcome, std::move(response), detail, reused_, connectTime_, answerBegun_, connectionEnded_ });
     }
 
     void Call::cancel()
--- a/test/gateway/crash-live-test.cc
+++ b/test/gateway/crash-live-test.cc
@@ -134,3 +134,21 @@
     CHECK(fixture.sendPoison(8) == 8);
     CHECK(fixture.post("other", "id-last") == 200);
 }
+
+TEST_CASE("a request that crashes upstreams while they answer is quarantined")
+{
+    // A crash after the first byte of an answer, or of an interim one, was taken for a broken answer only.
+    Trouble trouble = Trouble::CrashInAnswer;
+    SUBCASE("in the answer") { trouble = Trouble::CrashInAnswer; }
+    SUBCASE("after an interim answer") { trouble = Trouble::CrashInInterim; }
+    CrashFixture fixture(trouble);
+    CHECK(fixture.sendPoison(8) <= mostCrashes);
+    CHECK(fixture.post("other", "id-last") == 200);
+}
+
+TEST_CASE("a request whose answers break off, while their upstreams go on, is not quarantined")
+{
+    CrashFixture fixture(Trouble::DropInAnswer);
+    CHECK(fixture.sendPoison(8) == 8);
+    CHECK(fixture.post("other", "id-last") == 200);
+}
