Ask for a third crash, and skip upstreams that leave, before a request is quarantined

What could happen: a sound request was refused for a minute because the upstreams on which it ran ended for other causes. With breaks on kept connections checked, such cases are more frequent.

Cause: the end of an upstream that had announced that it leaves counted as a crash, as did upstreams that go down at the same moment while a request is retried among them; an upstream that returns under its id counted once.

Ruled out: breaks while the upstream goes on (the probe; 8 of 8 ran).

Change: upstreams that leave are not checked; three crashes that span 500 ms are needed; a crash is that of one run of an upstream.

Before: on the code before, the new case of gateway-crash ran 2 of 6 times. After: 6 of 6; the cases of routing-test on crashes at one moment and on runs of one id pass; they use the new options and could not be built before.

--- a/include/turmericwing/routing/quarantine.h
+++ b/include/turmericwing/routing/quarantine.h
@@ -2,8 +2,8 @@
 //
 // A host whose connection to an upstream breaks before the first response byte, and which finds that the
 // upstream has ended, reports a crash with the fingerprints of all requests that it had in flight there. A
-// fingerprint is quarantined if it was in flight in crashes of two upstreams, the second attempt started
-// after the first crash, and no other suspect of the second crash was in flight in crashes of as many
+// fingerprint is quarantined if it was in flight in crashes of several upstreams, each attempt started after
+// the crash before, and no other suspect of the last crash was in flight in crashes of as many
 // upstreams. A completed attempt clears a fingerprint: a popular request that was in flight by coincidence
 // completes elsewhere, while one that crashes every upstream does not. Crash reports form a set and
 // quarantines keep the latest expiry, so that both can be merged in any order and repeatedly.
@@ -52,7 +52,8 @@
 /// A crash of an upstream. Sent to all hosts.
 struct CrashReport {
     CrashId id_;
-    std::string upstream_;
+    std::string
+        upstream_; ///< One run of an upstream: one that crashes, returns and crashes again counts twice.
     WallTime at_;
     std::vector<CrashSuspect> suspects_;
     friend auto operator<=>(const CrashReport&, const CrashReport&) = default;
@@ -68,6 +69,10 @@
 struct QuarantineOptions {
     int64_t ttlMs_ = 600000; ///< Time for which reports, clearings and quarantines are kept.
     size_t maxReports_ = 1000; ///< When exceeded, the oldest report is dropped.
+    size_t minUpstreams_ = 2; ///< Crashed upstreams, each started after the crash before, that are evidence.
+    /// Shortest time from the first to the last of these crashes. Upstreams that end for one cause of their
+    /// own, such as a power failure, end at about the same time.
+    int64_t minSpanMs_ = 0;
     bool requireStartAfterCrash_ = true; ///< False drops "started after the first crash". For tests only.
     bool requireUniqueSuspect_ = true; ///< False drops the condition on other suspects. For tests only.
 };
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -256,10 +256,14 @@
     if (last != lastCrashCheck_.end() && now < last->second + detail::crashDedupWindow)
         return;
     lastCrashCheck_[upstream] = now;
+    const UpstreamRef ref = findUpstream(state_.directory_, upstream);
+    // An upstream that has announced its end breaks off what still runs without a crash.
+    if (!ref.record_ || ref.record_->leavingSeen_ || ref.target_->announced_.leaving_)
+        return;
     const WallTime crashedAt = evidenceNow(state_, now);
     routing::CrashReport report { .id_
         = { state_.settings_.name_, state_.incarnation_, ++state_.crashSerial_ },
-        .upstream_ = upstream,
+        .upstream_ = upstream + "/" + std::to_string(ref.record_->entry_.startedMs_),
         .at_ = crashedAt };
     for (const auto& [id, pending] : pendingRequests_) {
         if (pending->currentUpstream_ != upstream)
@@ -268,9 +272,6 @@
         report.suspects_.push_back(
             { detail::fingerprintOf(*pending), { std::max<int64_t>(0, crashedAt.ms_ - age.count()) } });
     }
-    const UpstreamRef ref = findUpstream(state_.directory_, upstream);
-    if (!ref.record_)
-        return;
     upstreamClient_.probe(ref.record_->entry_.address_, [this, report = std::move(report)](bool refused) {
         if (refused)
             reportCrash(report);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -44,6 +44,11 @@
         return static_cast<uint64_t>(settings.memoryMb_ * 1'048'576 * answerMemoryFraction);
     }
 
+    /// A third crash is needed, as kept connections break for many causes, and at least two moments.
+    constexpr routing::QuarantineOptions quarantineOptions {
+        .ttlMs_ = 60'000, .maxReports_ = 300, .minUpstreams_ = 3, .minSpanMs_ = 500
+    };
+
     /// Time in which the host's link can send what a relay has passed to its followers' connections.
     constexpr double relaySendSeconds = 0.5;
 
@@ -153,7 +158,7 @@
     state.directory_.regionOf_ = state.settings_.regionOf_;
     state.fleet_.self_ = state.settings_.name_;
     state.fleet_.failureDomain_ = state.settings_.failureDomain_;
-    state.quarantine_.options_.ttlMs_ = 60'000;
+    state.quarantine_.options_ = detail::quarantineOptions;
     state.rollouts_.observedSinceMs_ = std::numeric_limits<int64_t>::max();
     state.incarnation_ = state.random_();
     return state;
--- a/src/routing/quarantine.cc
+++ b/src/routing/quarantine.cc
@@ -26,27 +26,30 @@
     }
 
     /// Number of upstreams that crashed with the suspect's fingerprint in flight: the one of the report, and
-    /// those that crashed before this attempt started.
+    /// those that crashed before this attempt started. 1 if all of them crashed at about the same time.
     size_t upstreamsCrashed(
         const QuarantineTable& table, WallTime now, const CrashSuspect& suspect, const CrashReport& report)
     {
         std::set<std::string> upstreams { report.upstream_ };
+        WallTime first = report.at_;
         for (const auto& [id, earlier] : table.reports_) {
             const WallTime latest = table.options_.requireStartAfterCrash_ ? suspect.started_ : report.at_;
             if (earlier.at_ <= latest && contains(earlier, suspect.fingerprint_)
-                && isEvidence(table, now, earlier, suspect.fingerprint_))
+                && isEvidence(table, now, earlier, suspect.fingerprint_)) {
                 upstreams.insert(earlier.upstream_);
+                first = std::min(first, earlier.at_);
+            }
         }
-        return upstreams.size();
+        return report.at_.ms_ - first.ms_ < table.options_.minSpanMs_ ? 1 : upstreams.size();
     }
 
-    /// Fingerprints to which the crash is attributed: the one with the most crashed upstreams, at least two;
-    /// none if several have equally many.
+    /// Fingerprints to which the crash is attributed: the one with the most crashed upstreams, at least
+    /// `minUpstreams_`; none if several have equally many.
     std::vector<Fingerprint> crashingFingerprints(
         const QuarantineTable& table, WallTime now, const CrashReport& report)
     {
         std::vector<Fingerprint> found;
-        size_t maxUpstreams = 2;
+        size_t maxUpstreams = table.options_.minUpstreams_;
         for (const CrashSuspect& suspect : report.suspects_) {
             if (!isEvidence(table, now, report, suspect.fingerprint_))
                 continue;
@@ -55,7 +58,8 @@
                 continue;
             if (upstreams > maxUpstreams && table.options_.requireUniqueSuspect_)
                 found.clear();
-            maxUpstreams = table.options_.requireUniqueSuspect_ ? upstreams : 2;
+            if (table.options_.requireUniqueSuspect_)
+                maxUpstreams = upstreams;
             if (std::find(found.begin(), found.end(), suspect.fingerprint_) == found.end())
                 found.push_back(suspect.fingerprint_);
         }
@@ -83,11 +87,12 @@
 QuarantineChange addCrashReport(QuarantineTable& table, WallTime now, const CrashReport& report)
 {
     QuarantineChange change;
+    if (table.reports_.contains(report.id_))
+        return change; // Peers repeat their reports.
     expireQuarantine(table, now);
     // A time far ahead comes from a host with another clock, and its report would never expire.
     const bool otherClock = report.at_.ms_ - now.ms_ > table.options_.ttlMs_;
-    if (otherClock || now.ms_ >= report.at_.ms_ + table.options_.ttlMs_
-        || table.reports_.contains(report.id_))
+    if (otherClock || now.ms_ >= report.at_.ms_ + table.options_.ttlMs_)
         return change;
     if (table.reports_.size() >= table.options_.maxReports_) {
         table.reports_.erase(std::min_element(table.reports_.begin(), table.reports_.end(),
--- a/test/gateway/crash-live-test.cc
+++ b/test/gateway/crash-live-test.cc
@@ -152,3 +152,11 @@
     CHECK(fixture.sendPoison(8) == 8);
     CHECK(fixture.post("other", "id-last") == 200);
 }
+
+TEST_CASE("a request that runs on upstreams as they leave is not quarantined")
+{
+    // The end of an upstream that had announced that it leaves counted as a crash by what ran there last.
+    CrashFixture fixture(Trouble::Leave);
+    CHECK(fixture.sendPoison(CrashFixture::upstreamCount - 2) == CrashFixture::upstreamCount - 2);
+    CHECK(fixture.post("other", "id-last") == 200);
+}
--- a/test/routing/quarantine-test.cc
+++ b/test/routing/quarantine-test.cc
@@ -172,3 +172,29 @@
     addCrashReport(table, { 1000 }, crash(3, "u1", 1200, { { bad, { 1100 } } }));
     CHECK(table.reports_.size() == 1);
 }
+
+TEST_CASE("upstreams that crash at about the same time are no evidence against what is retried among them")
+{
+    // A request that was retried while a failure domain went down ran on two upstreams as they ended.
+    QuarantineTable table { .options_ = { .minUpstreams_ = 3, .minSpanMs_ = 500 } };
+    for (int64_t i = 0; i < 5; ++i) {
+        const auto serial = static_cast<uint64_t>(i);
+        addCrashReport(table, { 100 + 40 * i },
+            crash(serial, "u" + std::to_string(i), 100 + 40 * i, { { good, { 95 + 40 * i } } }));
+    }
+    CHECK_FALSE(isQuarantined(table, { 300 }, good));
+    // One that comes again later and does the same is the cause.
+    addCrashReport(table, { 900 }, crash(9, "u9", 900, { { good, { 890 } } }));
+    CHECK(isQuarantined(table, { 900 }, good));
+}
+
+TEST_CASE("an upstream that returns under its id and crashes again is one more")
+{
+    // A service with two upstreams would never have had a third crash.
+    QuarantineTable table { .options_ = { .minUpstreams_ = 3, .minSpanMs_ = 500 } };
+    addCrashReport(table, { 1000 }, crash(1, "u1/10", 1000, { { bad, { 990 } } }));
+    addCrashReport(table, { 2000 }, crash(2, "u2/10", 2000, { { bad, { 1990 } } }));
+    CHECK_FALSE(isQuarantined(table, { 2000 }, bad));
+    addCrashReport(table, { 5000 }, crash(3, "u1/4000", 5000, { { bad, { 4990 } } }));
+    CHECK(isQuarantined(table, { 5000 }, bad));
+}
