Probe an upstream twice before a break counts as no crash

What could happen: a request that crashes upstreams was not recognised where the connections of a process close before its listening socket, or where a harmless break on the same upstream came in the half second before.

Cause: one probe was made, at the first break; if it connected, nothing else was asked for 500 ms. Ruled out: the attribution, as there was no report.

Change: a check is open until a probe is refused or two, 200 ms apart, have connected; requests whose connections break meanwhile are suspects, too.

Before: the new case of gateway-crash failed (the request ended all upstreams). After: it passes, two runs, with the other five.

--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -70,6 +70,13 @@
         bool passScheduled_ = false; ///< A pass over waitQueue_ is posted to the event loop.
     };
 
+    /// Check whether an upstream has crashed whose connection broke.
+    struct CrashCheck {
+        routing::CrashReport report_; ///< Sent if it has.
+        bool running_ = false; ///< A probe is on its way, or due.
+        TimePoint endsAt_ {}; ///< Until then further breaks belong to the reported crash.
+    };
+
     /// Whole milliseconds as decimal text, rounded towards zero.
     std::string milliseconds(Duration);
 
@@ -103,7 +110,7 @@
     uint64_t nextId_ = 1;
     std::unordered_map<uint64_t, PendingRequestPtr> pendingRequests_;
     std::unordered_map<std::string, detail::ServiceState> services_;
-    std::map<std::string, TimePoint> lastCrashCheck_; ///< By upstream.
+    std::map<std::string, detail::CrashCheck> crashChecks_; ///< By upstream.
 
     void handle(Request&&, const std::shared_ptr<Exchange>&);
     std::optional<Reason> admit(PendingRequest&);
@@ -134,6 +141,9 @@
     void countLateAttempts();
     double slowThreshold(const std::string& service);
     void checkForCrash(const std::string& upstream, TimePoint now);
+    void addSuspects(routing::CrashReport&, const std::string& upstream) const;
+    void probeForCrash(const std::string& upstream, const Address&, int probes);
+    void onCrashProbe(const std::string& upstream, const Address&, int probes, bool refused);
     void reportCrash(routing::CrashReport);
     bool consumeRetry(const PendingRequest&);
     static Reason noUpstreamReason(const PendingRequest&);
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -21,11 +21,6 @@
     constexpr double overdueMultiple = 1.5;
     /// Seconds; shorter service times vary too much to be a baseline.
     constexpr double minServiceTime = 0.05;
-    /// Time for which reports to peers include a crash.
-    constexpr Duration crashReportDuration = std::chrono::seconds(3);
-    /// Connections to an upstream that break within it count as one crash.
-    constexpr Duration crashDedupWindow = std::chrono::milliseconds(500);
-
     /// Whether callers take the status for a promise that the request has not run.
     bool promisesNotRun(unsigned status)
     {
@@ -247,47 +242,6 @@
     retryOrFinish(pending, noUpstreamReason(*pending));
 }
 
-/// Probes an upstream whose connection broke and reports a crash if the probe is refused; a single broken
-/// connection is no proof. A crash fails every request in flight at the upstream, so the report names them
-/// all.
-void Dispatcher::Core::checkForCrash(const std::string& upstream, TimePoint now)
-{
-    const auto last = lastCrashCheck_.find(upstream);
-    if (last != lastCrashCheck_.end() && now < last->second + detail::crashDedupWindow)
-        return;
-    lastCrashCheck_[upstream] = now;
-    const UpstreamRef ref = findUpstream(state_.directory_, upstream);
-    // An upstream that has announced its end breaks off what still runs without a crash.
-    if (!ref.record_ || ref.record_->leavingSeen_ || ref.target_->announced_.leaving_)
-        return;
-    const WallTime crashedAt = evidenceNow(state_, now);
-    routing::CrashReport report { .id_
-        = { state_.settings_.name_, state_.incarnation_, ++state_.crashSerial_ },
-        .upstream_ = upstream + "/" + std::to_string(ref.record_->entry_.startedMs_),
-        .at_ = crashedAt };
-    for (const auto& [id, pending] : pendingRequests_) {
-        if (pending->currentUpstream_ != upstream)
-            continue;
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - pending->sentAt_);
-        report.suspects_.push_back(
-            { detail::fingerprintOf(*pending), { std::max<int64_t>(0, crashedAt.ms_ - age.count()) } });
-    }
-    upstreamClient_.probe(ref.record_->entry_.address_, [this, report = std::move(report)](bool refused) {
-        if (refused)
-            reportCrash(report);
-    });
-}
-
-void Dispatcher::Core::reportCrash(routing::CrashReport report)
-{
-    const auto change
-        = routing::addCrashReport(state_.quarantine_, evidenceNow(state_, monotonicNow()), report);
-    logEvent(LogLevel::Info, "upstream-crashed",
-        { { "upstream", report.upstream_ }, { "suspects", std::to_string(report.suspects_.size()) },
-            { "quarantined", std::to_string(change.records_.size()) } });
-    state_.observedCrashes_.push_back({ std::move(report), monotonicNow() + detail::crashReportDuration });
-}
-
 /// Takes a retry from the service's budget; false if the request may not be retried or the budget is spent.
 bool Dispatcher::Core::consumeRetry(const PendingRequest& pending)
 {
--- a/test/gateway/crash-live-test.cc
+++ b/test/gateway/crash-live-test.cc
@@ -15,6 +15,7 @@
     Crash, ///< Ends with all its connections.
     CrashInAnswer, ///< The same, after it has sent a part of the answer.
     CrashInInterim, ///< The same, after an interim answer.
+    CrashSlowly, ///< Ends, its connections first and its listening socket a moment later.
     Drop, ///< Closes the connection and goes on, as upstreams do that forget idle connections.
     DropInAnswer, ///< Sends a part of the answer, closes the connection and goes on.
     Leave, ///< Announces that it leaves, breaks off what still runs and ends.
@@ -102,6 +103,10 @@
             upstream.publish("draining");
             std::this_thread::sleep_for(std::chrono::milliseconds(300));
         }
+        if (trouble_ == Trouble::CrashSlowly) {
+            upstream.server_.breakConnections();
+            std::this_thread::sleep_for(std::chrono::milliseconds(60));
+        }
         if (trouble_ != Trouble::Drop && trouble_ != Trouble::DropInAnswer) {
             upstream.server_.stop();
             upstream.server_.breakConnections();
@@ -160,3 +165,11 @@
     CHECK(fixture.sendPoison(CrashFixture::upstreamCount - 2) == CrashFixture::upstreamCount - 2);
     CHECK(fixture.post("other", "id-last") == 200);
 }
+
+TEST_CASE("a request that crashes upstreams whose listening sockets close last is quarantined")
+{
+    // The first probe still connected, and no second one was made.
+    CrashFixture fixture(Trouble::CrashSlowly);
+    CHECK(fixture.sendPoison(8) <= mostCrashes);
+    CHECK(fixture.post("other", "id-last") == 200);
+}
