Bound the number of header fields of an answer

Report of other operators: bytes without end from upstreams. One part had no bound: heads below their limit of 64 KB that consist of fields of four bytes and stall.

Cause: a parsed field takes some 85 bytes beside its text, 1.4 MB for such a head, and only the text is counted as held. Ruled out: the text itself (one field of 60 KB in place of them: 18 MB in all), and a fixed cost of a request (2,000 fields each: 30 MB).

--- a/src/gateway/parsing.h
+++ b/src/gateway/parsing.h
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/fields.hpp>
 
+#include <iterator>
 #include <string>
 
 namespace turmericwing::gateway::detail {
@@ -23,6 +24,12 @@
     bytes.erase(0, consumed);
 }
 
+/// Returns the number of header fields.
+inline size_t countFields(const boost::beast::http::fields& fields)
+{
+    return static_cast<size_t>(std::distance(fields.begin(), fields.end()));
+}
+
 /// Copies header fields in their order and spelling.
 inline Headers copyHeaders(const boost::beast::http::fields& fields)
 {
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -34,6 +34,9 @@
     constexpr size_t readBufferBytes = 65536;
     /// Limit of a head, of a chunk's size with its extension, and of a trailer.
     constexpr uint32_t maxAnswerHeadBytes = 65536;
+    /// Limit of the fields of an answer, with its trailer. Once parsed, a field takes some 85 bytes beside its
+    /// text, which is not counted as held.
+    constexpr size_t maxAnswerFields = 256;
     constexpr uint64_t maxFramingRatio = 16; ///< Bytes of chunk framing for each byte of a body.
     constexpr int maxSkippedAnswers = 16; ///< Interim answers and answers to other requests, in one call.
     constexpr size_t maxRefusedIds = 64; ///< Refused requests after which a connection is not reused.
@@ -264,6 +267,8 @@
             feedParser(*parser_, unparsed_, error);
             if (error && error != http::error::need_more)
                 return fail("answer: " + error.message());
+            if (countFields(parser_->get()) > maxAnswerFields)
+                return fail("answer: too many header fields");
             if (!holdAnswer())
                 return;
             if (!parser_->is_done())
--- a/test/gateway/live.h
+++ b/test/gateway/live.h
@@ -101,7 +101,7 @@
     void publish(const std::string& state)
     {
         store_.put("servers", id_,
-            nlohmann::json { { "service", "s" }, { "address", "127.0.0.1:" + std::to_string(port_) },
+            nlohmann::json { { "service", service_ }, { "address", "127.0.0.1:" + std::to_string(port_) },
                 { "zone", domain_ }, { "version", version_ }, { "slots", 4 }, { "state", state },
                 { "cold_left", "0ms" }, { "seq", ++seq_ }, { "born", startedMs_ } }
                 .dump());
@@ -125,6 +125,7 @@
     const std::string id_;
     const std::string domain_;
     const std::string version_;
+    std::string service_ = "s";
     int seq_ = 0;
     int64_t startedMs_ = 1; ///< Names the incarnation in the entry.
     std::atomic<int> requests_ = 0;
