Reset the connection of a call that is given up

Cause: a call that is given up closed its socket in the ordinary way, and the system went on sending what it held. Ruled out: late retries (one arrival for each request).

Change: a call that ends without an answer resets its connection.

--- a/src/gateway/tcpoptions.cc
+++ b/src/gateway/tcpoptions.cc
@@ -24,6 +24,12 @@
     setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
 }
 
+void resetOnClose(boost::asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code ignored; // A socket that is not open has nothing to discard.
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+}
+
 PeekResult peekSocket(boost::asio::ip::tcp::socket& socket)
 {
     char byte = 0;
--- a/src/gateway/tcpoptions.h
+++ b/src/gateway/tcpoptions.h
@@ -15,6 +15,9 @@
 /// Sets TCP_NODELAY and the options above. Options that the system lacks are skipped.
 void setTcpOptions(boost::asio::ip::tcp::socket&);
 
+/// Makes the next close() reset the connection and discard what was not sent yet.
+void resetOnClose(boost::asio::ip::tcp::socket&);
+
 enum class PeekResult {
     Nothing, ///< The connection is open and has no bytes to read.
     Bytes, ///< There are bytes to read; the connection may have ended after them.
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -34,8 +34,8 @@
     constexpr size_t readBufferBytes = 65536;
     /// Limit of a head, of a chunk's size with its extension, and of a trailer.
     constexpr uint32_t maxAnswerHeadBytes = 65536;
-    /// Limit of the fields of an answer, with its trailer. Once parsed, a field takes some 85 bytes beside its
-    /// text, which is not counted as held.
+    /// Limit of the fields of an answer, with its trailer. Once parsed, a field takes some 85 bytes beside
+    /// its text, which is not counted as held.
     constexpr size_t maxAnswerFields = 256;
     constexpr uint64_t maxFramingRatio = 16; ///< Bytes of chunk framing for each byte of a body.
     constexpr int maxSkippedAnswers = 16; ///< Interim answers and answers to other requests, in one call.
@@ -141,6 +141,7 @@
         void finish(SendOutcome, Response, const std::string& detail);
         void fail(const std::string& detail);
         void close();
+        void abort();
         bool isReusable(const http::response<http::string_body>&) const;
 
         std::shared_ptr<UpstreamClient::State> owner_;
@@ -393,7 +394,10 @@
             return;
         const auto handler = std::move(handler_);
         handler_ = nullptr;
-        close();
+        if (outcome == SendOutcome::Answered)
+            close();
+        else
+            abort();
         releaseAnswer();
         handler(
             { outcome, std::move(response), detail, reused_, connectTime_, answerBegun_, connectionEnded_ });
@@ -402,10 +406,18 @@
     void Call::cancel()
     {
         handler_ = nullptr;
-        close();
+        abort();
         releaseAnswer();
     }
 
+    /// Closes the connection with a reset. After an ordinary close, the system would go on sending the
+    /// request that was given up, for as long as the network is interrupted.
+    void Call::abort()
+    {
+        resetOnClose(socket_);
+        close();
+    }
+
     void Call::close()
     {
         timer_.cancel();
--- a/test/gateway/callergone-live-test.cc
+++ b/test/gateway/callergone-live-test.cc
@@ -2,6 +2,8 @@
 // their callers have left.
 #include "live.h"
 
+#include "turmericwing/gateway/upstreams.h"
+
 #include <boost/asio/post.hpp>
 
 #include <doctest/doctest.h>
@@ -128,3 +130,40 @@
     close(fd);
     CHECK(upstream.requests_ == 2);
 }
+
+TEST_CASE("the rest of a request that is given up does not reach its upstream any more")
+{
+    // The socket was closed in the ordinary way, and the system went on sending: requests that had been
+    // answered with 504 ran seconds later in a failure domain that was evacuated meanwhile.
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    REQUIRE(listen(listener, 1) == 0);
+    REQUIRE(getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    boost::asio::io_context loop { 1 };
+    gateway::UpstreamClient client(loop);
+    // More than the buffers of a connection hold, to an upstream that does not read.
+    const std::string body(32 << 20, 'x');
+    const auto cancel = client.send({ .upstream_ = "u1",
+                                        .address_ = { "127.0.0.1", ntohs(address.sin_port) },
+                                        .head_ = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "
+                                            + std::to_string(body.size()) + "\r\n\r\n",
+                                        .body_ = std::make_shared<const std::string>(body) },
+        [](const gateway::UpstreamAnswer&) {});
+    loop.run_for(std::chrono::milliseconds(300));
+    const int upstream = accept(listener, nullptr, nullptr);
+    REQUIRE(upstream >= 0);
+    cancel();
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds(50));
+    ssize_t got = 1;
+    for (std::vector<char> buffer(1 << 20); got > 0;)
+        got = recv(upstream, buffer.data(), buffer.size(), 0);
+    CHECK(got < 0);
+    CHECK(errno == ECONNRESET);
+    close(upstream);
+    close(listener);
+}
