Let a response be passed on in parts

Cause: an exchange takes a whole response only, so that a large answer is held until its last byte has come, and its caller waits for the transfer twice.

Change: an exchange can begin a response of known length, take its body in parts and abandon it by a reset. A response that is refused or small goes out as before.

--- a/include/turmericwing/gateway/listener.h
+++ b/include/turmericwing/gateway/listener.h
@@ -23,7 +23,14 @@
 public:
     virtual ~Exchange() = default;
     virtual void respond(Response) = 0;
-    /// Sets a handler that is called at most once, if the caller disconnects before the response.
+    /// Begins a response whose body of `bodyBytes` follows in parts; the body of `head` is ignored.
+    virtual void beginResponse(Response head, uint64_t bodyBytes) = 0;
+    /// Sends the next part of a begun response. `onSent` is called when the socket has taken it and another
+    /// part may follow, and not at all after the last part or once the caller has left.
+    virtual void sendPart(std::string part, std::function<void()> onSent) = 0;
+    /// Resets the connection of a begun response, so that the caller cannot take it for complete.
+    virtual void abandonResponse() = 0;
+    /// Sets a handler that is called at most once, if the caller disconnects before the end of the response.
     virtual void onCallerGone(std::function<void()>) = 0;
     /// Whether the end of the caller's connection has reached this host, also if its handler has not been
     /// called yet: a host that is behind reads a request and the end of its connection in separate turns.
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -86,6 +86,9 @@
         }
 
         void respond(Response) override;
+        void beginResponse(Response head, uint64_t bodyBytes) override;
+        void sendPart(std::string part, std::function<void()> onSent) override;
+        void abandonResponse() override;
         void onCallerGone(std::function<void()> handler) override { callerGoneHandler_ = std::move(handler); }
         bool isCallerGone() override;
 
@@ -98,7 +101,8 @@
             Idle, ///< Waits for the first byte of a request.
             Reading, ///< A part of a request has been read.
             Handling, ///< The handler has the request.
-            Writing, ///< A response is being sent.
+            Streaming, ///< A response has begun whose body follows in parts.
+            Writing, ///< A complete response is being sent.
             Lingering, ///< Shut down for sending; waits for the caller to close.
             Closed,
         };
@@ -111,6 +115,7 @@
         void handle();
         void reject(unsigned status);
         void write(Response, bool close);
+        void onPartWritten(error_code, const std::function<void()>& onSent);
         void onWritten(error_code, bool close);
         void linger();
         void startTimer(Duration);
@@ -131,6 +136,8 @@
         std::string outgoingHead_;
         std::string outgoingBody_;
         std::shared_ptr<const void> outgoingHold_; ///< See Response::hold_.
+        uint64_t remainingBodyBytes_ = 0; ///< Of a begun response, those that sendPart() has not been given.
+        bool closeAfterResponse_ = false; ///< Of a begun response.
         std::function<void()> callerGoneHandler_;
     };
 
@@ -287,6 +294,57 @@
         write(std::move(response), !keepAlive_ || owner_->closeAfterAnswers_);
     }
 
+    void Connection::beginResponse(Response head, uint64_t bodyBytes)
+    {
+        if (phase_ != Phase::Handling)
+            return;
+        closeAfterResponse_ = !keepAlive_ || owner_->closeAfterAnswers_;
+        head.headers_.push_back({ "Content-Length", std::to_string(bodyBytes) });
+        outgoingHead_ = responseHead(head, closeAfterResponse_);
+        if (isHeadMethod_ || bodyBytes == 0) {
+            head.body_.clear();
+            return write(std::move(head), closeAfterResponse_);
+        }
+        phase_ = Phase::Streaming;
+        remainingBodyBytes_ = bodyBytes;
+    }
+
+    void Connection::sendPart(std::string part, std::function<void()> onSent)
+    {
+        if (phase_ != Phase::Streaming)
+            return;
+        part.resize(std::min<uint64_t>(part.size(), remainingBodyBytes_));
+        remainingBodyBytes_ -= part.size();
+        outgoingBody_ = std::move(part);
+        const std::array<asio::const_buffer, 2> buffers { asio::buffer(outgoingHead_),
+            asio::buffer(outgoingBody_) };
+        asio::async_write(socket_, buffers,
+            [self = shared_from_this(), onSent = std::move(onSent)](
+                error_code error, size_t) { self->onPartWritten(error, onSent); });
+    }
+
+    void Connection::onPartWritten(error_code error, const std::function<void()>& onSent)
+    {
+        if (phase_ == Phase::Closed)
+            return;
+        if (error)
+            return onDisconnect();
+        outgoingHead_.clear();
+        outgoingBody_.clear();
+        if (remainingBodyBytes_ > 0)
+            return onSent();
+        callerGoneHandler_ = nullptr;
+        onWritten(error, closeAfterResponse_);
+    }
+
+    void Connection::abandonResponse()
+    {
+        if (phase_ != Phase::Streaming)
+            return;
+        resetOnClose(socket_);
+        close();
+    }
+
     void Connection::write(Response response, bool close)
     {
         phase_ = Phase::Writing;
@@ -331,7 +389,7 @@
     void Connection::onDisconnect()
     {
         const auto handler = std::move(callerGoneHandler_);
-        const bool handling = phase_ == Phase::Handling;
+        const bool handling = phase_ == Phase::Handling || phase_ == Phase::Streaming;
         close();
         if (handling && handler)
             handler();
