Read downloads, unknown kinds of route, and loads of four figures

Callers saw: nothing was served at all where one route had the kind of large answers. Loads with a fourth figure were dropped.

Cause: an unknown kind was a fault of the whole row, so one word took every route of every workspace away. parseLoad took exactly three figures.

Ruled out: rejecting the route alone; its callers would get 404 for a route that every configuration holds.

A kind that this release does not know is served as not idempotent, with a log line and a gauge. A load has three or four figures; the fourth is how long work takes, 100 as usual; no slots or no work is malformed.

The load is parsed but not yet used.

--- a/include/turmericwing/gateway/catalog.h
+++ b/include/turmericwing/gateway/catalog.h
@@ -82,6 +82,8 @@
     std::vector<ServiceSpec> services_;
     std::vector<WorkspaceSpec> workspaces_;
     CallerLimits limits_;
+    /// Parts that this release does not know, and how it treats them; in order of the document.
+    std::vector<std::string> notices_ {};
 };
 
 /// A configuration with its lookup indexes. Immutable; each request keeps the one under which it was
--- a/include/turmericwing/gateway/protocol.h
+++ b/include/turmericwing/gateway/protocol.h
@@ -30,11 +30,12 @@
     std::string load_; ///< The upstream's load, as parsed by Protocol::parseLoad_.
 };
 
-/// Load that an upstream reports: numbers of requests and of slots.
+/// Load that an upstream reports: numbers of requests and of slots, and how long work takes there now.
 struct LoadReport {
     uint32_t running_ = 0;
     uint32_t waiting_ = 0;
     uint32_t slots_ = 0;
+    uint32_t workPercent_ = 100; ///< Of the usual time; 100 if the upstream does not say.
     friend auto operator<=>(const LoadReport&, const LoadReport&) = default;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -348,6 +348,11 @@
     if (state_.catalog_ && state_.catalog_->configuration().version_ >= version)
         return;
     const std::string routes = std::to_string(configuration.routes_.size());
+    for (const std::string& notice : configuration.notices_)
+        logEvent(LogLevel::Warning, "configuration-part-unknown",
+            { { "config", std::to_string(version) }, { "reason", notice } });
+    metrics_.setGauge(
+        "turmericwing_config_unknown_parts", "", "", static_cast<double>(configuration.notices_.size()));
     state_.catalog_ = std::make_shared<const Catalog>(std::move(configuration));
     updateQuotas(state_.quotas_, monotonicNow(), state_.catalog_->configuration(), state_.fleet_);
     logEvent(
