Use the load that upstreams report, aged, and spread requests without an object

Cause: upstreams that share their machines say in each answer how long work takes there now. Nothing used it, so work on a busy machine was charged to the upstream's slowness, to the service time and to new versions. Apart from that, hosts that know the same loads all chose the least loaded upstream for requests without an object.

Ruled out: passing the work factor on to the peers (bytes between failure domains; an upstream that has the object cached is still faster at 2.5 times the work time); using running and waiting of upstreams that send three figures (their differences are requests that have just begun or ended).

Change: routing/reportedload keeps the last report of an incarnation, ordered by the time its attempt was sent and aged by half in 200 ms (work) and 300 ms (load of unknown callers). The expected time follows it; what it explains is left out of slowness, service time and rollout evidence. A report never lowers load or time. Requests without an object go to the cheaper of two drawn among upstreams of nearly equal cost. Malformed reports are counted and logged once for each incarnation.

--- a/include/turmericwing/gateway/directory.h
+++ b/include/turmericwing/gateway/directory.h
@@ -50,6 +50,7 @@
     limits::UpstreamLimit limit_ {}; ///< Request rate that this run of the upstream has asked for.
     uint32_t incarnationHash_ = 0; ///< Of this run, in reports.
     bool faultLogged_ = false; ///< A malformed announcement was logged, once for each incarnation.
+    bool loadFaultLogged_ = false; ///< The same for a malformed report of its load.
 };
 
 /// All upstreams of a service. Invariant: targets_ and records_ have the same order.
--- a/include/turmericwing/gateway/protocol.h
+++ b/include/turmericwing/gateway/protocol.h
@@ -7,6 +7,7 @@
 #include "turmericwing/gateway/http.h"
 #include "turmericwing/gateway/tablestore.h"
 #include "turmericwing/rollout/ramp.h"
+#include "turmericwing/routing/reportedload.h"
 #include "turmericwing/routing/upstreamstate.h"
 
 #include <cstdint>
@@ -30,15 +31,6 @@
     std::string load_; ///< The upstream's load, as parsed by Protocol::parseLoad_.
 };
 
-/// Load that an upstream reports: numbers of requests and of slots, and how long work takes there now.
-struct LoadReport {
-    uint32_t running_ = 0;
-    uint32_t waiting_ = 0;
-    uint32_t slots_ = 0;
-    uint32_t workPercent_ = 100; ///< Of the usual time; 100 if the upstream does not say.
-    friend auto operator<=>(const LoadReport&, const LoadReport&) = default;
-};
-
 /// Location of a caller that looks up which hosts to use.
 struct LookupQuery {
     std::string region_;
@@ -70,7 +62,7 @@
     /// Extracts the API key from an Authorization field; empty if there is none.
     std::function<std::string(std::string_view authorization)> parseApiKey_;
     /// Parses the load field; nothing if it is malformed.
-    std::function<std::optional<LoadReport>(std::string_view)> parseLoad_;
+    std::function<std::optional<routing::LoadReport>(std::string_view)> parseLoad_;
     /// Extracts what an answer says about the state of its upstream.
     std::function<routing::UpstreamNotice(const Response&)> parseNotice_;
     /// Parses the query of a lookup; missing parameters are empty.
--- a/include/turmericwing/host/metrics.h
+++ b/include/turmericwing/host/metrics.h
@@ -26,6 +26,9 @@
     void countUpstreamState(
         const std::string& service, const std::string& upstreamState, const std::string& source);
 
+    /// Counts an answer whose report of its upstream's load is malformed.
+    void countRejectedLoadReport(const std::string& service);
+
     /// Counts a request of a service in a move, by the version that serves it.
     void countMove(const std::string& move, const std::string& version);
 
--- a/include/turmericwing/routing/pick.h
+++ b/include/turmericwing/routing/pick.h
@@ -9,6 +9,7 @@
 
 #include "turmericwing/base/random.h"
 #include "turmericwing/base/time.h"
+#include "turmericwing/routing/reportedload.h"
 #include "turmericwing/routing/upstreamstate.h"
 
 #include <algorithm>
@@ -46,6 +47,9 @@
     /// Weight of the slot time that a request takes beyond that at its first preferred upstream.
     double extraWorkWeight_ = 1;
     double activeHostsDecay_ = 0.93; ///< Factor applied to activeHosts_ by each renewAllowance().
+    ReportedLoadOptions reportedLoad_ {}; ///< Ageing of what upstreams report.
+    /// Costs that differ by less than this part of the work on a cache miss are nearly equal.
+    double nearCost_ = 0.25;
     bool affinity_ = true; ///< False ignores the object. For tests only, as a baseline.
 };
 
@@ -72,6 +76,7 @@
     double slowness_ = 1; ///< Moving average of observed / expected time; at least 0.5.
     TimePoint slownessAt_ {}; ///< Last sample.
     double failureRate_ = 0; ///< Moving average over attempts, in [0, 1].
+    ReportedLoad reportedLoad_ {}; ///< What its answers last said of its load.
 };
 
 struct PickRequest {
@@ -84,12 +89,15 @@
     bool allowNonPreferred_ = false; ///< Also allows upstreams that are not preferred for the object.
     double missSeconds_ = 0.4; ///< Seconds that an idle upstream takes on a cache miss.
     double slotSeconds_ = 0; ///< Mean seconds that a request holds a slot; 0 if unknown.
+    /// Spreads requests without an object over targets of nearly equal cost. Null: the lowest cost decides.
+    Random* random_ = nullptr;
 };
 
 /// The selected target.
 struct Pick {
     size_t index_ = 0; ///< Index in the list of targets.
     double expectedSeconds_ = 0; ///< Seconds until the response.
+    double usualSeconds_ = 0; ///< The same if work took the usual time there.
     bool isPreferred_ = false; ///< The upstream is a preferred one for the object.
 };
 
@@ -126,6 +134,10 @@
 std::optional<TimePoint> earliestPauseEnd(
     const std::vector<Target>&, TimePoint now, const IsAllowed& isAllowed);
 
+/// Seconds that an attempt would have taken if work had taken the usual time, when `usual` were expected. The
+/// upstream has reported a work factor of `factor`; only what exceeds `usual` can be due to it.
+double excludeReportedWork(double observed, double usual, double factor);
+
 /// Records a response that took `observed` seconds where `expected` were estimated. `failed` marks a response
 /// that reports a failure of the upstream.
 void recordAnswer(Target&, const PickOptions&, TimePoint now, double observed, double expected, bool failed);
@@ -143,6 +155,9 @@
 /// Requests in flight at the upstream from all hosts.
 inline uint32_t totalInFlight(const Target& target) { return target.inFlight_ + target.peerInFlight_; }
 
+/// Requests at the upstream from all hosts and, by its last report, from unknown callers.
+double expectedLoad(const Target&, const PickOptions&, TimePoint now);
+
 /// Load at which the target counts as full; at least its slots.
 uint32_t maxLoad(const Target&, const PickOptions&);
 
@@ -176,8 +191,14 @@
 
     bool contains(const std::vector<std::string>* list, const std::string& text);
 
-    /// Estimated seconds until the response, from network, work, queue, slowness and failures.
-    double expectedTime(const Target&, const PickOptions&, const PickRequest&, TimePoint now,
+    /// Seconds until a response.
+    struct Estimate {
+        double expected_ = 0;
+        double usual_ = 0; ///< If work took the usual time.
+    };
+
+    /// Estimate from network, work, queue, slowness and failures.
+    Estimate expectedTime(const Target&, const PickOptions&, const PickRequest&, TimePoint now,
         double roundTrip, double factor);
 
     /// Weighted seconds of slot time beyond those at the first preferred upstream.
@@ -185,6 +206,17 @@
 
     bool isFirstChoice(const std::vector<Preferred>&, const Target&);
 
+    /// A target that could be selected.
+    struct Candidate {
+        Pick pick_ {};
+        double cost_ = 0; ///< Weighted seconds.
+    };
+
+    /// The candidate of the lowest cost, or the cheaper one of two that are drawn from those within `margin`
+    /// of it; nothing without candidates. Hosts that know the same loads would otherwise all select the same
+    /// target.
+    std::optional<Pick> selectCandidate(const std::vector<Candidate>&, double margin, Random*);
+
 } // namespace detail
 
 template <typename Permit, typename RoundTripTo>
@@ -201,7 +233,6 @@
     const bool byObject = request.object_ && options.affinity_;
     std::vector<detail::Preferred> preferred;
     bool anyPreferred = false;
-    double lowestCost = 0;
     if (byObject) {
         for (const Target& target : targets) {
             if (isCandidate(target) && now >= target.pausedUntil_)
@@ -210,6 +241,7 @@
     }
     PickResult result;
     bool anyUsable = false;
+    std::vector<detail::Candidate> candidates;
     for (size_t i = 0; i < targets.size(); ++i) {
         const Target& target = targets[i];
         if (!isCandidate(target))
@@ -226,14 +258,14 @@
         if (now < target.pausedUntil_ || target.allowance_ == 0 || totalInFlight(target) >= bound
             || permit(target) != Permission::Now)
             continue;
-        const double expected
+        const detail::Estimate estimate
             = detail::expectedTime(target, options, request, now, roundTrip(target), factor);
-        const double cost = expected + (byObject ? detail::extraWorkCost(options, request, factor) : 0);
-        if (!result.pick_ || cost < lowestCost) {
-            result.pick_ = Pick { i, expected, factor < 1 };
-            lowestCost = cost;
-        }
+        const double cost
+            = estimate.expected_ + (byObject ? detail::extraWorkCost(options, request, factor) : 0);
+        candidates.push_back({ { i, estimate.expected_, estimate.usual_, factor < 1 }, cost });
     }
+    result.pick_ = detail::selectCandidate(
+        candidates, options.nearCost_ * request.missSeconds_, byObject ? nullptr : request.random_);
     if (!result.pick_)
         result.failure_ = anyUsable ? PickFailure::NoneAvailable : PickFailure::NoneUsable;
     return result;
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -50,6 +50,8 @@
         std::string currentUpstream_; ///< Id for the attempt in flight; empty while none is.
         int64_t upstreamStartedMs_ = 0; ///< Start of the incarnation that gets the latest attempt.
         double expectedLatency_ = 0; ///< Expected seconds to the response of the latest attempt.
+        double usualLatency_ = 0; ///< The same if work took the usual time at its upstream.
+        double workFactor_ = 1; ///< Of the upstream of the latest attempt, as it was known when it was sent.
         TimePoint sentAt_ {};
         bool countedInRollout_ = false; ///< Whether the attempt in flight was counted as rollout evidence.
         std::shared_ptr<const std::string> body_;
@@ -131,9 +133,14 @@
     void onCallResult(const PendingRequestPtr&, UpstreamAnswer);
     void onResponse(const PendingRequestPtr&, Response, double observedSeconds);
     void applyUpstreamNotice(const PendingRequest&, const Response&);
+    std::optional<routing::LoadReport> applyLoadReport(const PendingRequest&, const Response&);
+    void recordTimes(
+        PendingRequest&, routing::Target&, double observedSeconds, double workFactor, bool failed);
     void applyUpstreamLimit(const PendingRequest&, const Response&, const routing::UpstreamNotice&);
     TimePoint startDeadline(const PendingRequest&) const;
     void logFaultOnce(const PendingRequest&, const std::string& fault);
+    void rejectLoadReport(const PendingRequest&, UpstreamRecord&);
+    double presentWorkFactor(const PendingRequest&, TimePoint now);
     std::optional<TimePoint> pauseEnd(const PendingRequest&, TimePoint now);
     void onNotRun(const PendingRequestPtr&, const Response&);
     void onTransportError(const PendingRequestPtr&, const UpstreamAnswer&);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -263,7 +263,8 @@
         .known_ = &known,
         .allowNonPreferred_ = allowNonPreferred,
         .missSeconds_ = serviceTime(pending.service_, *pending.route_),
-        .slotSeconds_ = state_.demand_[pending.service_].slotSeconds_ };
+        .slotSeconds_ = state_.demand_[pending.service_].slotSeconds_,
+        .random_ = &state_.random_ };
     const ServiceSpec* service = pending.catalog_->findService(pending.service_);
     const auto permit = [&](const routing::Target& target) {
         const auto index = static_cast<size_t>(&target - pool.targets_.data());
@@ -377,6 +378,8 @@
     pending->upstreamStartedMs_ = record.entry_.startedMs_;
     pending->triedUpstreams_.push_back(target.id_);
     pending->expectedLatency_ = pick.expectedSeconds_;
+    pending->usualLatency_ = pick.usualSeconds_;
+    pending->workFactor_ = routing::workFactor(target.reportedLoad_, options_.pick_.reportedLoad_, now);
     pending->sentAt_ = now;
     pending->countedInRollout_ = false;
     const HeaderNames& names = state_.protocol_.headers_;
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -64,7 +64,7 @@
     for (const auto& [id, pending] : pendingRequests_) {
         if (pending->currentUpstream_.empty() || pending->countedInRollout_)
             continue;
-        const double slowAfter = slowThreshold(pending->service_);
+        const double slowAfter = slowThreshold(pending->service_) * presentWorkFactor(*pending, now);
         const double age = seconds(now - pending->sentAt_);
         if (age > slowAfter) {
             countForRollout(*pending, false, true);
@@ -111,6 +111,7 @@
     const TimePoint now = monotonicNow();
     const HeaderNames& names = state_.protocol_.headers_;
     applyUpstreamNotice(*pending, response);
+    const auto load = applyLoadReport(*pending, response);
     const UpstreamRef ref = findUpstream(state_.directory_, pending->currentUpstream_);
     // Without an id in the request, nothing shows that the statement is about this request.
     const bool notRun = !pending->requestId_.empty()
@@ -128,21 +129,11 @@
     const bool failed = response.status_ >= 500 || !isSigned;
     const bool isUnstated
         = pending->route_->kind_ == RequestKind::NonIdempotent && detail::promisesNotRun(response.status_);
-    detail::ServiceState& service = services_[pending->service_];
-    if (ref.target_) {
-        routing::recordAnswer(
-            *ref.target_, options_.pick_, now, observedSeconds, pending->expectedLatency_, failed);
-    }
-    if (!failed && ref.target_) {
-        const double sample
-            = service.serviceTime_ * observedSeconds / std::max(pending->expectedLatency_, 0.001);
-        service.serviceTime_
-            += detail::serviceTimeWeight * (std::clamp(sample, 0.02, 5.0) - service.serviceTime_);
-        const double held = std::max(0.001, observedSeconds - roundTrip(state_, *ref.target_));
-        double& mean = state_.demand_[pending->service_].slotSeconds_;
-        mean = mean > 0 ? mean + detail::slotTimeWeight * (held - mean) : held;
-    }
-    countForRollout(*pending, failed, observedSeconds > slowThreshold(pending->service_));
+    const double workFactor
+        = std::max(pending->workFactor_, routing::answeredWorkFactor(load, options_.pick_.reportedLoad_));
+    if (ref.target_)
+        recordTimes(*pending, *ref.target_, observedSeconds, workFactor, failed);
+    countForRollout(*pending, failed, observedSeconds > slowThreshold(pending->service_) * workFactor);
     if (!state_.quarantine_.reports_.empty())
         routing::recordCompletion(
             state_.quarantine_, evidenceNow(state_, monotonicNow()), detail::fingerprintOf(*pending));
@@ -156,6 +147,68 @@
     retryOrFinish(pending, Reason::UpstreamFailed);
 }
 
+/// Updates the estimates for the upstream and its service from an answer. Work that takes longer because the
+/// upstream's machine is busy, as it reports itself, is no property of the upstream.
+void Dispatcher::Core::recordTimes(
+    PendingRequest& pending, routing::Target& target, double observedSeconds, double workFactor, bool failed)
+{
+    const double usual = routing::excludeReportedWork(observedSeconds, pending.usualLatency_, workFactor);
+    routing::recordAnswer(target, options_.pick_, monotonicNow(), usual, pending.usualLatency_, failed);
+    if (failed)
+        return;
+    double& serviceTime = services_[pending.service_].serviceTime_;
+    const double sample = serviceTime * usual / std::max(pending.usualLatency_, 0.001);
+    serviceTime += detail::serviceTimeWeight * (std::clamp(sample, 0.02, 5.0) - serviceTime);
+    const double held = std::max(0.001, observedSeconds - roundTrip(state_, target));
+    double& mean = state_.demand_[pending.service_].slotSeconds_;
+    mean = mean > 0 ? mean + detail::slotTimeWeight * (held - mean) : held;
+}
+
+/// How long work takes at the upstream of an unanswered attempt, by its last reports.
+double Dispatcher::Core::presentWorkFactor(const PendingRequest& pending, TimePoint now)
+{
+    const UpstreamRef ref = findUpstream(state_.directory_, pending.currentUpstream_);
+    if (!ref.target_)
+        return pending.workFactor_;
+    const double present = routing::workFactor(ref.target_->reportedLoad_, options_.pick_.reportedLoad_, now);
+    return std::max(pending.workFactor_, present);
+}
+
+/// Applies the load that the answer reports, and returns it. The answer of a misdirected request comes from
+/// another process, and an answer to a request without an id cannot be attributed.
+std::optional<routing::LoadReport> Dispatcher::Core::applyLoadReport(
+    const PendingRequest& pending, const Response& response)
+{
+    const std::string_view text = headerValue(response.headers_, state_.protocol_.headers_.load_);
+    const bool attributed
+        = !pending.requestId_.empty() && response.status_ != state_.protocol_.misdirectedStatus_;
+    const UpstreamRef ref = findUpstream(state_.directory_, pending.currentUpstream_);
+    if (text.empty() || !attributed || !ref.target_
+        || ref.record_->entry_.startedMs_ != pending.upstreamStartedMs_)
+        return std::nullopt;
+    const auto report = state_.protocol_.parseLoad_(text);
+    if (!report) {
+        rejectLoadReport(pending, *ref.record_);
+        return std::nullopt;
+    }
+    // The answered request itself has ended.
+    const uint32_t others = std::max(routing::totalInFlight(*ref.target_), 1U) - 1;
+    routing::applyReport(ref.target_->reportedLoad_, *report, pending.sentAt_, monotonicNow(), others);
+    return report;
+}
+
+/// Counts a malformed report, and logs the first one of each incarnation of an upstream.
+void Dispatcher::Core::rejectLoadReport(const PendingRequest& pending, UpstreamRecord& record)
+{
+    metrics_.countRejectedLoadReport(pending.service_);
+    if (record.loadFaultLogged_)
+        return;
+    record.loadFaultLogged_ = true;
+    logEvent(LogLevel::Warning, "load-report-rejected",
+        { { "upstream", pending.currentUpstream_ }, { "service", pending.service_ },
+            { "request", pending.requestId_ } });
+}
+
 /// Applies what the answer says about the state of its upstream. The answer of a misdirected request comes
 /// from another process, and an answer to a request without an id cannot be attributed.
 void Dispatcher::Core::applyUpstreamNotice(const PendingRequest& pending, const Response& response)
@@ -291,8 +344,9 @@
         const UpstreamRef ref = findUpstream(state_.directory_, pending->currentUpstream_);
         const TimePoint now = monotonicNow();
         if (ref.target_) {
-            routing::recordAnswer(*ref.target_, options_.pick_, now, seconds(now - pending->sentAt_),
-                pending->expectedLatency_, false);
+            const double usual = routing::excludeReportedWork(
+                seconds(now - pending->sentAt_), pending->usualLatency_, presentWorkFactor(*pending, now));
+            routing::recordAnswer(*ref.target_, options_.pick_, now, usual, pending->usualLatency_, false);
         }
         countForRollout(*pending, false, true);
         pending->cancel_();
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -28,6 +28,7 @@
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Counter>& moves_;
     prometheus::Family<prometheus::Counter>& upstreamStates_;
+    prometheus::Family<prometheus::Counter>& rejectedLoadReports_;
     std::mutex mutex_;
     std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges_;
 
@@ -56,6 +57,10 @@
                               .Name("turmericwing_upstream_state_changes_total")
                               .Help("Changes of an upstream's state, by new state and source")
                               .Register(registry_))
+        , rejectedLoadReports_(prometheus::BuildCounter()
+                                   .Name("turmericwing_load_reports_rejected_total")
+                                   .Help("Answers whose report of the upstream's load is malformed")
+                                   .Register(registry_))
     {
     }
 };
@@ -95,6 +100,11 @@
         .Increment();
 }
 
+void Metrics::countRejectedLoadReport(const std::string& service)
+{
+    families_->rejectedLoadReports_.Add({ { "service", service } }).Increment();
+}
+
 void Metrics::countMove(const std::string& move, const std::string& version)
 {
     families_->moves_.Add({ { "move", move }, { "version", version } }).Increment();
--- a/src/routing/pick.cc
+++ b/src/routing/pick.cc
@@ -54,21 +54,24 @@
         return list && std::find(list->begin(), list->end(), text) != list->end();
     }
 
-    double expectedTime(const Target& target, const PickOptions& options, const PickRequest& request,
+    Estimate expectedTime(const Target& target, const PickOptions& options, const PickRequest& request,
         TimePoint now, double roundTrip, double factor)
     {
         const double slots = std::max<uint32_t>(target.slots_, 1);
-        const double queuedPerSlot = std::max(0.0, totalInFlight(target) + 1 - slots) / slots;
+        const double load = expectedLoad(target, options, now);
+        const double queuedPerSlot = std::max(0.0, load + 1 - slots) / slots;
         const double held = request.slotSeconds_ > 0 ? request.slotSeconds_ : 0.6 * request.missSeconds_;
         const double slowness = currentSlowness(target, options, now);
         const double coldFactor = now < target.coldUntil_ ? 2 : 1;
         // A failed request has to be retried, at the cost of another attempt.
         const double expectedAttempts = 1 / std::max(0.1, 1 - target.failureRate_);
         // Adds a small part of the work per request in flight, which spreads requests over equal targets.
-        const double loadPenalty = 0.1 * totalInFlight(target) / slots;
-        return roundTrip
-            + slowness * coldFactor * expectedAttempts
+        const double loadPenalty = 0.1 * load / slots;
+        const double usualWork = slowness * coldFactor * expectedAttempts
             * (request.missSeconds_ * (factor + loadPenalty) + held * queuedPerSlot);
+        return { .expected_
+            = roundTrip + usualWork * workFactor(target.reportedLoad_, options.reportedLoad_, now),
+            .usual_ = roundTrip + usualWork };
     }
 
     double extraWorkCost(const PickOptions& options, const PickRequest& request, double factor)
@@ -83,6 +86,26 @@
             [&](const Preferred& region) { return region.targets_[0] == &target; });
     }
 
+    std::optional<Pick> selectCandidate(
+        const std::vector<Candidate>& candidates, double margin, Random* random)
+    {
+        if (candidates.empty())
+            return std::nullopt;
+        const auto cheaper = [](const Candidate& a, const Candidate& b) { return a.cost_ < b.cost_; };
+        const Candidate& best = *std::min_element(candidates.begin(), candidates.end(), cheaper);
+        if (!random)
+            return best.pick_;
+        std::vector<const Candidate*> near;
+        for (const Candidate& candidate : candidates) {
+            if (candidate.cost_ <= best.cost_ + margin)
+                near.push_back(&candidate);
+        }
+        const auto draw = [&] { return near[(*random)() % near.size()]; };
+        const Candidate* const one = draw();
+        const Candidate* const other = draw();
+        return cheaper(*other, *one) ? other->pick_ : one->pick_;
+    }
+
 } // namespace detail
 
 double currentSlowness(const Target& target, const PickOptions& options, TimePoint now)
@@ -91,6 +114,11 @@
     return 1 + (target.slowness_ - 1) * std::exp2(-age / seconds(options.slownessHalfLife_));
 }
 
+double expectedLoad(const Target& target, const PickOptions& options, TimePoint now)
+{
+    return totalInFlight(target) + hiddenLoad(target.reportedLoad_, options.reportedLoad_, now);
+}
+
 uint32_t maxLoad(const Target& target, const PickOptions& options)
 {
     const auto bound = static_cast<uint32_t>(target.slots_ * options.maxOccupancy_);
@@ -132,6 +160,11 @@
         ++target.allowance_;
 }
 
+double excludeReportedWork(double observed, double usual, double factor)
+{
+    return observed <= usual ? observed : std::max(usual, observed / factor);
+}
+
 void recordAnswer(
     Target& target, const PickOptions& options, TimePoint now, double observed, double expected, bool failed)
 {
--- a/test/gateway/announced-test.cc
+++ b/test/gateway/announced-test.cc
@@ -231,3 +231,18 @@
     CHECK(bed.read()->body == "answer of u2");
     CHECK(bed.metrics().find("state=\"paused\"} 1") != std::string::npos);
 }
+
+TEST_CASE("a malformed report of an upstream's load is counted, and the upstream is used on")
+{
+    Bed bed;
+    bed.first_.handler_ = [](const httplib::Request&, httplib::Response& response) {
+        response.set_header("X-Server-Load", "3,0,8,-1");
+    };
+    bed.start();
+    CHECK(bed.metrics().find("turmericwing_load_reports_rejected_total{") == std::string::npos);
+    REQUIRE(bed.reach(bed.first_));
+    CHECK(eventually([&] {
+        return bed.metrics().find("turmericwing_load_reports_rejected_total{") != std::string::npos;
+    }));
+    CHECK(bed.isFirstInUse());
+}
