Keep requests in a small region only while their wait is shorter than the way

Callers saw: in a region with a tenth of the upstreams and a third of the callers, half of the requests late while two other regions had most slots idle.

Cause: a region kept its requests up to 0.75 of its slots whatever their number; at three slots a request then waits for three quarters of the time that it holds one. Requests bound to the region were counted with the slot time of all, though most of theirs find nothing cached (31 to 37 objects at each of its upstreams within 16 s, 8 to 12 elsewhere), so they took more than was reserved. And each change of the own region's share moved objects between the two others.

Change: the limit is the utilisation, 0.3 to 0.75, at which the mean wait (Erlang C) is half of the measured round trip to the nearest region. The slot time of bound requests is measured by region. Positions above the own share are mixed before they are mapped to other regions.

New checks: shares at 3 and 9 slots, objects that keep their region, bound requests with their own slot time.

--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -41,6 +41,7 @@
 struct DemandRate {
     double requestCount_ = 0; ///< Requests since the last update.
     double rate_ = 0; ///< Requests/s.
+    double slotSeconds_ = 0; ///< Mean seconds for which one occupies a slot; 0 if not measured separately.
 };
 
 /// Demand for one service at this host, and the split of its requests among regions.
--- a/include/turmericwing/routing/regionsplit.h
+++ b/include/turmericwing/routing/regionsplit.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,10 @@
     /// Utilisation, as a fraction of capacity, up to which a region keeps its own requests. Raised to the
     /// mean utilisation of all regions if that is higher.
     double targetUtilisation_ = 0.75;
+    /// Longest mean wait for a slot, as a multiple of the time for which a request holds one, at which a
+    /// region keeps its own requests. Upstreams with few slots exceed it below targetUtilisation_.
+    double maxSlotWait_ = std::numeric_limits<double>::infinity();
+    double minUtilisation_ = 0.3; ///< Kept by a region however long its requests wait.
     /// Largest fraction of the traffic that changes its region per second.
     double stepPerSecond_ = 0.04;
 };
@@ -27,6 +32,7 @@
     std::string region_;
     double capacity_ = 0;
     double demand_ = 0; ///< Demand of the callers that connect to hosts of this region.
+    double upstreamSlots_ = 0; ///< Mean slots of its upstreams; 0 if unknown.
     friend auto operator<=>(const RegionLoad&, const RegionLoad&) = default;
 };
 
@@ -40,6 +46,10 @@
 /// Invariant: the shares add up to 1 unless the list is empty. Ordered by name, the host's own region first.
 using RegionSplit = std::vector<RegionShare>;
 
+/// Utilisation of upstreams with that many slots, up to targetUtilisation_, at which the mean wait for a slot
+/// is maxSlotWait_ if requests arrive at random. targetUtilisation_ if the slots are unknown.
+double utilisationWithinWait(const RegionSplitOptions&, double upstreamSlots);
+
 /// Returns the split for callers of the region `own` at these loads; empty without any capacity.
 RegionSplit targetSplit(const RegionSplitOptions&, const std::string& own, std::vector<RegionLoad>);
 
@@ -49,8 +59,10 @@
 RegionSplit stepSplitTowards(const RegionSplitOptions&, const RegionSplit& current, const RegionSplit& target,
     const std::vector<std::string>& lost, double seconds);
 
-/// Region at a position in [0, 1) of the cumulative shares, restricted to the regions in `homes` unless that
-/// is empty. Returns an empty string if no region is left.
+/// Region at a position in [0, 1), restricted to the regions in `homes` unless that is empty. The first
+/// region has the positions below its share; those above it are distributed over the others independently of
+/// that share, so that a change of it moves no position between two others. Returns an empty string if no
+/// region is left.
 std::string regionAtPosition(const RegionSplit&, const std::vector<std::string>& homes, double point);
 
 /// Maps the hash of an object to a position in [0, 1).
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -27,6 +27,11 @@
         return status == 408 || status == 421 || status == 429 || status == 503;
     }
 
+    void updateSlotTime(double& mean, double sample)
+    {
+        mean = mean > 0 ? mean + slotTimeWeight * (sample - mean) : sample;
+    }
+
     std::string answerFault(unsigned status, bool isSigned, bool isUnstated)
     {
         if (!isSigned)
@@ -160,8 +165,11 @@
     const double sample = serviceTime * usual / std::max(pending.usualLatency_, 0.001);
     serviceTime += detail::serviceTimeWeight * (std::clamp(sample, 0.02, 5.0) - serviceTime);
     const double held = std::max(0.001, observedSeconds - roundTrip(state_, target));
-    double& mean = state_.demand_[pending.service_].slotSeconds_;
-    mean = mean > 0 ? mean + detail::slotTimeWeight * (held - mean) : held;
+    ServiceDemand& demand = state_.demand_[pending.service_];
+    detail::updateSlotTime(demand.slotSeconds_, held);
+    // Callers of all regions send to the one region, whose upstreams have few of their objects cached.
+    if (pending.allowedRegions_.size() == 1)
+        detail::updateSlotTime(demand.bound_[pending.allowedRegions_.front()].slotSeconds_, held);
 }
 
 /// How long work takes at the upstream of an unanswered attempt, by its last reports.
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <unordered_map>
 
 namespace turmericwing::gateway {
@@ -68,7 +69,7 @@
     /// Slots that requests at the rate occupy: rate x slot time.
     double slots(const ServiceDemand& demand, const DemandRate& rate)
     {
-        return rate.rate_ * slotSeconds(demand);
+        return rate.rate_ * (rate.slotSeconds_ > 0 ? rate.slotSeconds_ : slotSeconds(demand));
     }
 
     const ServiceReport* findService(const HostReport& report, uint32_t service)
@@ -100,6 +101,7 @@
         const VersionFilter versions = majorityVersion(state, service, pool, now);
         const auto demand = state.demand_.find(service);
         const double slotTime = demand == state.demand_.end() ? initialSlotTime : slotSeconds(demand->second);
+        std::map<std::string, double> counts;
         for (size_t i = 0; i < pool.targets_.size(); ++i) {
             const routing::Target& target = pool.targets_[i];
             const bool isAvailable = target.usable_ && !target.announced_.leaving_
@@ -107,13 +109,29 @@
                 && !state.directory_.evacuated_.contains(target.failureDomain_);
             RegionLoad& region = regions[target.region_];
             region.region_ = target.region_;
-            if (isAvailable)
-                region.capacity_
-                    += usableSlots(state.upstreamLimits_, pool.records_[i], now, target.slots_, slotTime);
+            if (!isAvailable)
+                continue;
+            region.capacity_
+                += usableSlots(state.upstreamLimits_, pool.records_[i], now, target.slots_, slotTime);
+            const double count = ++counts[target.region_];
+            region.upstreamSlots_ += (target.slots_ - region.upstreamSlots_) / count;
         }
         return regions;
     }
 
+    /// Wait for a slot of the own region, as a multiple of the time for which a request holds one, up to
+    /// which another region is no better. Half of a round trip: one more request also lengthens the wait of
+    /// others.
+    double tolerableSlotWait(const State& state, const ServicePool& pool, const ServiceDemand& demand)
+    {
+        double wait = std::numeric_limits<double>::infinity();
+        for (const routing::Target& target : pool.targets_) {
+            if (target.region_ != state.settings_.region_)
+                wait = std::min(wait, roundTrip(state, target) / 2 / slotSeconds(demand));
+        }
+        return wait;
+    }
+
     void addUnboundDemand(Regions& regions, const std::string& name, double slots)
     {
         regions[name].region_ = name;
@@ -223,7 +241,9 @@
         loads.reserve(regions.size());
         for (const auto& [name, region] : regions)
             loads.push_back(region);
-        const auto target = routing::targetSplit(state.splitOptions_, state.settings_.region_, loads);
+        routing::RegionSplitOptions options = state.splitOptions_;
+        options.maxSlotWait_ = detail::tolerableSlotWait(state, pool, demand);
+        const auto target = routing::targetSplit(options, state.settings_.region_, loads);
         if (idle) {
             demand.split_ = target;
             continue;
--- a/src/routing/regionsplit.cc
+++ b/src/routing/regionsplit.cc
@@ -44,8 +44,63 @@
         return kept;
     }
 
+    /// Mean wait for one of `slots` at that utilisation with random arrivals and holding times, as a multiple
+    /// of the holding time (Erlang C).
+    double meanSlotWait(uint32_t slots, double utilisation)
+    {
+        const double offered = slots * utilisation;
+        double blocked = 1;
+        for (uint32_t i = 1; i <= slots; ++i)
+            blocked = offered * blocked / (i + offered * blocked);
+        const double waiting = blocked / (1 - utilisation * (1 - blocked));
+        return waiting / (slots * (1 - utilisation));
+    }
+
+    /// Position in [0, 1) that depends on the lower digits of another one.
+    double rescatter(double point)
+    {
+        constexpr double scale = 0x1.0p20;
+        return point * scale - std::floor(point * scale);
+    }
+
+    struct Part {
+        const std::string* region_ = nullptr;
+        double share_ = 0;
+    };
+
+    /// The regions with a share that `homes` allows.
+    std::vector<Part> partsOf(const RegionSplit& split, const std::vector<std::string>& homes)
+    {
+        std::vector<Part> parts;
+        for (const RegionShare& entry : split) {
+            if (entry.share_ > 0 && (homes.empty() || containsName(homes, entry.region_)))
+                parts.push_back({ &entry.region_, entry.share_ });
+        }
+        return parts;
+    }
+
+    /// Utilisation up to which a region takes requests.
+    double bearableUtilisation(const RegionSplitOptions& options, const RegionLoad& load, double mean)
+    {
+        return std::max(mean, utilisationWithinWait(options, load.upstreamSlots_));
+    }
+
 } // namespace detail
 
+double utilisationWithinWait(const RegionSplitOptions& options, double upstreamSlots)
+{
+    constexpr double step = 0.05;
+    constexpr double maxSlots = 64; ///< More slots than that wait less at any utilisation of interest.
+    if (upstreamSlots < 1)
+        return options.targetUtilisation_;
+    const auto slots = static_cast<uint32_t>(std::min(upstreamSlots, maxSlots));
+    double utilisation = options.targetUtilisation_;
+    while (utilisation > options.minUtilisation_
+        && detail::meanSlotWait(slots, utilisation) > options.maxSlotWait_)
+        utilisation -= step;
+    return std::max(utilisation, options.minUtilisation_);
+}
+
 RegionSplit targetSplit(
     const RegionSplitOptions& options, const std::string& own, std::vector<RegionLoad> loads)
 {
@@ -58,16 +113,19 @@
     }
     if (capacity <= 0)
         return {};
-    const double utilisation = std::max(options.targetUtilisation_, demand / capacity);
+    const double mean = demand / capacity;
+    const auto room = [&](const RegionLoad& load) {
+        return load.capacity_ * detail::bearableUtilisation(options, load, mean);
+    };
     const double ownDemand = loads.front().region_ == own ? loads.front().demand_ : 0;
-    const double ownRoom = loads.front().region_ == own ? loads.front().capacity_ * utilisation : 0;
+    const double ownRoom = loads.front().region_ == own ? room(loads.front()) : 0;
     const double kept = ownDemand <= ownRoom ? 1 : ownRoom / ownDemand;
     double spare = 0;
     for (const RegionLoad& load : loads)
-        spare += std::max(0.0, load.capacity_ * utilisation - load.demand_);
+        spare += std::max(0.0, room(load) - load.demand_);
     RegionSplit split;
     for (const RegionLoad& load : loads) {
-        const double freeCapacity = std::max(0.0, load.capacity_ * utilisation - load.demand_);
+        const double freeCapacity = std::max(0.0, room(load) - load.demand_);
         const double share = load.region_ == own ? kept : spare > 0 ? (1 - kept) * freeCapacity / spare : 0;
         split.push_back({ load.region_, share });
     }
@@ -107,22 +165,22 @@
 
 std::string regionAtPosition(const RegionSplit& split, const std::vector<std::string>& homes, double point)
 {
-    double sum = 0;
-    for (const RegionShare& entry : split) {
-        if (homes.empty() || detail::containsName(homes, entry.region_))
-            sum += entry.share_;
-    }
-    double at = point * sum;
-    std::string last;
-    for (const RegionShare& entry : split) {
-        if (entry.share_ <= 0 || (!homes.empty() && !detail::containsName(homes, entry.region_)))
-            continue;
-        last = entry.region_;
-        at -= entry.share_;
+    const std::vector<detail::Part> parts = detail::partsOf(split, homes);
+    if (parts.empty())
+        return {};
+    double total = 0;
+    for (const detail::Part& part : parts)
+        total += part.share_;
+    const double first = parts.front().share_;
+    if (point * total < first)
+        return *parts.front().region_;
+    double at = detail::rescatter(point) * (total - first);
+    for (size_t i = 1; i < parts.size(); ++i) {
+        at -= parts[i].share_;
         if (at < 0)
-            return last;
+            return *parts[i].region_;
     }
-    return last;
+    return *parts.back().region_;
 }
 
 double splitPosition(uint64_t objectHash) { return static_cast<double>(objectHash >> 11) * 0x1.0p-53; }
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -306,9 +306,10 @@
     for (const auto& [id, domain] : { std::pair("u1", "a1"), std::pair("u2", "b1"), std::pair("u3", "b1") })
         upsertEntry(state.directory_, start,
             { .id_ = id, .service_ = "s", .failureDomain_ = domain, .version_ = "v1", .slots_ = 10 });
-    const auto shareAfter = [&](double boundPerSecond) {
+    const auto shareAfter = [&](double boundPerSecond, double boundSlotSeconds = 0) {
         state.demand_.clear();
         state.demand_["s"].slotSeconds_ = 0.2;
+        state.demand_["s"].bound_["a"].slotSeconds_ = boundSlotSeconds;
         for (int tick = 0; tick < 400; ++tick) {
             state.demand_["s"].unbound_.requestCount_ = 3;
             state.demand_["s"].bound_["a"].requestCount_ = boundPerSecond / 10;
@@ -318,4 +319,7 @@
     };
     CHECK(shareAfter(0) > 0.95);
     CHECK(shareAfter(40) < 0.5);
+    // The bound ones concern objects of callers everywhere, most of which are not cached in the region.
+    CHECK(shareAfter(20) > 0.5);
+    CHECK(shareAfter(20, 0.6) < 0.2);
 }
--- a/test/routing/regionsplit-test.cc
+++ b/test/routing/regionsplit-test.cc
@@ -85,6 +85,36 @@
     CHECK(moved < 80);
 }
 
+TEST_CASE("objects keep their region while the share of another one changes")
+{
+    // Demand that rises and falls in a small region moved objects between the large ones, where each move
+    // makes an upstream repeat the whole work.
+    const RegionSplit before { { "a", 0.5 }, { "b", 0.25 }, { "c", 0.25 } };
+    const RegionSplit after { { "a", 0.3 }, { "b", 0.35 }, { "c", 0.35 } };
+    for (int i = 0; i < 1000; ++i) {
+        const double point = splitPosition(hash64(std::to_string(i)));
+        const std::string from = regionAtPosition(before, {}, point);
+        CHECK((from == "a" || regionAtPosition(after, {}, point) == from));
+    }
+}
+
+TEST_CASE("a region keeps fewer requests if they would wait for longer than the way to another region takes")
+{
+    // A third of the callers connect to a region with a tenth of the capacity. At 0.75 of upstreams with
+    // three slots a request waits for most of the time that it holds one, while other regions have idle
+    // slots.
+    const auto kept = [](double slots, double wait) {
+        const RegionSplitOptions options { .maxSlotWait_ = wait };
+        const std::vector<RegionLoad> loads { { "a", 100, 200, slots }, { "b", 1900, 200, slots } };
+        return 200 * shareOf(targetSplit(options, "a", loads), "a");
+    };
+    CHECK(kept(3, 0.2) == doctest::Approx(50));
+    CHECK(kept(9, 0.2) == doctest::Approx(75));
+    CHECK(kept(3, 0.01) == doctest::Approx(30));
+    CHECK(kept(3, 10) == doctest::Approx(75));
+    CHECK(kept(0, 0.01) == doctest::Approx(75));
+}
+
 TEST_CASE("a restriction to home regions excludes the others")
 {
     const RegionSplit split { { "a", 0.5 }, { "b", 0.5 }, { "c", 0 } };
