Let a request use upstreams with an idle slot only

Cause: a request that is to make way for more urgent ones has no bound of its own in the selection; it is either sent as any other or refused while slots are idle. Change: PickRequest::idleOnly_, off by default, bounds the load by the slots, and where the object is probably not cached by the part that is kept for other objects. Nothing sets it yet, so selection is as before.

--- a/include/turmericwing/routing/pick.h
+++ b/include/turmericwing/routing/pick.h
@@ -84,6 +84,7 @@
     bool allowNonPreferred_ = false; ///< Also allows upstreams that are not preferred for the object.
     double missSeconds_ = 0.4; ///< Seconds that an idle upstream takes on a cache miss.
     double slotSeconds_ = 0; ///< Mean seconds that a request holds a slot; 0 if unknown.
+    bool idleOnly_ = false; ///< Only upstreams with an idle slot; see idleBound().
 };
 
 /// The selected target.
@@ -185,6 +186,10 @@
 
     bool isFirstChoice(const std::vector<Preferred>&, const Target&);
 
+    /// Load below which the target has an idle slot. Where the object is probably not cached, some slots are
+    /// left for the objects that are.
+    uint32_t idleBound(const Target&, const PickOptions&, bool isCached);
+
 } // namespace detail
 
 template <typename Permit, typename RoundTripTo>
@@ -222,7 +227,9 @@
                 || totalInFlight(target) >= options.maxNonPreferredLoad_ * target.slots_))
             continue;
         const bool first = byObject && detail::isFirstChoice(preferred, target);
-        const uint32_t bound = first ? preferredMaxLoad(target, options) : maxLoad(target, options);
+        uint32_t bound = first ? preferredMaxLoad(target, options) : maxLoad(target, options);
+        if (request.idleOnly_)
+            bound = detail::idleBound(target, options, first || !byObject);
         if (now < target.pausedUntil_ || target.allowance_ == 0 || totalInFlight(target) >= bound
             || permit(target) != Permission::Now)
             continue;
--- a/src/routing/pick.cc
+++ b/src/routing/pick.cc
@@ -83,6 +83,12 @@
             [&](const Preferred& region) { return region.targets_[0] == &target; });
     }
 
+    uint32_t idleBound(const Target& target, const PickOptions& options, bool isCached)
+    {
+        const double part = isCached ? 1 : options.maxNonPreferredLoad_;
+        return static_cast<uint32_t>(std::ceil(target.slots_ * part));
+    }
+
 } // namespace detail
 
 double currentSlowness(const Target& target, const PickOptions& options, TimePoint now)
