Start requests of far less work first within a rank

Cause: in a host's queue requests of one rank started by arrival alone, so a costly one could hold the place of several cheap ones. Change: a waiter has a work class, one more for each doubling of its time; the order is rank, class, arrival. Smaller differences change nothing, and the wait stays limited by startBy_. Classes are 0 until set, which is the order of before. The new case of waitline-test fails without the class in the comparison; routing-test passes.

--- a/include/turmericwing/routing/waitline.h
+++ b/include/turmericwing/routing/waitline.h
@@ -1,8 +1,9 @@
 // Priority queue of a service's requests that wait on this host for a free upstream slot.
 //
 // Handles overload that lasts for seconds: a request is queued only if it is expected to start in time and is
-// otherwise rejected on arrival, and more urgent requests start first. Requests of equal rank start in order
-// of arrival, because the callers that have waited longest lose most by a rejection.
+// otherwise rejected on arrival, and more urgent requests start first. Within a rank those that need far less
+// work start first, because more callers are answered in the same slot time, and others in order of arrival,
+// because the callers that have waited longest lose most by a rejection.
 #pragma once
 
 #include "turmericwing/base/time.h"
@@ -27,6 +28,7 @@
     Rank rank_;
     TimePoint arrivedAt_ {};
     TimePoint startBy_ {}; ///< Rejected if it has not started by then.
+    int workClass_ = 0; ///< See workClass(); 0 if its work is unknown.
     friend bool operator==(const Waiter&, const Waiter&) = default;
 };
 
@@ -36,7 +38,11 @@
     double initialStartsPerSecond_ = 50; ///< Used until a rate has been measured.
 };
 
-/// The queue of one service. Invariant: waiters_ is sorted by rank and, within a rank, by arrival.
+/// Class of a request that takes so many seconds at an upstream: one more for each doubling, from 1 on.
+/// Smaller differences do not change the order of a queue. 0 if the time is not positive.
+int workClass(double seconds);
+
+/// The queue of one service. Invariant: waiters_ is sorted by rank, work class and arrival.
 struct WaitQueue {
     WaitQueueOptions options_ {};
     std::vector<Waiter> waiters_ {};
--- a/src/routing/waitline.cc
+++ b/src/routing/waitline.cc
@@ -2,17 +2,20 @@
 #include "turmericwing/routing/waitline.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 namespace turmericwing::routing {
 
 namespace detail {
 
     constexpr double maxGapSeconds = 0.5; ///< Longer gaps are not used as samples.
+    constexpr double leastWorkSeconds = 0.005; ///< Shorter work shares the first work class.
     constexpr double minGapSeconds = 0.0001; ///< Keeps the rate finite for simultaneous starts.
 
     bool startsBefore(const Waiter& a, const Waiter& b)
     {
-        return a.rank_ != b.rank_ ? a.rank_ < b.rank_ : a.arrivedAt_ < b.arrivedAt_;
+        return std::tie(a.rank_, a.workClass_, a.arrivedAt_) < std::tie(b.rank_, b.workClass_, b.arrivedAt_);
     }
 
     double startRate(const WaitQueue& queue)
@@ -22,6 +25,13 @@
 
 } // namespace detail
 
+int workClass(double seconds)
+{
+    if (seconds <= 0)
+        return 0;
+    return 1 + std::max(0, static_cast<int>(std::floor(std::log2(seconds / detail::leastWorkSeconds))));
+}
+
 Duration expectedWait(const WaitQueue& queue, Rank rank)
 {
     const auto ahead = std::count_if(queue.waiters_.begin(), queue.waiters_.end(),
--- a/test/routing/waitline-test.cc
+++ b/test/routing/waitline-test.cc
@@ -66,3 +66,21 @@
     CHECK(takeExpiredWaiters(queue, start + std::chrono::seconds(1)).empty());
     CHECK_FALSE(removeWaiter(queue, 1));
 }
+
+TEST_CASE("within a rank requests of far less work start first")
+{
+    WaitQueue queue = makeQueue(100);
+    Waiter costly = makeWaiter(1, { 0, 1 });
+    costly.workClass_ = workClass(0.8);
+    Waiter cheap = makeWaiter(2, { 0, 1 }, std::chrono::milliseconds(5));
+    cheap.workClass_ = workClass(0.1);
+    Waiter urgent = makeWaiter(3, { 0, 0 }, std::chrono::milliseconds(5));
+    urgent.workClass_ = workClass(2);
+    REQUIRE(tryEnqueue(queue, costly, start));
+    REQUIRE(tryEnqueue(queue, cheap, start));
+    REQUIRE(tryEnqueue(queue, urgent, start));
+    CHECK(queue.waiters_[0].id_ == 3);
+    CHECK(queue.waiters_[1].id_ == 2);
+    CHECK(workClass(0.2) == workClass(0.3));
+    CHECK(workClass(0) == 0);
+}
