Let less urgent requests give way on the request path

Change: a new request is counted in its class and drawn to give way by the class's fraction; it then uses idle slots only and is else refused at once instead of waiting in vain. Refusals say why in their fault and problem details, the end of each request has its priority, a log line tells when giving way begins and ends, and a counter shows requests without room by priority and outcome. Without refusals for lack of room, or where a service has requests of one priority and similar work, nothing changes.

Ruled out: spread returns and a deadline bound in the selection, which showed no gain.

--- a/include/turmericwing/host/metrics.h
+++ b/include/turmericwing/host/metrics.h
@@ -26,6 +26,10 @@
     void countUpstreamState(
         const std::string& service, const std::string& upstreamState, const std::string& source);
 
+    /// Counts a request for which no upstream had room at once, by its priority and what became of it.
+    void countShortOfRoom(
+        const std::string& service, const std::string& priority, const std::string& outcome);
+
     /// Counts a request of a service in a move, by the version that serves it.
     void countMove(const std::string& move, const std::string& version);
 
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -5,6 +5,7 @@
 #include "turmericwing/gateway/dispatcher.h"
 #include "turmericwing/host/problem.h"
 #include "turmericwing/routing/objectmemory.h"
+#include "turmericwing/routing/scarcity.h"
 #include "turmericwing/routing/waitline.h"
 
 #include <boost/asio/io_context.hpp>
@@ -47,6 +48,7 @@
         /// An upstream had capacity at the last selection, but this host stops before it would answer.
         bool stopsTooSoon_ = false;
         std::vector<std::string> triedUpstreams_; ///< Ids, in the order of the attempts.
+        bool givesWay_ = false; ///< Sent only to an upstream with an idle slot, else refused.
         std::string currentUpstream_; ///< Id for the attempt in flight; empty while none is.
         int64_t upstreamStartedMs_ = 0; ///< Start of the incarnation that gets the latest attempt.
         double expectedLatency_ = 0; ///< Expected seconds to the response of the latest attempt.
@@ -55,7 +57,7 @@
         std::shared_ptr<const std::string> body_;
         UpstreamClient::Cancel cancel_;
         std::unique_ptr<boost::asio::steady_timer> timer_;
-        std::string lastError_; ///< Why the last attempt failed; empty if none did.
+        std::string lastError_; ///< Why the last attempt failed, or why none was made; empty if neither.
         std::optional<Response> upstreamFailure_; ///< Signed 5xx response, forwarded if no retry is allowed.
     };
 
@@ -64,6 +66,11 @@
     /// Dispatch state of one service on this host.
     struct ServiceState {
         routing::WaitQueue waitQueue_;
+        routing::Scarcity scarcity_;
+        bool scarcityLogged_ = false; ///< Whether the last log line said that the service is scarce.
+        TimePoint scarcityLoggedAt_ {};
+        /// Mean seconds that requests of a route take at an upstream, by the name of the route.
+        std::map<std::string, double> routeWork_;
         routing::ObjectUseHistory objectUseHistory_;
         /// Mean seconds that an upstream takes for an object that it has not cached; 0 until known.
         double serviceTime_ = 0;
@@ -120,7 +127,15 @@
     routing::PickFailure tryDispatch(const PendingRequestPtr&, bool allowNonPreferred = false);
     routing::PickResult pickInRegions(
         const PendingRequest&, ServicePool&, const std::vector<std::string>& regions, bool allowNonPreferred);
+    routing::PickFailure tryDispatchCounted(const PendingRequestPtr&, bool allowNonPreferred = false);
+    routing::DemandClass demandClass(const PendingRequest&) const;
+    int workClass(const PendingRequest&);
+    void drawGivesWay(PendingRequest&);
     void enqueueOrRefuse(const PendingRequestPtr&);
+    void turnAway(const PendingRequestPtr&, routing::ShortOfRoom);
+    void countShortOfRoom(const PendingRequest&, routing::ShortOfRoom);
+    void logScarcity(const std::string& service);
+    void recordWork(const PendingRequest&, TimePoint now);
     void sendAttempt(const PendingRequestPtr&, ServicePool&, const routing::Pick&);
     std::string attemptHead(const PendingRequest&, const routing::Target&, TimePoint now) const;
     routing::Permission permission(const PendingRequest&, const ServiceSpec*, const routing::Target&,
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -2,6 +2,7 @@
 #include "dispatchcore.h"
 
 #include "turmericwing/base/hash.h"
+#include "turmericwing/host/log.h"
 
 #include <boost/asio/post.hpp>
 
@@ -12,6 +13,7 @@
 
 namespace detail {
 
+    constexpr Duration minScarcityLogGap = std::chrono::seconds(1); ///< Bounds the volume of log lines.
     constexpr size_t maxFailedDispatches = 12; ///< Failed attempts to place waiting requests that end a pass.
 
     std::string milliseconds(Duration time)
@@ -263,7 +265,8 @@
         .known_ = &known,
         .allowNonPreferred_ = allowNonPreferred,
         .missSeconds_ = serviceTime(pending.service_, *pending.route_),
-        .slotSeconds_ = state_.demand_[pending.service_].slotSeconds_ };
+        .slotSeconds_ = state_.demand_[pending.service_].slotSeconds_,
+        .idleOnly_ = pending.givesWay_ };
     const ServiceSpec* service = pending.catalog_->findService(pending.service_);
     const auto permit = [&](const routing::Target& target) {
         const auto index = static_cast<size_t>(&target - pool.targets_.data());
@@ -311,12 +314,18 @@
 {
     if (monotonicNow() + detail::minSendTime > pending->expiresAt_)
         return endUnserved(pending, Reason::DeadlineTooShort);
-    switch (tryDispatch(pending)) {
+    if (pending->triedUpstreams_.empty())
+        drawGivesWay(*pending);
+    const routing::PickFailure failure = tryDispatchCounted(pending);
+    pending->givesWay_ = pending->givesWay_ && failure == routing::PickFailure::NoneAvailable;
+    switch (failure) {
     case routing::PickFailure::None:
         return;
     case routing::PickFailure::NoneUsable:
         return endUnserved(pending, noUpstreamReason(*pending));
     case routing::PickFailure::NoneAvailable:
+        if (pending->givesWay_)
+            return turnAway(pending, routing::ShortOfRoom::GaveWay);
         return enqueueOrRefuse(pending);
     }
 }
@@ -329,15 +338,70 @@
     return std::min(pending.expiresAt_, pending.request_.receivedAt_ + longest);
 }
 
+routing::DemandClass Dispatcher::Core::demandClass(const PendingRequest& pending) const
+{
+    return { detail::rankOf(pending), pending.route_->name_ };
+}
+
+/// The work class of the request's route; 0 until known.
+int Dispatcher::Core::workClass(const PendingRequest& pending)
+{
+    const auto& work = services_[pending.service_].routeWork_;
+    const auto known = work.find(pending.route_->name_);
+    return known == work.end() ? 0 : routing::workClass(known->second);
+}
+
+/// Counts a new request as demand and decides at random whether it gives way.
+void Dispatcher::Core::drawGivesWay(PendingRequest& pending)
+{
+    routing::Scarcity& scarcity = services_[pending.service_].scarcity_;
+    const routing::DemandClass key = demandClass(pending);
+    routing::recordDemand(scarcity, key, workClass(pending), monotonicNow());
+    const double fraction = routing::shedFraction(scarcity, key);
+    pending.givesWay_ = fraction > 0 && uniform(state_.random_) < fraction;
+}
+
+/// tryDispatch(), and counts the request when it is first sent.
+routing::PickFailure Dispatcher::Core::tryDispatchCounted(
+    const PendingRequestPtr& pending, bool allowNonPreferred)
+{
+    const bool isFirst = pending->triedUpstreams_.empty();
+    const routing::PickFailure failure = tryDispatch(pending, allowNonPreferred);
+    if (isFirst && !pending->triedUpstreams_.empty())
+        routing::recordSent(services_[pending->service_].scarcity_, demandClass(*pending), monotonicNow());
+    return failure;
+}
+
 /// Queues the request. If it is not expected to start in time there, tries any upstream, then refuses it.
 void Dispatcher::Core::enqueueOrRefuse(const PendingRequestPtr& pending)
 {
-    const routing::Waiter waiter { pending->id_, detail::rankOf(*pending), pending->request_.receivedAt_,
-        startDeadline(*pending) };
+    const routing::Waiter waiter { .id_ = pending->id_,
+        .rank_ = detail::rankOf(*pending),
+        .arrivedAt_ = pending->request_.receivedAt_,
+        .startBy_ = startDeadline(*pending),
+        .workClass_ = workClass(*pending) };
     if (routing::tryEnqueue(services_[pending->service_].waitQueue_, waiter, monotonicNow()))
-        return;
-    if (tryDispatch(pending, true) != routing::PickFailure::None)
-        endUnserved(pending, noUpstreamReason(*pending));
+        return countShortOfRoom(*pending, routing::ShortOfRoom::Delayed);
+    if (tryDispatchCounted(pending, true) != routing::PickFailure::None)
+        turnAway(pending, routing::ShortOfRoom::WaitTooLong);
+}
+
+/// Refuses a request for which there was no room.
+void Dispatcher::Core::turnAway(const PendingRequestPtr& pending, routing::ShortOfRoom reason)
+{
+    countShortOfRoom(*pending, reason);
+    if (pending->triedUpstreams_.empty())
+        routing::recordTurnedAway(
+            services_[pending->service_].scarcity_, demandClass(*pending), monotonicNow());
+    if (pending->lastError_.empty())
+        pending->lastError_ = routing::describe(reason);
+    endUnserved(pending, noUpstreamReason(*pending));
+}
+
+void Dispatcher::Core::countShortOfRoom(const PendingRequest& pending, routing::ShortOfRoom reason)
+{
+    metrics_.countShortOfRoom(
+        pending.service_, routing::rankLabel(detail::rankOf(pending)), routing::toString(reason));
 }
 
 std::string Dispatcher::Core::attemptHead(
@@ -417,8 +481,8 @@
         if (found == pendingRequests_.end())
             continue;
         const PendingRequestPtr pending = found->second;
-        if (tryDispatch(pending, true) != routing::PickFailure::None)
-            endUnserved(pending, noUpstreamReason(*pending));
+        if (tryDispatchCounted(pending, true) != routing::PickFailure::None)
+            turnAway(pending, routing::ShortOfRoom::WaitedInVain);
     }
     const std::vector<routing::Waiter> waiters = queue.waiters_;
     size_t failedDispatches = 0;
@@ -427,7 +491,7 @@
         if (found == pendingRequests_.end())
             continue;
         const PendingRequestPtr pending = found->second;
-        const routing::PickFailure failure = tryDispatch(pending);
+        const routing::PickFailure failure = tryDispatchCounted(pending);
         if (failure == routing::PickFailure::None)
             routing::removeWaiter(queue, waiter.id_);
         // The upstreams that may run it have left or paused while it waited.
@@ -454,6 +518,28 @@
     });
 }
 
+/// Logs when the service becomes scarce on this host, and when that ends.
+void Dispatcher::Core::logScarcity(const std::string& service)
+{
+    detail::ServiceState& known = services_[service];
+    const bool isScarce = routing::isScarce(known.scarcity_);
+    const TimePoint now = monotonicNow();
+    const auto& classes = known.scarcity_.classes_;
+    if (classes.empty() || isScarce == known.scarcityLogged_
+        || now < known.scarcityLoggedAt_ + detail::minScarcityLogGap)
+        return;
+    known.scarcityLogged_ = isScarce;
+    known.scarcityLoggedAt_ = now;
+    const int percent = static_cast<int>(std::lround(routing::pressure(known.scarcity_) * 100));
+    const routing::DemandClass& lowest = classes.rbegin()->first;
+    const int gaveWay = static_cast<int>(std::lround(routing::shedFraction(known.scarcity_, lowest) * 100));
+    host::logEvent(host::LogLevel::Info, "scarcity",
+        { { "service", service }, { "state", isScarce ? "begun" : "ended" },
+            { "turned_away_percent", std::to_string(percent) },
+            { "lowest_priority", routing::rankLabel(lowest.rank_) },
+            { "gives_way_percent", std::to_string(gaveWay) } });
+}
+
 Dispatcher::Dispatcher(boost::asio::io_context& loop, State& state, UpstreamClient& upstreamClient,
     host::Metrics& metrics, DispatchOptions options)
     : core_(std::make_shared<Core>(loop, state, upstreamClient, metrics, options))
@@ -473,8 +559,10 @@
     std::vector<std::string> names;
     for (const auto& [name, service] : core_->services_)
         names.push_back(name);
-    for (const std::string& name : names)
+    for (const std::string& name : names) {
         core_->serveWaiting(name);
+        core_->logScarcity(name);
+    }
 }
 
 size_t Dispatcher::pendingCount() const { return core_->pendingRequests_.size(); }
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -15,6 +15,8 @@
 
     constexpr double serviceTimeWeight = 0.02; ///< Weight of a new sample in serviceTime_.
     constexpr double slotTimeWeight = 0.02; ///< Weight of a new sample in the mean slot time.
+    constexpr double routeWorkWeight = 0.05; ///< Weight of a new sample in the mean time of a route.
+    constexpr size_t maxRoutesWithWork = 256; ///< Limits memory; the work of further routes is unknown.
     constexpr double roundTripWeight = 0.2; ///< Weight of a new sample in a region's round-trip time.
     constexpr double slowMultiple = 4; ///< Multiple of the service time that counts as slow in a rollout.
     /// Multiple of the service time after which an unanswered request counts as overdue in a rollout.
@@ -328,6 +330,17 @@
     completeRequest(pending, 0, "caller-gone", pending->lastError_);
 }
 
+/// Adds the time that the last upstream took to the mean of the request's route.
+void Dispatcher::Core::recordWork(const PendingRequest& pending, TimePoint now)
+{
+    auto& known = services_[pending.service_].routeWork_;
+    if (!known.contains(pending.route_->name_) && known.size() >= detail::maxRoutesWithWork)
+        return;
+    const double sample = seconds(now - pending.sentAt_);
+    double& mean = known.try_emplace(pending.route_->name_, sample).first->second;
+    mean += detail::routeWorkWeight * (sample - mean);
+}
+
 void Dispatcher::Core::forwardResponse(const PendingRequestPtr& pending, Response response)
 {
     const HeaderNames& names = state_.protocol_.headers_;
@@ -342,6 +355,7 @@
     response.headers_ = std::move(headers);
     const unsigned status = response.status_;
     pending->exchange_->respond(std::move(response));
+    recordWork(*pending, monotonicNow());
     completeRequest(pending, status, "answered", pending->lastError_);
 }
 
@@ -419,11 +433,13 @@
     const Duration sent = pending->triedUpstreams_.empty()
         ? took
         : Duration(pending->sentAt_ - pending->request_.receivedAt_);
+    const std::string priority
+        = pending->route_ ? routing::rankLabel(detail::rankOf(*pending)) : std::string();
     const uint64_t version = pending->catalog_ ? pending->catalog_->configuration().version_ : 0;
     logEvent(LogLevel::Info, "request",
         { { "request", pending->requestId_ }, { "result", result }, { "status", std::to_string(status) },
             { "route", pending->route_ ? pending->route_->name_ : std::string() }, { "workspace", workspace },
-            { "service", pending->service_ }, { "upstream", lastUpstream },
+            { "priority", priority }, { "service", pending->service_ }, { "upstream", lastUpstream },
             { "attempts", std::to_string(pending->triedUpstreams_.size()) },
             { "config", std::to_string(version) }, { "object", std::string(object) },
             { "sent_ms", detail::milliseconds(sent) }, { "took_ms", detail::milliseconds(took) },
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -28,6 +28,7 @@
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Counter>& moves_;
     prometheus::Family<prometheus::Counter>& upstreamStates_;
+    prometheus::Family<prometheus::Counter>& shortOfRoom_;
     std::mutex mutex_;
     std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges_;
 
@@ -56,6 +57,10 @@
                               .Name("turmericwing_upstream_state_changes_total")
                               .Help("Changes of an upstream's state, by new state and source")
                               .Register(registry_))
+        , shortOfRoom_(prometheus::BuildCounter()
+                           .Name("turmericwing_requests_without_room_total")
+                           .Help("Requests without room at an upstream, by priority and outcome")
+                           .Register(registry_))
     {
     }
 };
@@ -95,6 +100,13 @@
         .Increment();
 }
 
+void Metrics::countShortOfRoom(
+    const std::string& service, const std::string& priority, const std::string& outcome)
+{
+    families_->shortOfRoom_.Add({ { "service", service }, { "priority", priority }, { "outcome", outcome } })
+        .Increment();
+}
+
 void Metrics::countMove(const std::string& move, const std::string& version)
 {
     families_->moves_.Add({ { "move", move }, { "version", version } }).Increment();
