--- a/include/turmericwing/host/metrics.h
+++ b/include/turmericwing/host/metrics.h
@@ -28,6 +28,9 @@
 
     /// Counts an answer whose report of its upstream's load is malformed.
     void countRejectedLoadReport(const std::string& service);
+    /// Counts a request for which no upstream had room at once, by its priority and what became of it.
+    void countShortOfRoom(
+        const std::string& service, const std::string& priority, const std::string& outcome);
 
     /// Counts a request of a service in a move, by the version that serves it.
     void countMove(const std::string& move, const std::string& version);
--- a/include/turmericwing/routing/pick.h
+++ b/include/turmericwing/routing/pick.h
@@ -91,6 +91,7 @@
     double slotSeconds_ = 0; ///< Mean seconds that a request holds a slot; 0 if unknown.
     /// Spreads requests without an object over targets of nearly equal cost. Null: the lowest cost decides.
     Random* random_ = nullptr;
+    bool idleOnly_ = false; ///< Only upstreams with an idle slot; see idleBound().
 };
 
 /// The selected target.
@@ -216,6 +217,9 @@
     /// of it; nothing without candidates. Hosts that know the same loads would otherwise all select the same
     /// target.
     std::optional<Pick> selectCandidate(const std::vector<Candidate>&, double margin, Random*);
+    /// Load below which the target has an idle slot. Where the object is probably not cached, some slots are
+    /// left for the objects that are.
+    uint32_t idleBound(const Target&, const PickOptions&, bool isCached);
 
 } // namespace detail
 
@@ -254,7 +258,9 @@
                 || totalInFlight(target) >= options.maxNonPreferredLoad_ * target.slots_))
             continue;
         const bool first = byObject && detail::isFirstChoice(preferred, target);
-        const uint32_t bound = first ? preferredMaxLoad(target, options) : maxLoad(target, options);
+        uint32_t bound = first ? preferredMaxLoad(target, options) : maxLoad(target, options);
+        if (request.idleOnly_)
+            bound = detail::idleBound(target, options, first || !byObject);
         if (now < target.pausedUntil_ || target.allowance_ == 0 || totalInFlight(target) >= bound
             || permit(target) != Permission::Now)
             continue;
--- a/src/host/metrics.cc
+++ b/src/host/metrics.cc
@@ -29,6 +29,7 @@
     prometheus::Family<prometheus::Counter>& moves_;
     prometheus::Family<prometheus::Counter>& upstreamStates_;
     prometheus::Family<prometheus::Counter>& rejectedLoadReports_;
+    prometheus::Family<prometheus::Counter>& shortOfRoom_;
     std::mutex mutex_;
     std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges_;
 
@@ -61,6 +62,10 @@
                                    .Name("turmericwing_load_reports_rejected_total")
                                    .Help("Answers whose report of the upstream's load is malformed")
                                    .Register(registry_))
+        , shortOfRoom_(prometheus::BuildCounter()
+                           .Name("turmericwing_requests_without_room_total")
+                           .Help("Requests without room at an upstream, by priority and outcome")
+                           .Register(registry_))
     {
     }
 };
@@ -105,6 +110,13 @@
     families_->rejectedLoadReports_.Add({ { "service", service } }).Increment();
 }
 
+void Metrics::countShortOfRoom(
+    const std::string& service, const std::string& priority, const std::string& outcome)
+{
+    families_->shortOfRoom_.Add({ { "service", service }, { "priority", priority }, { "outcome", outcome } })
+        .Increment();
+}
+
 void Metrics::countMove(const std::string& move, const std::string& version)
 {
     families_->moves_.Add({ { "move", move }, { "version", version } }).Increment();
--- a/src/routing/pick.cc
+++ b/src/routing/pick.cc
@@ -106,6 +106,12 @@
         return cheaper(*other, *one) ? other->pick_ : one->pick_;
     }
 
+    uint32_t idleBound(const Target& target, const PickOptions& options, bool isCached)
+    {
+        const double part = isCached ? 1 : options.maxNonPreferredLoad_;
+        return static_cast<uint32_t>(std::ceil(target.slots_ * part));
+    }
+
 } // namespace detail
 
 double currentSlowness(const Target& target, const PickOptions& options, TimePoint now)
