Do not take the part of a reset answer for complete

An answer without a length ends with its connection. While a long request was still being written, the failed write consumed the socket's reset, the next read returned the end of the stream, and the part that had arrived went to the caller as a complete 200 with the upstream's signature. Ruled out: that the reset overtook the data, and that any other error of a read was taken for the end.

The outcome of the write now decides, and is awaited while the write runs: an upstream that ends its side and reads on is still answered. Before: the tests 'an answer without a length that ends by a reset during the upload' (both cases) and '... waits for the upload's outcome' (reset) failed with a 200. After: gateway, gateway-live, gateway-faulty, gateway-callergone and gateway-crash pass.

--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -65,6 +65,9 @@
         return message.result_int() / 100 == 1;
     }
 
+    /// State of passing the request to the socket.
+    enum class RequestWrite { Running, Done, Failed };
+
     class Call;
 
     struct IdleConnection {
@@ -127,6 +130,7 @@
     private:
         void connect();
         void write();
+        void onWritten(error_code);
         void waitReadable();
         void onReadable(error_code);
         void parse();
@@ -134,6 +138,8 @@
         bool isFramingBounded() const;
         void releaseAnswer();
         void onReadError(error_code);
+        void onEnd();
+        void failEnded(const std::string& reason);
         bool isOwnAnswer() const;
         void onAnswer();
         Duration idleTimeout(const Headers&) const;
@@ -160,7 +166,8 @@
         Duration connectTime_ {};
         bool reused_ = false;
         bool mayHaveSent_ = false; ///< Bytes of the request may have left the host.
-        bool requestWritten_ = false; ///< The complete request was passed to the socket.
+        RequestWrite requestWrite_ = RequestWrite::Running;
+        bool endSeen_ = false; ///< The upstream has ended its side of the connection.
         int skippedAnswers_ = 0;
         bool strayAnswers_ = false; ///< An answer to another request was skipped.
         std::vector<uint64_t> refusedIds_; ///< Of the connection; see IdleConnection.
@@ -217,14 +224,20 @@
         resetParser();
         const std::array<asio::const_buffer, 2> buffers { asio::buffer(call_.head_),
             call_.body_ ? asio::buffer(*call_.body_) : asio::const_buffer() };
-        asio::async_write(socket_, buffers, [self = shared_from_this()](error_code error, size_t) {
-            self->requestWritten_ = !error;
-            // The upstream may answer before it has read the whole body, so a failed write does not end the
-            // call; reading does.
-        });
+        asio::async_write(socket_, buffers,
+            [self = shared_from_this()](error_code error, size_t) { self->onWritten(error); });
         waitReadable();
     }
 
+    /// The upstream may answer before it has read the whole body, so a failed write does not end the call;
+    /// reading does. An answer that ends with its connection waits for the write.
+    void Call::onWritten(error_code error)
+    {
+        requestWrite_ = error ? RequestWrite::Failed : RequestWrite::Done;
+        if (handler_ && endSeen_)
+            onEnd();
+    }
+
     void Call::resetParser()
     {
         parser_.emplace();
@@ -323,15 +336,31 @@
 
     void Call::onReadError(error_code error)
     {
-        // An answer without a length is complete only if the upstream closed the connection cleanly.
-        if (error == asio::error::eof && parser_->is_header_done()) {
-            error_code parsing;
-            parser_->put_eof(parsing);
-            if (!parsing && parser_->is_done() && isOwnAnswer())
-                return onAnswer();
-        }
+        if (error != asio::error::eof || !parser_->is_header_done())
+            return failEnded(error.message());
+        endSeen_ = true;
+        // While the request is being written, a reset may show there only: the first operation that sees the
+        // error of a socket consumes it.
+        if (requestWrite_ != RequestWrite::Running || !parser_->need_eof())
+            onEnd();
+    }
+
+    /// Completes an answer without a length, which is complete only if the connection ended cleanly.
+    void Call::onEnd()
+    {
+        error_code parsing;
+        parser_->put_eof(parsing);
+        if (parsing || !parser_->is_done() || !isOwnAnswer())
+            return failEnded(error_code(asio::error::eof).message());
+        if (requestWrite_ == RequestWrite::Failed)
+            return failEnded("the request could not be written");
+        onAnswer();
+    }
+
+    void Call::failEnded(const std::string& reason)
+    {
         connectionEnded_ = true;
-        fail((parser_->is_header_done() ? "answer broke off: " : "no answer: ") + error.message());
+        fail((parser_->is_header_done() ? "answer broke off: " : "no answer: ") + reason);
     }
 
     /// Whether the complete answer is final and belongs to the request: all its ids, if it has several, are
@@ -377,8 +406,8 @@
     /// not sent completely, prevent that.
     bool Call::isReusable(const http::response<http::string_body>& message) const
     {
-        return message.keep_alive() && requestWritten_ && unparsed_.empty() && !strayAnswers_
-            && !call_.echoValue_.empty() && refusedIds_.size() <= maxRefusedIds
+        return message.keep_alive() && requestWrite_ == RequestWrite::Done && unparsed_.empty()
+            && !strayAnswers_ && !call_.echoValue_.empty() && refusedIds_.size() <= maxRefusedIds
             && (message.has_content_length() || message.chunked() || call_.isHeadMethod_
                 || message.result_int() == 204 || message.result_int() == 304);
     }
--- /dev/null
+++ b/test/gateway/live-mixed-test.cc
@@ -0,0 +1,96 @@
+// A gateway with upstreams that end their answers while a long request is still being written to them. Guards
+// against callers that get a part of an answer, or what is no answer, as a complete one.
+#include "rawupstream.h"
+
+#include <doctest/doctest.h>
+
+using namespace turmericwing;
+using namespace turmericwing::gateway;
+using namespace turmericwing::gateway::test;
+
+namespace {
+
+/// More than the sockets of a connection buffer.
+constexpr size_t longBodyBytes = size_t { 24 } << 20;
+
+/// Allows long bodies.
+void allowLongBodies(Fixture& fixture)
+{
+    nlohmann::json document = nlohmann::json::parse(configuration(1));
+    for (auto& resource : document["resources"]) {
+        if (resource["type"] == "limits")
+            resource["spec"]["max_body_bytes"] = 2 * longBodyBytes;
+    }
+    fixture.store_.put("op", "config", document.dump());
+}
+
+/// Sends a long request that must not run twice.
+httplib::Result writeLong(Fixture& fixture)
+{
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    return fixture.client()->Post(
+        "/write/x", fixture.headers("id-1"), std::string(longBodyBytes, 'x'), "text/plain");
+}
+
+} // namespace
+
+TEST_CASE("an answer without a length that ends by a reset during the upload is not complete")
+{
+    // The failed write consumed the socket's error, the next read returned the end of the stream, and the
+    // part that had arrived went to the caller as a complete answer.
+    Fixture fixture;
+    allowLongBodies(fixture);
+    std::string part;
+    SUBCASE("after a part of its body") { part = "part"; }
+    SUBCASE("after its head") { part = ""; }
+    RawUpstream upstream(fixture.store_, "u1", [&](const RawConnection& connection) {
+        connection.send(connection.head() + "\r\n" + part);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        connection.resetAtEnd();
+    });
+    const auto answer = writeLong(fixture);
+    REQUIRE(answer);
+    CHECK(answer->status == 502);
+    CHECK(answer->get_header_value("X-Response-Seal").empty());
+    CHECK(upstream.requests_ == 1);
+}
+
+TEST_CASE("an answer without a length that ends before the upload does waits for the upload's outcome")
+{
+    Fixture fixture;
+    allowLongBodies(fixture);
+    bool reads = false;
+    SUBCASE("the upstream reads the whole request") { reads = true; }
+    SUBCASE("the upstream resets the connection") { reads = false; }
+    const RawUpstream upstream(fixture.store_, "u1", [&](const RawConnection& connection) {
+        connection.send(connection.head() + "\r\nwhole");
+        shutdown(connection.fd_, SHUT_WR);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        if (reads)
+            connection.readToEnd();
+        else
+            connection.resetAtEnd();
+    });
+    const auto answer = writeLong(fixture);
+    REQUIRE(answer);
+    CHECK(answer->status == (reads ? 200 : 502));
+    CHECK((answer->body == "whole") == reads);
+}
+
+TEST_CASE("an answer with a length is complete although the rest of the upload is refused")
+{
+    Fixture fixture;
+    allowLongBodies(fixture);
+    std::string end;
+    SUBCASE("with a body") { end = "Content-Length: 5\r\n\r\nwhole"; }
+    SUBCASE("without a body") { end = "Content-Length: 0\r\n\r\n"; }
+    const RawUpstream upstream(fixture.store_, "u1", [&](const RawConnection& connection) {
+        connection.send(connection.head() + end);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        connection.resetAtEnd();
+    });
+    const auto answer = writeLong(fixture);
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+}
