Take a message with an impossible status for no answer

An upstream in difficulty sent status 000, and its caller got that as an answer: the parser takes any three digits, and nothing looked at the number. The same held for HttpChannel (store and relays), the client of the platform and the product's own front; there a write of the store counted as rejected although it may have taken effect. Ruled out: that malformed status lines come through, the parser refuses those.

A status outside 100 to 599 is now a broken answer that leaves open whether the request has run.

--- a/include/turmericwing/gateway/http.h
+++ b/include/turmericwing/gateway/http.h
@@ -59,6 +59,9 @@
 /// which a response to HEAD needs. `close` adds Connection: close.
 std::string responseHead(const Response&, bool close);
 
+/// Whether a status exists (RFC 9110, section 15). A message with another one is no response.
+bool isStatus(unsigned);
+
 /// Returns the reason phrase of a status, or "Status" for statuses that the gateway does not send itself.
 const char* reasonPhrase(unsigned status);
 
--- a/src/gateway/http.cc
+++ b/src/gateway/http.cc
@@ -112,6 +112,8 @@
     return head;
 }
 
+bool isStatus(unsigned status) { return status >= 100 && status <= 599; }
+
 const char* reasonPhrase(unsigned status)
 {
     switch (status) {
--- a/src/gateway/httpchannel.cc
+++ b/src/gateway/httpchannel.cc
@@ -203,9 +203,11 @@
 void HttpChannel::State::onAnswer()
 {
     auto message = parser_->release();
+    const unsigned status = message.result_int();
+    if (!isStatus(status))
+        return fail("receive: status " + std::to_string(status));
     if (!message.keep_alive())
         close();
-    const unsigned status = message.result_int();
     finish(HttpAnswer { status, std::move(message.body()), detail::copyHeaders(message) });
 }
 
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -281,6 +281,8 @@
             feedParser(*parser_, unparsed_, error);
             if (error && error != http::error::need_more)
                 return fail("answer: " + error.message());
+            if (parser_->is_header_done() && !isStatus(parser_->get().result_int()))
+                return fail("answer: status " + std::to_string(parser_->get().result_int()));
             if (countFields(parser_->get()) > maxAnswerFields)
                 return fail("answer: too many header fields");
             if (!holdAnswer())
--- a/src/host/upstream.cc
+++ b/src/host/upstream.cc
@@ -55,6 +55,9 @@
         return head;
     }
 
+    /// Whether the status exists (RFC 9110, section 15).
+    bool isStatus(int status) { return status >= 100 && status <= 599; }
+
     /// State of a call that failed with an error of the library.
     CallState failureState(httplib::Error error, bool headReceived)
     {
@@ -246,7 +249,7 @@
         headReceived = true;
         idMatches = response.get_header_value(detail::requestIdHeader) == request.requestId_;
         selfDelimited = detail::isSelfDelimited(request.method_, response);
-        if (!idMatches || !selfDelimited)
+        if (!idMatches || !selfDelimited || !detail::isStatus(response.status))
             return false;
         {
             std::lock_guard lock(call.mutex_);
--- a/src/store/http.cc
+++ b/src/store/http.cc
@@ -184,7 +184,9 @@
         httplib::Error error = httplib::Error::Success;
         const bool complete = pooled->client_->send(request, response, error);
         release(std::move(*pooled), complete);
-        if (complete && response.status != 503 && response.status / 100 != 5)
+        // A status that does not exist says as little as a failure of the platform.
+        const bool isAnswer = response.status >= 100 && response.status < 500;
+        if (complete && isAnswer)
             return response;
         ++failures_;
         // The protocol guarantees that a request answered with status 503 was not executed.
--- a/test/gateway/http-test.cc
+++ b/test/gateway/http-test.cc
@@ -27,3 +27,11 @@
         == "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\n");
     CHECK(responseHead({ .status_ = 204 }, false) == "HTTP/1.1 204 Status\r\n\r\n");
 }
+
+TEST_CASE("statuses outside their range do not exist")
+{
+    for (const unsigned status : { 0U, 99U, 600U, 999U })
+        CHECK_FALSE(isStatus(status));
+    for (const unsigned status : { 100U, 200U, 599U })
+        CHECK(isStatus(status));
+}
--- a/test/gateway/live-mixed-test.cc
+++ b/test/gateway/live-mixed-test.cc
@@ -1,7 +1,10 @@
-// A gateway with upstreams that end their answers while a long request is still being written to them. Guards
-// against callers that get a part of an answer, or what is no answer, as a complete one.
+// A gateway with upstreams that end their answers while a long request is still being written to them, or
+// that answer with a status that does not exist. Guards against callers that get a part of an answer, or what
+// is no answer, as a complete one.
 #include "rawupstream.h"
 
+#include "turmericwing/gateway/httpchannel.h"
+
 #include <doctest/doctest.h>
 
 using namespace turmericwing;
@@ -94,3 +97,54 @@
     REQUIRE(answer);
     CHECK(answer->status == 200);
 }
+
+TEST_CASE("a status that does not exist is no answer")
+{
+    // The caller got an answer with status 000.
+    Fixture fixture;
+    std::string status;
+    SUBCASE("zero") { status = "000 Trouble"; }
+    SUBCASE("below the range") { status = "099 Trouble"; }
+    SUBCASE("above the range") { status = "600 Trouble"; }
+    const std::string end = "Content-Length: 7\r\n\r\ntrouble";
+    RawUpstream faulty(fixture.store_, "u1", [&](const RawConnection& connection) {
+        connection.send(connection.head(status) + end);
+        connection.readToEnd();
+    });
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    const auto client = fixture.client();
+    const auto write = client->Post("/write/x", fixture.headers("id-1"), "x", "text/plain");
+    REQUIRE(write);
+    CHECK(write->status == 502);
+    CHECK(write->get_header_value("X-Response-Seal").empty());
+    CHECK(faulty.requests_ == 1);
+    Upstream sound(fixture.store_, "u2");
+    CHECK(eventually([&] {
+        const auto read = client->Get("/read/x", fixture.headers("id-2"));
+        return read && read->status == 200 && read->body == "answer of u2";
+    }));
+}
+
+TEST_CASE("a status that does not exist leaves open whether the store has written")
+{
+    standin::Server server;
+    server.Post(".*", [](const httplib::Request&, httplib::Response&) {
+        const std::string answer = "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}";
+        auto& connection = standin::Server::currentConnection();
+        send(connection.fd_, answer.data(), answer.size(), MSG_NOSIGNAL);
+        connection.dropped_ = true;
+    });
+    boost::asio::io_context loop { 1 };
+    HttpChannel channel(loop, { "127.0.0.1", static_cast<uint16_t>(server.start("127.0.0.1", 0)) });
+    std::optional<Result<HttpAnswer>> received;
+    channel.call({ .method_ = "POST", .target_ = "/", .body_ = "{}" }, [&](const Result<HttpAnswer>& answer) {
+        received = answer;
+        loop.stop();
+    });
+    loop.run_for(std::chrono::seconds(10));
+    REQUIRE(received);
+    REQUIRE_FALSE(*received);
+    const bool isOpen = received->error().code_ == ErrorCode::Unknown;
+    CHECK(isOpen);
+}
--- a/test/store/http-test.cc
+++ b/test/store/http-test.cc
@@ -102,3 +102,19 @@
     CHECK(after.failures_ - before.failures_ == 1);
     CHECK(after.reads_ - before.reads_ == 3);
 }
+
+TEST_CASE("a status that does not exist leaves open whether a write was executed")
+{
+    // Guards against a write that counts as rejected although the platform may have executed it.
+    standin::Server server;
+    server.Put(".*", [](const httplib::Request&, httplib::Response&) {
+        const std::string answer = "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n";
+        auto& connection = standin::Server::currentConnection();
+        send(connection.fd_, answer.data(), answer.size(), MSG_NOSIGNAL);
+        connection.dropped_ = true;
+    });
+    const HttpPlatform http { { .address_ = "127.0.0.1:" + std::to_string(server.start("127.0.0.1", 0)) } };
+    const auto written = http.platform().table_.writeBatch_({ { "k", "1", 0 } });
+    REQUIRE_FALSE(written);
+    CHECK(written.error().code_ == ErrorCode::Unknown);
+}
