Send large answers to their callers while they arrive

Callers of large answers waited for the transfer twice, because an answer was read whole before its first byte went on; the host held the whole body. Ruled out: sending all answers this way (small ones would lose their retry), and chunked framing (a part of an answer without a length looks complete).

An answer of a known length above 32 KB, 2xx, signed, with the request's own id, to a request that may run twice, now goes on in parts of 16 KB and more. No more is read until the caller's socket has taken the part. If it breaks off, is late or the host stops, the caller's connection is reset (result=answer-broken) and nothing is retried; before the first part everything is as it was. Time for which the caller did not read does not count against the upstream.

--- a/include/turmericwing/gateway/dispatcher.h
+++ b/include/turmericwing/gateway/dispatcher.h
@@ -1,6 +1,7 @@
 // Request dispatcher: admission, upstream selection, sending, retries and the final response.
 #pragma once
 
+#include "turmericwing/gateway/answerstream.h"
 #include "turmericwing/gateway/http.h"
 #include "turmericwing/gateway/listener.h"
 #include "turmericwing/gateway/state.h"
@@ -24,6 +25,7 @@
     Duration minRetryAfter_ = std::chrono::milliseconds(200);
     Duration maxRetryAfter_ = std::chrono::milliseconds(1500);
     DrainOptions drain_ {};
+    StreamOptions stream_ {};
 };
 
 /// Serves requests on one event loop; not thread-safe.
--- a/include/turmericwing/gateway/upstreams.h
+++ b/include/turmericwing/gateway/upstreams.h
@@ -30,6 +30,17 @@
     uint64_t maxHeldAnswerBytes_ = uint64_t { 40 } << 20;
 };
 
+/// Receives an answer while it arrives.
+struct AnswerSink {
+    /// Asked once, when a part of a body of known length has arrived but not all of it. If it returns true,
+    /// the answer is sent through `onPart_`, else it is returned complete. The answer repeats the request's
+    /// id, and its own body is empty.
+    std::function<bool(const Response& head, uint64_t bodyBytes)> onHead_;
+    /// Gets the next part of the body. No more is read until `onTaken` is called; the part counts as held
+    /// until `onTaken` is destroyed or called.
+    std::function<void(std::string part, std::function<void()> onTaken)> onPart_;
+};
+
 struct UpstreamCall {
     std::string upstream_; ///< Id of the upstream; key of its idle connections.
     Address address_;
@@ -40,6 +51,7 @@
     /// with an empty value gets a connection of its own, and its answer must not have the field.
     std::string echoName_;
     std::string echoValue_;
+    AnswerSink sink_ {}; ///< Without functions, every answer is returned complete.
 };
 
 enum class SendOutcome {
@@ -51,13 +63,14 @@
 /// Result of a call.
 struct UpstreamAnswer {
     SendOutcome outcome_ = SendOutcome::NotSent;
-    Response response_;
+    Response response_; ///< Without a body if the sink got it.
     std::string failureReason_; ///< Empty if there is an answer.
     bool reused_ = false; ///< The request was sent over an idle connection.
     Duration connectTime_ {}; ///< Time to set up a new connection, about one round trip.
     bool answerBegun_ = false; ///< If Broken: part of an answer was received.
     /// If Broken: the connection ended, in place of an answer that this host gave up.
     bool connectionEnded_ = false;
+    Duration sinkTime_ {}; ///< Time for which the call waited for its sink to take parts.
 };
 
 class UpstreamClient {
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -55,6 +55,9 @@
         std::shared_ptr<const std::string> body_;
         UpstreamClient::Cancel cancel_;
         std::unique_ptr<boost::asio::steady_timer> timer_;
+        /// The response has begun and is sent while it arrives; the attempt is not retried any more.
+        bool responseBegun_ = false;
+        bool waitsForCaller_ = false; ///< The caller has not taken the latest part of the response.
         std::string lastError_; ///< Why the last attempt failed; empty if none did.
         std::optional<Response> upstreamFailure_; ///< Signed 5xx response, forwarded if no retry is allowed.
     };
@@ -153,6 +156,11 @@
     void onDeadline(const PendingRequestPtr&);
     void onCallerDisconnected(const PendingRequestPtr&);
     void endAttempt(PendingRequest&);
+    AnswerSink answerSink(const PendingRequestPtr&);
+    bool beginForwarding(PendingRequest&, const Response& head, uint64_t bodyBytes);
+    void forwardPart(const PendingRequestPtr&, std::string part, std::function<void()> onTaken);
+    void abandonResponse(const PendingRequestPtr&, const std::string& reason);
+    Headers callerHeaders(const Headers& upstreamHeaders) const;
     void forwardResponse(const PendingRequestPtr&, Response);
     void refuse(const PendingRequestPtr&, Reason);
     void endUnserved(const PendingRequestPtr&, Reason);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -386,7 +386,8 @@
         .body_ = pending->body_,
         .isHeadMethod_ = pending->request_.method_ == "HEAD",
         .echoName_ = names.requestId_,
-        .echoValue_ = pending->requestId_ };
+        .echoValue_ = pending->requestId_,
+        .sink_ = answerSink(pending) };
     pending->cancel_
         = upstreamClient_.send(std::move(call), [this, weak = std::weak_ptr(pending)](UpstreamAnswer answer) {
               if (const auto sent = weak.lock())
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -62,7 +62,8 @@
     const TimePoint now = monotonicNow();
     std::vector<OverdueRequest> overdue;
     for (const auto& [id, pending] : pendingRequests_) {
-        if (pending->currentUpstream_.empty() || pending->countedInRollout_)
+        // A response that has begun may take long because of its caller.
+        if (pending->currentUpstream_.empty() || pending->countedInRollout_ || pending->responseBegun_)
             continue;
         const double slowAfter = slowThreshold(pending->service_);
         const double age = seconds(now - pending->sentAt_);
@@ -103,7 +104,7 @@
         onTransportError(pending, answer);
         return;
     }
-    onResponse(pending, std::move(answer.response_), seconds(now - pending->sentAt_));
+    onResponse(pending, std::move(answer.response_), seconds(now - pending->sentAt_ - answer.sinkTime_));
 }
 
 void Dispatcher::Core::onResponse(const PendingRequestPtr& pending, Response response, double observedSeconds)
@@ -239,6 +240,8 @@
     endAttempt(*pending);
     pending->mayHaveRun_ = pending->mayHaveRun_ || sent;
     pending->lastError_ = answer.failureReason_;
+    if (pending->responseBegun_)
+        return abandonResponse(pending, answer.failureReason_);
     retryOrFinish(pending, noUpstreamReason(*pending));
 }
 
@@ -290,16 +293,19 @@
     if (pending->cancel_) {
         const UpstreamRef ref = findUpstream(state_.directory_, pending->currentUpstream_);
         const TimePoint now = monotonicNow();
-        if (ref.target_) {
+        if (ref.target_ && !pending->waitsForCaller_) {
             routing::recordAnswer(*ref.target_, options_.pick_, now, seconds(now - pending->sentAt_),
                 pending->expectedLatency_, false);
         }
-        countForRollout(*pending, false, true);
+        if (!pending->waitsForCaller_)
+            countForRollout(*pending, false, true);
         pending->cancel_();
         endAttempt(*pending);
         pending->mayHaveRun_ = true;
         pending->lastError_ = "no answer before the request's deadline";
     }
+    if (pending->responseBegun_)
+        return abandonResponse(pending, "the request's deadline");
     refuse(pending, pending->mayHaveRun_ ? Reason::UpstreamTimeout : Reason::DeadlineTooShort);
 }
 
@@ -313,6 +319,8 @@
         pending->mayHaveRun_ = true;
         pending->lastError_ = "no answer before this host stops";
     }
+    if (pending->responseBegun_)
+        return abandonResponse(pending, "this host stops");
     if (pending->upstreamFailure_)
         return forwardResponse(pending, std::move(*pending->upstreamFailure_));
     refuse(pending, pending->mayHaveRun_ ? Reason::OutcomeUnknown : Reason::Draining);
@@ -328,20 +336,85 @@
     completeRequest(pending, 0, "caller-gone", pending->lastError_);
 }
 
-void Dispatcher::Core::forwardResponse(const PendingRequestPtr& pending, Response response)
+/// Fields of an upstream's answer that its caller gets.
+Headers Dispatcher::Core::callerHeaders(const Headers& upstreamHeaders) const
 {
-    const HeaderNames& names = state_.protocol_.headers_;
-    const std::string length(headerValue(response.headers_, "Content-Length"));
     Headers headers;
-    for (HeaderField& field : endToEndHeaders(response.headers_)) {
-        if (!equalNames(field.name_, names.load_))
+    for (HeaderField& field : endToEndHeaders(upstreamHeaders)) {
+        if (!equalNames(field.name_, state_.protocol_.headers_.load_))
             headers.push_back(std::move(field));
     }
-    if (pending->request_.method_ == "HEAD" && !length.empty())
-        headers.push_back({ "Content-Length", length });
-    response.headers_ = std::move(headers);
+    return headers;
+}
+
+/// Sink for an attempt's answer. Only its call uses it, which is cancelled when the request ends.
+AnswerSink Dispatcher::Core::answerSink(const PendingRequestPtr& pending)
+{
+    const std::weak_ptr<PendingRequest> weak = pending;
+    return { .onHead_ =
+                 [this, weak](const Response& head, uint64_t bodyBytes) {
+                     const auto sent = weak.lock();
+                     return sent && beginForwarding(*sent, head, bodyBytes);
+                 },
+        .onPart_ =
+            [this, weak](std::string part, std::function<void()> onTaken) {
+                if (const auto sent = weak.lock())
+                    forwardPart(sent, std::move(part), std::move(onTaken));
+            } };
+}
+
+/// Begins the response if its answer may be sent while it arrives. Returns whether it has begun.
+bool Dispatcher::Core::beginForwarding(PendingRequest& pending, const Response& head, uint64_t bodyBytes)
+{
+    const HeaderNames& names = state_.protocol_.headers_;
+    const AnswerHead known { .status_ = head.status_,
+        .bodyBytes_ = bodyBytes,
+        .isIdempotent_ = pending.route_->kind_ == RequestKind::Idempotent,
+        .hasOwnId_ = !pending.requestId_.empty(),
+        .isSigned_ = !headerValue(head.headers_, names.signature_).empty(),
+        .statesNotRun_ = !headerValue(head.headers_, names.notRun_).empty() };
+    if (!mayStream(options_.stream_, known))
+        return false;
+    pending.responseBegun_ = true;
+    pending.mayHaveRun_ = true;
+    pending.upstreamFailure_.reset();
+    Response begun { .status_ = head.status_,
+        .reason_ = head.reason_,
+        .headers_ = callerHeaders(head.headers_),
+        .body_ = {} };
+    pending.exchange_->beginResponse(std::move(begun), bodyBytes);
+    return true;
+}
+
+void Dispatcher::Core::forwardPart(
+    const PendingRequestPtr& pending, std::string part, std::function<void()> onTaken)
+{
+    pending->waitsForCaller_ = true;
+    const auto onSent = [weak = std::weak_ptr(pending), onTaken = std::move(onTaken)] {
+        if (const auto sent = weak.lock())
+            sent->waitsForCaller_ = false;
+        onTaken();
+    };
+    pending->exchange_->sendPart(std::move(part), onSent);
+}
+
+/// Ends a request whose response has begun and cannot be completed.
+void Dispatcher::Core::abandonResponse(const PendingRequestPtr& pending, const std::string& reason)
+{
+    pending->exchange_->abandonResponse();
+    completeRequest(pending, 0, "answer-broken", reason);
+}
+
+void Dispatcher::Core::forwardResponse(const PendingRequestPtr& pending, Response response)
+{
     const unsigned status = response.status_;
-    pending->exchange_->respond(std::move(response));
+    const std::string length(headerValue(response.headers_, "Content-Length"));
+    response.headers_ = callerHeaders(response.headers_);
+    if (pending->request_.method_ == "HEAD" && !length.empty())
+        response.headers_.push_back({ "Content-Length", length });
+    // The sink has got the body of a response that has begun.
+    if (!pending->responseBegun_)
+        pending->exchange_->respond(std::move(response));
     completeRequest(pending, status, "answered", pending->lastError_);
 }
 
@@ -406,7 +479,7 @@
     completeRequest(pending, status, host::toString(reason), pending->lastError_);
 }
 
-/// Logs and counts the request, and removes it. A status of 0 means that no response was sent.
+/// Logs and counts the request, and removes it. A status of 0 means that no complete response was sent.
 void Dispatcher::Core::completeRequest(
     const PendingRequestPtr& pending, unsigned status, const char* result, const std::string& detail)
 {
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -20,6 +20,7 @@
 #include <charconv>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace turmericwing::gateway {
@@ -38,6 +39,8 @@
     /// its text, which is not counted as held.
     constexpr size_t maxAnswerFields = 256;
     constexpr uint64_t maxFramingRatio = 16; ///< Bytes of chunk framing for each byte of a body.
+    /// Smallest part that is passed to a sink, but for the last. Smaller ones cost more system calls.
+    constexpr size_t minPartBytes = 16384;
     constexpr int maxSkippedAnswers = 16; ///< Interim answers and answers to other requests, in one call.
     constexpr size_t maxRefusedIds = 64; ///< Refused requests after which a connection is not reused.
 
@@ -124,6 +127,10 @@
         {
         }
 
+        ~Call() { releaseAnswer(); }
+        Call(const Call&) = delete;
+        Call& operator=(const Call&) = delete;
+
         void start();
         void cancel();
 
@@ -135,6 +142,10 @@
         void onReadable(error_code);
         void parse();
         bool holdAnswer();
+        void considerSink();
+        bool isPartReady() const;
+        void passPart();
+        void onTaken();
         bool isFramingBounded() const;
         void releaseAnswer();
         void onReadError(error_code);
@@ -149,6 +160,7 @@
         void close();
         void abort();
         bool isReusable(const http::response<http::string_body>&) const;
+        Response copyHead(const http::response<http::string_body>&) const;
 
         std::shared_ptr<UpstreamClient::State> owner_;
         const UpstreamCall call_;
@@ -168,6 +180,10 @@
         bool mayHaveSent_ = false; ///< Bytes of the request may have left the host.
         RequestWrite requestWrite_ = RequestWrite::Running;
         bool endSeen_ = false; ///< The upstream has ended its side of the connection.
+        bool sinkAsked_ = false;
+        bool sinkTakes_ = false; ///< The answer goes to the sink.
+        TimePoint partPassedAt_ {};
+        Duration sinkTime_ {};
         int skippedAnswers_ = 0;
         bool strayAnswers_ = false; ///< An answer to another request was skipped.
         std::vector<uint64_t> refusedIds_; ///< Of the connection; see IdleConnection.
@@ -287,6 +303,9 @@
                 return fail("answer: too many header fields");
             if (!holdAnswer())
                 return;
+            considerSink();
+            if (isPartReady())
+                return passPart();
             if (!parser_->is_done())
                 return isFramingBounded() ? waitReadable() : fail("answer: chunk framing without end");
             if (isOwnAnswer())
@@ -318,12 +337,55 @@
         return handler_ != nullptr;
     }
 
+    /// Asks the sink about an answer of which a part has arrived. One that is complete by now gains nothing.
+    void Call::considerSink()
+    {
+        if (sinkAsked_ || !call_.sink_.onHead_ || call_.isHeadMethod_ || parser_->is_done())
+            return;
+        if (parser_->get().body().size() < minPartBytes || !isOwnAnswer())
+            return;
+        const auto length = parser_->content_length();
+        if (!length || call_.echoValue_.empty())
+            return;
+        sinkAsked_ = true;
+        sinkTakes_ = call_.sink_.onHead_(copyHead(parser_->get()), *length);
+    }
+
+    bool Call::isPartReady() const
+    {
+        return sinkTakes_ && (parser_->is_done() || parser_->get().body().size() >= minPartBytes);
+    }
+
+    /// Passes to the sink what has arrived, and ends the call after the last part.
+    void Call::passPart()
+    {
+        std::string part = std::exchange(parser_->get().body(), {});
+        if (!parser_->is_done()) {
+            partPassedAt_ = monotonicNow();
+            // Nothing else keeps the call while it does not read.
+            return call_.sink_.onPart_(std::move(part), [self = shared_from_this()] { self->onTaken(); });
+        }
+        const auto hold = holdComplete(owner_->answerBudget_, part.size());
+        call_.sink_.onPart_(std::move(part), [hold] {});
+        if (handler_)
+            onAnswer();
+    }
+
+    void Call::onTaken()
+    {
+        if (!handler_)
+            return;
+        sinkTime_ += monotonicNow() - partPassedAt_;
+        holdUnfinished(*owner_->answerBudget_, number_, unparsed_.size());
+        waitReadable();
+    }
+
     /// Whether the answer's chunk sizes, extensions and trailer are within their bounds.
     bool Call::isFramingBounded() const
     {
         const uint64_t bodyBytes = parser_->get().body().size();
         const uint64_t framingBytes = receivedBytes_ - std::min(receivedBytes_, headBytes_ + bodyBytes);
-        return !parser_->is_header_done()
+        return sinkTakes_ || !parser_->is_header_done()
             || (unparsed_.size() <= maxAnswerHeadBytes
                 && framingBytes <= readBufferBytes + maxAnswerHeadBytes + maxFramingRatio * bodyBytes);
     }
@@ -381,8 +443,7 @@
     void Call::onAnswer()
     {
         auto message = parser_->release();
-        Response response { message.result_int(), { message.reason().data(), message.reason().size() },
-            copyHeaders(message), {} };
+        Response response = copyHead(message);
         if (message.result_int() >= 400)
             refusedIds_.push_back(hash64(call_.echoValue_));
         if (isReusable(message)) {
@@ -396,6 +457,12 @@
         finish(SendOutcome::Answered, std::move(response), {});
     }
 
+    Response Call::copyHead(const http::response<http::string_body>& message) const
+    {
+        return { message.result_int(), { message.reason().data(), message.reason().size() },
+            copyHeaders(message), {} };
+    }
+
     Duration Call::idleTimeout(const Headers& headers) const
     {
         const auto advertised = keepAliveSeconds(headerValue(headers, "Keep-Alive"));
@@ -430,8 +497,8 @@
         else
             abort();
         releaseAnswer();
-        handler(
-            { outcome, std::move(response), detail, reused_, connectTime_, answerBegun_, connectionEnded_ });
+        handler({ outcome, std::move(response), detail, reused_, connectTime_, answerBegun_, connectionEnded_,
+            sinkTime_ });
     }
 
     void Call::cancel()
