--- a/include/turmericwing/routing/pick.h
+++ b/include/turmericwing/routing/pick.h
@@ -217,6 +217,7 @@
     /// of it; nothing without candidates. Hosts that know the same loads would otherwise all select the same
     /// target.
     std::optional<Pick> selectCandidate(const std::vector<Candidate>&, double margin, Random*);
+
     /// Load below which the target has an idle slot. Where the object is probably not cached, some slots are
     /// left for the objects that are.
     uint32_t idleBound(const Target&, const PickOptions&, bool isCached);
