--- a/include/turmericwing/gateway/report.h
+++ b/include/turmericwing/gateway/report.h
@@ -65,6 +65,14 @@
     friend bool operator==(const LimitReport&, const LimitReport&) = default;
 };
 
+/// Resources of a host; 0 stands for an unknown amount.
+struct HostCapacity {
+    double cores_ = 0;
+    double memoryMb_ = 0; ///< In MiB.
+    double linkMbps_ = 0; ///< In Mbit/s.
+    friend auto operator<=>(const HostCapacity&, const HostCapacity&) = default;
+};
+
 struct HostReport {
     std::string name_;
     uint64_t incarnation_ = 0; ///< Random number that identifies one run of the process.
@@ -86,6 +94,7 @@
     std::vector<routing::CrashReport> crashes_;
     /// Encoded only if not empty: hosts of earlier releases reject reports with this member.
     std::vector<LimitReport> limits_;
+    HostCapacity capacity_; ///< Encoded in a way that hosts of earlier releases ignore.
     /// These are the sums of a failure domain, as received in a summary. Not encoded.
     bool isSum_ = false;
     friend bool operator==(const HostReport&, const HostReport&) = default;
@@ -103,8 +112,8 @@
 /// Decodes a report. The bytes are untrusted: anyone on the network can send them. Errors: Invalid.
 Result<HostReport> decodeReport(const std::string& bytes);
 
-/// A report without what seldom changes: name, addresses, location and splits. Most reports between hosts are
-/// sent in this form.
+/// A report without what seldom changes: name, addresses, location, capacity and splits. Most reports between
+/// hosts are sent in this form.
 struct BriefReport {
     uint32_t sender_ = 0; ///< briefSender() of the sender.
     HostReport report_; ///< Without the members that are left out.
--- a/include/turmericwing/gateway/settings.h
+++ b/include/turmericwing/gateway/settings.h
@@ -33,6 +33,8 @@
     /// Memory that the process may use, in MiB. The default is that of the smallest machines.
     double memoryMb_ = 160;
     double linkMbps_ = 1000; ///< Of the host's own link, in Mbit/s.
+    double cpuShare_ = 0; ///< Share of each core that the process may use; 0 if unknown.
+    double coreSpeed_ = 1; ///< Number or relative speed of the cores.
     Bounds bounds_;
     friend bool operator==(const Settings&, const Settings&) = default;
 };
--- a/include/turmericwing/gateway/state.h
+++ b/include/turmericwing/gateway/state.h
@@ -126,9 +126,8 @@
 /// Round-trip time to an upstream in seconds, measured or the default.
 double roundTrip(const State&, const routing::Target&);
 
-/// Caller addresses of ready hosts for a lookup, at most 64: those of the caller's failure domain if there
-/// are at least two, else those of its region, else all.
-std::vector<std::string> lookupAddresses(const State&, TimePoint now, const LookupQuery&);
+/// Resources of the host; unknown unless the settings hold the processor share.
+HostCapacity hostCapacity(const Settings&);
 
 /// Report of this host to its peers. Marks the demands of workspaces in it as reported in the stream.
 HostReport makeReport(State&, TimePoint now, uint64_t sequence, ReportStream = ReportStream::Hosts);
--- a/include/turmericwing/gateway/summary.h
+++ b/include/turmericwing/gateway/summary.h
@@ -20,6 +20,7 @@
     bool ready_ = false;
     bool leaving_ = false;
     bool reachesStore_ = false;
+    HostCapacity capacity_;
     friend bool operator==(const MemberEntry&, const MemberEntry&) = default;
 };
 
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -62,7 +62,8 @@
             .failureDomain_ = sums.failureDomain_,
             .ready_ = member.ready_,
             .leaving_ = member.leaving_,
-            .reachesStore_ = member.reachesStore_ };
+            .reachesStore_ = member.reachesStore_,
+            .capacity_ = member.capacity_ };
     }
 
 } // namespace detail
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -8,6 +8,7 @@
 
 #include "turmericwing/gateway/dispatcher.h"
 #include "turmericwing/gateway/listener.h"
+#include "turmericwing/gateway/lookupchoice.h"
 #include "turmericwing/gateway/orders.h"
 #include "turmericwing/gateway/relay.h"
 #include "turmericwing/gateway/state.h"
--- a/src/gateway/report.cc
+++ b/src/gateway/report.cc
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace turmericwing::gateway {
 
 using nlohmann::json;
@@ -20,6 +22,13 @@
     constexpr char briefArrayHeader = static_cast<char>(0x80 + briefMemberCount);
     constexpr char briefArrayHeaderWithLimits = static_cast<char>(briefArrayHeader + 1);
     constexpr size_t valuesPerLimit = 3; ///< Of the flat list of limits.
+    constexpr size_t valuesPerService = 4; ///< Of an entry in the list of services.
+    constexpr double milliPerUnit = 1000; ///< Capacities are encoded as whole thousandths.
+
+    uint64_t inThousandths(double amount)
+    {
+        return static_cast<uint64_t>(std::llround(amount * milliPerUnit));
+    }
 
     json encode(const rollout::RampCounts& counts)
     {
@@ -27,6 +36,20 @@
             counts.oldSlow_, counts.newOverdue_, counts.oldOverdue_ });
     }
 
+    json encode(const HostCapacity& capacity)
+    {
+        return json::array({ inThousandths(capacity.cores_), inThousandths(capacity.memoryMb_),
+            inThousandths(capacity.linkMbps_) });
+    }
+
+    HostCapacity decodeCapacity(const json& value)
+    {
+        const auto amount = [&](size_t index) {
+            return static_cast<double>(countValue<uint32_t>(value.at(index))) / milliPerUnit;
+        };
+        return { .cores_ = amount(0), .memoryMb_ = amount(1), .linkMbps_ = amount(2) };
+    }
+
     using RegionValues = std::vector<std::pair<uint32_t, double>>;
 
     json encode(const RegionValues& values)
@@ -57,6 +80,17 @@
             decodeRegionValues(value.at(3)) };
     }
 
+    /// Entry in the list of services that holds the host's capacity after the values of a service. Hosts of
+    /// earlier releases take it for a service without demand.
+    json encodeCapacityEntry(const HostCapacity& capacity)
+    {
+        json entry = encode(ServiceReport {});
+        entry.push_back(encode(capacity));
+        return entry;
+    }
+
+    bool isCapacityEntry(const json& entry) { return entry.size() > valuesPerService; }
+
     json encode(const RampReport& report)
     {
         const rollout::Ramp& ramp = report.ramp_;
@@ -196,8 +230,12 @@
         for (const json& entry : value.at(next++))
             report.demands_.push_back({ countValue<uint32_t>(entry.at(0)), amountValue(entry.at(1)),
                 countValue<uint32_t>(entry.at(2)) });
-        for (const json& entry : value.at(next++))
-            report.services_.push_back(decodeService(entry));
+        for (const json& entry : value.at(next++)) {
+            if (isCapacityEntry(entry))
+                report.capacity_ = decodeCapacity(entry.at(valuesPerService));
+            else
+                report.services_.push_back(decodeService(entry));
+        }
         for (const json& entry : value.at(next++))
             report.ramps_.push_back(decodeRamp(entry));
         for (const json& entry : value.at(next++))
@@ -221,11 +259,14 @@
         for (const Demand& entry : report.demands_)
             demands.push_back(
                 json::array({ entry.workspace_, static_cast<float>(entry.rate_), entry.admitted_ }));
+        json services = encodeAll(report.services_);
+        if (report.capacity_ != HostCapacity {})
+            services.push_back(encodeCapacityEntry(report.capacity_));
         json value = json::array(
             { report.name_, report.incarnation_, report.sequence_, addressText(report.callerAddress_),
                 addressText(report.peerAddress_), report.region_, report.failureDomain_, report.ready_,
                 report.leaving_, report.reachesStore_, report.storeReachableMs_, encodeAll(report.inFlight_),
-                demands, encodeAll(report.services_), encodeAll(report.ramps_), encodeAll(report.crashes_) });
+                demands, services, encodeAll(report.ramps_), encodeAll(report.crashes_) });
         if (!report.limits_.empty())
             value.push_back(encodeLimits(report.limits_));
         return value;
@@ -321,6 +362,7 @@
     report.peerAddress_ = last.peerAddress_;
     report.region_ = last.region_;
     report.failureDomain_ = last.failureDomain_;
+    report.capacity_ = last.capacity_;
     for (ServiceReport& service : report.services_) {
         for (const ServiceReport& known : last.services_) {
             if (known.service_ == service.service_)
--- a/src/gateway/reportvalues.h
+++ b/src/gateway/reportvalues.h
@@ -33,6 +33,11 @@
     host.reachesStore_ = (flags & ReachesStoreFlag) != 0;
 }
 
+nlohmann::json encode(const HostCapacity&);
+
+/// Throws json::exception and std::out_of_range for members of another type or out of range.
+HostCapacity decodeCapacity(const nlohmann::json&);
+
 nlohmann::json encodeReportValue(const HostReport&);
 
 /// Errors: Invalid. Throws json::exception and std::out_of_range for members of another type or out of range.
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -14,6 +14,7 @@
     constexpr double maxMemoryMb = 1'048'576;
     constexpr double minLinkMbps = 0.1;
     constexpr double maxLinkMbps = 1e6;
+    constexpr double maxCores = 1024;
 
     /// A non-negative number and the text after it, its unit.
     struct Quantity {
@@ -69,6 +70,13 @@
             addFault(file, 0, key, "is not from 0.1 to 1000000");
     }
 
+    void takeCores(IniFile& file, const std::string& key, double& value)
+    {
+        takeNumber(file, key, value);
+        if (value > maxCores)
+            addFault(file, 0, key, "is greater than 1024");
+    }
+
     Bounds takeBounds(IniFile& file)
     {
         Bounds bounds;
@@ -137,6 +145,8 @@
     settings.regionOf_[settings.failureDomain_] = settings.region_;
     detail::takeMemory(file, settings.memoryMb_);
     detail::takeLink(file, settings.linkMbps_);
+    detail::takeCores(file, "limits.cpu-share", settings.cpuShare_);
+    detail::takeCores(file, "limits.cores", settings.coreSpeed_);
     settings.bounds_ = detail::takeBounds(file);
     if (!file.faults_.empty())
         return makeError(ErrorCode::Invalid, faultText(file));
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -1,4 +1,4 @@
-// Store clock, lookups, reports and region splits, computed from the gateway's state.
+// Store clock, reports and region splits, computed from the gateway's state.
 #include "turmericwing/gateway/state.h"
 
 #include <algorithm>
@@ -14,25 +14,6 @@
 
     using Regions = std::map<std::string, RegionLoad>; ///< By region name.
 
-    constexpr size_t maxLookupAddresses = 64; ///< Most addresses in a lookup response.
-    /// Fewest hosts for a lookup response of one failure domain; allows failover.
-    constexpr size_t minDomainHosts = 2;
-
-    /// Caller addresses of the ready hosts whose region and failure domain satisfy `isIncluded`.
-    template <typename Predicate>
-    std::vector<std::string> addressesOf(const State& state, TimePoint now, const Predicate& isIncluded)
-    {
-        std::vector<std::string> addresses;
-        const Settings& own = state.settings_;
-        if (isReady(state) && isIncluded(own.region_, own.failureDomain_))
-            addresses.push_back(addressText(own.callerAddress_));
-        for (const HostReport* report : activeReports(state.fleet_, now)) {
-            if (report->ready_ && isIncluded(report->region_, report->failureDomain_))
-                addresses.push_back(addressText(report->callerAddress_));
-        }
-        return addresses;
-    }
-
     /// Longest gap between answers in which no entry lapses. Follow calls end after 3 s without a change, and
     /// entries lapse after 4.5 s of silence, of which up to 1.5 s may precede an outage.
     constexpr Duration maxStoreAnswerGap = std::chrono::milliseconds(3400);
@@ -283,19 +264,13 @@
     return measured == state.roundTrips_.end() ? seconds(defaults.otherRegion_) : measured->second;
 }
 
-std::vector<std::string> lookupAddresses(const State& state, TimePoint now, const LookupQuery& query)
+HostCapacity hostCapacity(const Settings& settings)
 {
-    auto addresses = detail::addressesOf(state, now,
-        [&](const std::string&, const std::string& domain) { return domain == query.failureDomain_; });
-    if (addresses.size() < detail::minDomainHosts)
-        addresses = detail::addressesOf(state, now,
-            [&](const std::string& region, const std::string&) { return region == query.region_; });
-    if (addresses.empty())
-        addresses
-            = detail::addressesOf(state, now, [](const std::string&, const std::string&) { return true; });
-    if (addresses.size() > detail::maxLookupAddresses)
-        addresses.resize(detail::maxLookupAddresses);
-    return addresses;
+    if (settings.cpuShare_ <= 0 || settings.coreSpeed_ <= 0)
+        return {};
+    return { .cores_ = settings.cpuShare_ * settings.coreSpeed_,
+        .memoryMb_ = settings.memoryMb_,
+        .linkMbps_ = settings.linkMbps_ };
 }
 
 HostReport makeReport(State& state, TimePoint now, uint64_t sequence, ReportStream stream)
@@ -314,7 +289,8 @@
         .demands_ = takeDemandsToReport(state.quotas_, sequence, stream),
         .ramps_ = rampReports(state.rollouts_),
         .limits_
-        = limitsToReport(state.upstreamLimits_, state.directory_, now, stream != ReportStream::Hosts) };
+        = limitsToReport(state.upstreamLimits_, state.directory_, now, stream != ReportStream::Hosts),
+        .capacity_ = hostCapacity(state.settings_) };
     for (const auto& [name, pool] : state.directory_.services_) {
         for (const routing::Target& target : pool.targets_) {
             if (target.inFlight_ > 0)
@@ -341,7 +317,7 @@
     DomainSummary summary { .sums_ = makeReport(state, now, sequence, stream) };
     HostReport& sums = summary.sums_;
     summary.members_.push_back({ sums.name_, sums.callerAddress_, sums.peerAddress_, sums.ready_,
-        sums.leaving_, sums.reachesStore_ });
+        sums.leaving_, sums.reachesStore_, sums.capacity_ });
     // The sums stay valid while other members serve; the members say who is leaving.
     sums.leaving_ = false;
     std::vector<const HostReport*> counted;
@@ -352,7 +328,7 @@
         if (!report.leaving_)
             counted.push_back(&report);
         summary.members_.push_back({ name, report.callerAddress_, report.peerAddress_, report.ready_,
-            report.leaving_, report.reachesStore_ });
+            report.leaving_, report.reachesStore_, report.capacity_ });
         addLoad(sums, report);
         sums.storeReachableMs_ = std::max(sums.storeReachableMs_, report.storeReachableMs_);
     }
--- a/src/gateway/summary.cc
+++ b/src/gateway/summary.cc
@@ -73,10 +73,13 @@
 
     json encode(const MemberEntry& member)
     {
-        return json::array({ member.name_, addressText(member.callerAddress_),
+        json value = json::array({ member.name_, addressText(member.callerAddress_),
             member.peerAddress_.ip_ == member.callerAddress_.ip_ ? json(member.peerAddress_.port_)
                                                                  : json(addressText(member.peerAddress_)),
             encodeFlags(member) });
+        if (member.capacity_ != HostCapacity {})
+            value.push_back(encode(member.capacity_));
+        return value;
     }
 
     Result<MemberEntry> decodeMember(const json& value)
@@ -91,6 +94,9 @@
             member.peerAddress_ = peerAddress;
         }
         decodeFlags(value.at(3), member);
+        // Hosts of earlier releases do not send it.
+        if (value.size() > 4)
+            member.capacity_ = decodeCapacity(value.at(4));
         if (member.name_.empty())
             return makeError(ErrorCode::Invalid, "summary has a member without a name");
         return member;
--- a/test/gateway/fleet-test.cc
+++ b/test/gateway/fleet-test.cc
@@ -2,6 +2,7 @@
 // dead hosts or omit live ones.
 #include "turmericwing/gateway/fleet.h"
 
+#include "turmericwing/gateway/lookupchoice.h"
 #include "turmericwing/gateway/quotas.h"
 #include "turmericwing/gateway/state.h"
 
--- a/test/gateway/report-test.cc
+++ b/test/gateway/report-test.cc
@@ -72,6 +72,25 @@
     CHECK(decoded.value().ramps_[0].counts_ == rollout::RampCounts { 1, 2, 3, 4, 5, 6 });
 }
 
+TEST_CASE("a report tells the host's capacity, and hosts of earlier releases read it")
+{
+    // Guards against a fleet that takes the hosts of the other release for dead during an upgrade.
+    HostReport report = makeReport();
+    report.capacity_ = { .cores_ = 0.07, .memoryMb_ = 112, .linkMbps_ = 12.5 };
+    const std::string bytes = encodeReport(report);
+    CHECK(decodeReport(bytes).value() == report);
+    // What these hosts check: the number of members, and the first values of each service.
+    nlohmann::json value = nlohmann::json::from_cbor(bytes);
+    CHECK(value.size() == 16);
+    for (nlohmann::json& service : value.at(13))
+        service.erase(service.begin() + 4, service.end());
+    std::string earlier;
+    nlohmann::json::to_cbor(value, earlier);
+    const HostReport read = decodeReport(earlier).value();
+    CHECK(read.capacity_ == HostCapacity {});
+    CHECK(read.services_.back() == ServiceReport {});
+}
+
 TEST_CASE("damaged reports are rejected without a crash")
 {
     const std::string bytes = encodeReport(makeReport());
--- a/test/gateway/settings-test.cc
+++ b/test/gateway/settings-test.cc
@@ -59,6 +59,17 @@
     checkFault(good + "[limits]\nlink-mbps = fast\n", "limits.link-mbps: 'fast' is not a number");
 }
 
+TEST_CASE("the processor share of the host is read, and unknown by default")
+{
+    // Guards against a host whose settings don't say its cores and that is taken for a small one.
+    CHECK(load(good).value().cpuShare_ == 0);
+    const auto settings = load(good + "[limits]\ncpu-share = 0.5\ncores = 2\n");
+    CHECK(settings.value().cpuShare_ == 0.5);
+    CHECK(settings.value().coreSpeed_ == 2);
+    checkFault(good + "[limits]\ncpu-share = 1e300\n", "limits.cpu-share: is greater than 1024");
+    checkFault(good + "[limits]\ncores = few\n", "limits.cores: 'few' is not a number");
+}
+
 TEST_CASE("valid settings are read, and unknown fields are ignored")
 {
     const auto settings
--- a/test/gateway/summary-test.cc
+++ b/test/gateway/summary-test.cc
@@ -213,6 +213,7 @@
     message.summary_.sums_.inFlight_ = { { 11, 5, 3 }, { 12, 1, 1 } };
     message.summary_.sums_.demands_ = { { shortHash("w"), 12.5, 99 } };
     message.summary_.members_[1].leaving_ = true;
+    message.summary_.members_[1].capacity_ = { .cores_ = 0.5, .memoryMb_ = 512, .linkMbps_ = 200 };
     message.summary_.members_[1].peerAddress_ = { "10.9.9.9", 4 };
     const std::string bytes = encodeSummary(message);
     CHECK(isSummary(bytes));
