Separate the request path's decisions from what they record

Cause: an explanation of where a request would go has to take the same decisions as the request path without its side effects, and admission, choice of region and choice of upstream were each one function with what they count.

Ruled out: a second copy of the decisions for explanations, which would drift from the request path.

Change: checkRequest() is admit() without quota and draw, preferredRegionAt() is the choice of a region without counting demand, and pickUpstream() is the selection in tryDispatch(). A workspace that is already known is not looked up by key.

--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -83,6 +83,14 @@
     /// Position class in the wait queue, from the priorities of workspace and route.
     routing::Rank rankOf(const PendingRequest&);
 
+    /// Regions allowed to run a request: the home regions of its route or of its workspace, or those in both
+    /// lists if both are set. Empty: any region.
+    std::vector<std::string> homeRegions(const PendingRequest&);
+
+    /// Region that the request prefers: its only allowed region, or one from the service's split. Requests
+    /// for one object map to the same region, others by their position in the sequence of requests.
+    std::string preferredRegionAt(const ServiceDemand&, const PendingRequest&, uint64_t position);
+
     /// Hash that identifies the same request of the same workspace across attempts, for the quarantine.
     routing::Fingerprint fingerprintOf(const PendingRequest&);
 
@@ -114,12 +122,14 @@
 
     void handle(Request&&, const std::shared_ptr<Exchange>&);
     std::optional<Reason> admit(PendingRequest&);
+    std::optional<Reason> checkRequest(PendingRequest&) const;
     std::optional<Reason> authenticate(PendingRequest&) const;
     void startDispatch(const PendingRequestPtr&);
     void dispatch(const PendingRequestPtr&);
     routing::PickFailure tryDispatch(const PendingRequestPtr&, bool allowNonPreferred = false);
     routing::PickResult pickInRegions(
         const PendingRequest&, ServicePool&, const std::vector<std::string>& regions, bool allowNonPreferred);
+    routing::PickResult pickUpstream(PendingRequest&, ServicePool&, bool allowNonPreferred);
     void enqueueOrRefuse(const PendingRequestPtr&);
     void sendAttempt(const PendingRequestPtr&, ServicePool&, const routing::Pick&);
     std::string attemptHead(const PendingRequest&, const routing::Target&, TimePoint now) const;
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -31,8 +31,6 @@
             pending.route_->name_, pending.request_.method_, pending.request_.target_, body, body.size());
     }
 
-    /// Regions allowed to run a request: the home regions of its route or of its workspace, or those in both
-    /// lists if both are set. Empty: any region.
     std::vector<std::string> homeRegions(const PendingRequest& pending)
     {
         const auto& routeRegions = pending.route_->homeRegions_;
@@ -52,6 +50,19 @@
         return commonRegions;
     }
 
+    std::string preferredRegionAt(
+        const ServiceDemand& demand, const PendingRequest& pending, uint64_t position)
+    {
+        if (pending.allowedRegions_.size() == 1)
+            return pending.allowedRegions_.front();
+        // Multiples of the golden ratio modulo 1 are evenly distributed over [0, 1) for any number of
+        // requests.
+        constexpr double goldenRatio = 0.6180339887498949;
+        const double sequencePoint = std::fmod(static_cast<double>(position) * goldenRatio, 1.0);
+        const double point = pending.object_ ? routing::splitPosition(*pending.object_) : sequencePoint;
+        return routing::regionAtPosition(demand.split_, pending.allowedRegions_, point);
+    }
+
     /// Picks a backend service of the route at random by weight.
     const std::string& drawBackend(const Route& route, Random& random)
     {
@@ -82,10 +93,11 @@
     startDispatch(pending);
 }
 
-/// Sets the workspace of the API key. Returns the reason if the route needs a key and none is valid.
+/// Sets the workspace of the API key unless it is known. Returns the reason if the route needs a key and none
+/// is valid.
 std::optional<Reason> Dispatcher::Core::authenticate(PendingRequest& pending) const
 {
-    if (pending.catalog_->configuration().workspaces_.empty())
+    if (pending.workspace_ || pending.catalog_->configuration().workspaces_.empty())
         return std::nullopt;
     const std::string key
         = state_.protocol_.parseApiKey_(headerValue(pending.request_.headers_, "Authorization"));
@@ -96,8 +108,9 @@
     return key.empty() ? Reason::KeyMissing : Reason::KeyRefused;
 }
 
-/// Resolves route, workspace, deadline, quota and service of a request. Returns the reason if it is refused.
-std::optional<Reason> Dispatcher::Core::admit(PendingRequest& pending)
+/// Resolves route, workspace, deadline and object of a request. Returns the reason if it is refused whatever
+/// its workspace's quota.
+std::optional<Reason> Dispatcher::Core::checkRequest(PendingRequest& pending) const
 {
     const TimePoint now = monotonicNow();
     pending.catalog_ = state_.catalog_;
@@ -126,13 +139,21 @@
         && routing::isQuarantined(
             state_.quarantine_, evidenceNow(state_, monotonicNow()), detail::fingerprintOf(pending)))
         return Reason::Quarantined;
+    const std::string_view object = headerValue(headers, state_.protocol_.headers_.object_);
+    if (pending.route_->sticky_ && !object.empty())
+        pending.object_ = hash64(object);
+    return std::nullopt;
+}
+
+/// Checks a request, takes its quota and draws its service. Returns the reason if it is refused.
+std::optional<Reason> Dispatcher::Core::admit(PendingRequest& pending)
+{
+    if (const auto reason = checkRequest(pending))
+        return reason;
     if (pending.workspace_ && !admitWithinQuota(state_.quotas_, *pending.workspace_, state_.random_))
         return Reason::RateLimited;
     pending.quotaTaken_ = pending.workspace_ != nullptr;
     pending.service_ = detail::drawBackend(*pending.route_, state_.random_);
-    const std::string_view object = headerValue(headers, state_.protocol_.headers_.object_);
-    if (pending.route_->sticky_ && !object.empty())
-        pending.object_ = hash64(object);
     return std::nullopt;
 }
 
@@ -230,22 +251,17 @@
         record.coldBucket_ = routing::makeColdStartBucket(options_.coldStart_, service->coldRate_, now);
 }
 
-/// Counts the request as demand and sets its preferred region: its only home region, or one from the
-/// service's split. Requests for one object map to the same position.
+/// Counts the request as demand and sets its preferred region.
 void Dispatcher::Core::choosePreferredRegion(PendingRequest& pending)
 {
     ServiceDemand& demand = state_.demand_[pending.service_];
     if (pending.allowedRegions_.size() == 1) {
         demand.bound_[pending.allowedRegions_.front()].requestCount_ += 1;
-        pending.preferredRegion_ = pending.allowedRegions_.front();
-        return;
+    } else {
+        demand.unbound_.requestCount_ += 1;
+        ++demand.positionCount_;
     }
-    demand.unbound_.requestCount_ += 1;
-    // Multiples of the golden ratio modulo 1 are evenly distributed over [0, 1) for any number of requests.
-    constexpr double goldenRatio = 0.6180339887498949;
-    const double sequencePoint = std::fmod(static_cast<double>(++demand.positionCount_) * goldenRatio, 1.0);
-    const double point = pending.object_ ? routing::splitPosition(*pending.object_) : sequencePoint;
-    pending.preferredRegion_ = routing::regionAtPosition(demand.split_, pending.allowedRegions_, point);
+    pending.preferredRegion_ = detail::preferredRegionAt(demand, pending, demand.positionCount_);
 }
 
 routing::PickResult Dispatcher::Core::pickInRegions(const PendingRequest& pending, ServicePool& pool,
@@ -276,6 +292,24 @@
     return routing::pickTarget(pool.targets_, options_.pick_, request, now, permit, distance);
 }
 
+/// Selects an upstream in the preferred region, or in any allowed one if none there may run the request. None
+/// is usable if this host stops before the response is expected.
+routing::PickResult Dispatcher::Core::pickUpstream(
+    PendingRequest& pending, ServicePool& pool, bool allowNonPreferred)
+{
+    routing::PickResult result { .failure_ = routing::PickFailure::NoneUsable };
+    if (!pending.preferredRegion_.empty())
+        result = pickInRegions(pending, pool, { pending.preferredRegion_ }, allowNonPreferred);
+    if (result.failure_ == routing::PickFailure::NoneUsable)
+        result = pickInRegions(pending, pool, pending.allowedRegions_, allowNonPreferred);
+    pending.stopsTooSoon_ = result.pick_ && state_.drain_
+        && !mayBeginAttempt(options_.drain_, *state_.drain_, monotonicNow(), result.pick_->expectedSeconds_,
+            pending.expiresAt_);
+    if (pending.stopsTooSoon_)
+        return { .failure_ = routing::PickFailure::NoneUsable };
+    return result;
+}
+
 /// Sends the request if an upstream has capacity for it, or ends it if its caller has left. Otherwise returns
 /// why not. `allowNonPreferred` permits upstreams outside the object's preferred ones.
 routing::PickFailure Dispatcher::Core::tryDispatch(const PendingRequestPtr& pending, bool allowNonPreferred)
@@ -287,18 +321,9 @@
     const TimePoint now = monotonicNow();
     for (size_t i = 0; i < pool.targets_.size(); ++i)
         prepareColdBucket(pool, i, now);
-    routing::PickResult result { .failure_ = routing::PickFailure::NoneUsable };
-    if (!pending->preferredRegion_.empty())
-        result = pickInRegions(*pending, pool, { pending->preferredRegion_ }, allowNonPreferred);
-    if (result.failure_ == routing::PickFailure::NoneUsable)
-        result = pickInRegions(*pending, pool, pending->allowedRegions_, allowNonPreferred);
-    pending->stopsTooSoon_ = result.pick_ && state_.drain_
-        && !mayBeginAttempt(
-            options_.drain_, *state_.drain_, now, result.pick_->expectedSeconds_, pending->expiresAt_);
+    const auto result = pickUpstream(*pending, pool, allowNonPreferred);
     if (!result.pick_)
         return result.failure_;
-    if (pending->stopsTooSoon_)
-        return routing::PickFailure::NoneUsable;
     if (pending->exchange_->isCallerGone())
         onCallerDisconnected(pending);
     else
