Explain where a request would go now without sending it

Cause: operators could see where a gateway had sent requests, in its log, but not where a given one would go and why.

Ruled out: a second implementation of the decisions, which would drift, and a dry run through the request path, which takes quota and demand. A key isn't a parameter, as addresses get into logs.

Change: GET /explain on the metrics address takes host, path, method, object, workspace and deadline, and answers with route, workspace, chance of admission, backends by weight, upstreams in the order of attempts, obstacles of the others, and whether the request would be sent, wait or be refused. A malformed query gets 400 with the fault.

Conclusion: whole; the answer is the view of one host at one moment.

--- a/include/turmericwing/gateway/dispatcher.h
+++ b/include/turmericwing/gateway/dispatcher.h
@@ -1,6 +1,7 @@
 // Request dispatcher: admission, upstream selection, sending, retries and the final response.
 #pragma once
 
+#include "turmericwing/gateway/explain.h"
 #include "turmericwing/gateway/http.h"
 #include "turmericwing/gateway/listener.h"
 #include "turmericwing/gateway/state.h"
@@ -29,6 +30,8 @@
 /// Serves requests on one event loop; not thread-safe.
 class Dispatcher {
 public:
+    struct Core; ///< Internal, see dispatchcore.h.
+
     Dispatcher(boost::asio::io_context&, State&, UpstreamClient&, host::Metrics&, DispatchOptions = {});
     ~Dispatcher();
     Dispatcher(const Dispatcher&) = delete;
@@ -37,6 +40,9 @@
     /// Admits a request and dispatches it, or refuses it. The response goes through the exchange.
     void handle(Request&&, const std::shared_ptr<Exchange>&);
 
+    /// Returns where the request would go now, without sending it or recording anything.
+    Explanation explain(const ExplainQuery&);
+
     /// Sends waiting requests for which there is capacity, refuses those that can no longer start in time,
     /// and counts late attempts as rollout evidence. Called several times a second, as the load reported by
     /// peers changes.
@@ -53,7 +59,6 @@
     void endAll();
 
 private:
-    struct Core;
     std::shared_ptr<Core> core_;
 };
 
--- a/include/turmericwing/gateway/quotas.h
+++ b/include/turmericwing/gateway/quotas.h
@@ -60,6 +60,9 @@
 /// Returns whether a request of the workspace is admitted, and counts it if so.
 bool admitWithinQuota(Quotas&, const WorkspaceSpec&, Random&);
 
+/// Probability with which the next request of the workspace is admitted.
+double quotaAdmitProbability(const Quotas&, const WorkspaceSpec&);
+
 /// Returns the quota of an admitted request that no upstream has run.
 void refundQuota(Quotas&, const WorkspaceSpec&);
 
--- a/src/cli/command.cc
+++ b/src/cli/command.cc
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <iterator>
 #include <ostream>
+#include <set>
 
 namespace turmericwing::cli {
 
@@ -130,8 +131,8 @@
             ExitCode request(
                 const std::string& method, const std::string& target, const Json& body, Json& response)
             {
-                const auto reply = sendRequest_(
-                    method, "/v1/operator/" + target, body.is_null() ? "" : toCompactJson(body));
+                const std::string path = (invocation_.asksGateway_ ? "/" : "/v1/operator/") + target;
+                const auto reply = sendRequest_(method, path, body.is_null() ? "" : toCompactJson(body));
                 if (!reply) {
                     const bool outcomeUnknown = reply.error().code_ == ErrorCode::Unknown && method != "GET";
                     return fail(reply.error().code_ == ErrorCode::Invalid ? Usage : Unreachable,
@@ -337,8 +338,26 @@
                 return Ok;
             }
 
+            /// Checks the parameters of `explain`, which a gateway and an operator port don't share.
+            ExitCode checkExplainQuery()
+            {
+                static const std::set<std::string> gatewayNames { "host", "path", "method", "object",
+                    "workspace", "deadline" };
+                static const std::set<std::string> operatorNames { "service", "path", "method", "workspace",
+                    "client", "move", "request" };
+                const auto& names = invocation_.asksGateway_ ? gatewayNames : operatorNames;
+                for (const auto& [name, value] : invocation_.query_) {
+                    if (!names.contains(name))
+                        return usageError("no parameter \"" + name + "\" "
+                            + (invocation_.asksGateway_ ? "with --gateway" : "without --gateway"));
+                }
+                return Ok;
+            }
+
             ExitCode explain()
             {
+                if (const auto code = checkExplainQuery(); code != Ok)
+                    return code;
                 if (invocation_.query_.empty())
                     return usageError(
                         "needs at least one of --service, --path, --method, --workspace, --client, --move, "
@@ -457,7 +476,8 @@
   hosts                      members of the current view
   audit                      latest changes, newest first; --limit N
   explain                    why a request would be routed as it is; --service --path --method
-                             --workspace --client --move --request
+                             --workspace --client --move --request; with --gateway, where a request would
+                             go now: --authority --path --method --object --workspace --deadline
   withdraw-key NAME          stop a key on every host
   move start|hold|rollback NAME
   drain-host NAME            stop a host after its requests
@@ -467,6 +487,7 @@
 
 Flags:
   --host ADDRESS             operator port: ip:port or https://ip:port; default $TURMERICWING_HOST
+  --gateway ADDRESS          explain: metrics address of a gateway, ip:port; needs no token
   --token-file FILE          file with the operator token; default: the token in $TURMERICWING_TOKEN
   --ca-file FILE             certificate authority for https
   --timeout-ms N             time limit of one request; default 10000
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -46,6 +46,7 @@
     uint32_t limit_ = 20;
     bool fenced_ = false;
     std::map<std::string, std::string> query_ {}; ///< Parameters of `explain`.
+    bool asksGateway_ = false; ///< `explain` asks the metrics address of a gateway.
 };
 
 /// Runs one command. Writes results to `out` and errors to `err`. Faults go to `err`, or as JSON to `out`.
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -26,6 +26,10 @@
 DEFINE_string(client, "", "explain: client address");
 DEFINE_string(move, "", "explain: move");
 DEFINE_string(request, "", "explain: request id");
+DEFINE_string(gateway, "", "explain: metrics address of a gateway, ip:port");
+DEFINE_string(authority, "", "explain --gateway: host name of the request");
+DEFINE_string(object, "", "explain --gateway: object of the request");
+DEFINE_string(deadline, "", "explain --gateway: milliseconds");
 DECLARE_bool(help);
 DECLARE_bool(version);
 
@@ -131,23 +135,32 @@
         invocation.fenced_ = FLAGS_fenced;
         if (isSet("expected_revision"))
             invocation.expectedRevision_ = FLAGS_expected_revision;
-        for (const char* name : { "service", "path", "method", "workspace", "client", "move", "request" })
+        for (const char* name :
+            { "service", "path", "method", "workspace", "client", "move", "request", "object", "deadline" })
             if (isSet(name))
                 gflags::GetCommandLineOption(name, &invocation.query_[name]);
+        if (isSet("authority"))
+            invocation.query_["host"] = FLAGS_authority;
+        invocation.asksGateway_ = !FLAGS_gateway.empty();
+        if (invocation.asksGateway_ && invocation.command_ != "explain")
+            return reportUsageError("--gateway is for explain only");
 
         HttpOptions options;
         options.host_ = FLAGS_host.empty() ? environmentVariable("TURMERICWING_HOST") : FLAGS_host;
         options.caFile_ = FLAGS_ca_file;
         options.timeout_ = std::chrono::milliseconds { FLAGS_timeout_ms };
         std::string error;
-        options.token_ = readToken(error);
+        if (invocation.asksGateway_)
+            options.host_ = FLAGS_gateway;
+        else
+            options.token_ = readToken(error);
         const SendRequest sendOverHttp = makeHttpSender(options);
         // Host and token are checked at the first request, so that faults of the files are reported first.
         const SendRequest sendRequest = [&](const std::string& method, const std::string& target,
                                             const std::string& body) -> Result<HttpResponse> {
             if (options.host_.empty())
                 return makeError(ErrorCode::Invalid, "no host: use --host or $TURMERICWING_HOST");
-            if (!error.empty() || options.token_.empty())
+            if (!invocation.asksGateway_ && (!error.empty() || options.token_.empty()))
                 return makeError(ErrorCode::Invalid,
                     error.empty() ? "no operator token: use --token-file or $TURMERICWING_TOKEN" : error);
             return sendOverHttp(method, target, body);
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -173,6 +173,7 @@
     Duration retryAfter(const PendingRequest&, Reason);
     routing::RetryOptions retryOptions(uint32_t attempts) const;
     double serviceTime(const std::string& service, const Route&);
+    Explanation explain(const ExplainQuery&);
 };
 
 } // namespace turmericwing::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -16,6 +16,7 @@
 #include "turmericwing/gateway/watch.h"
 #include "turmericwing/host/log.h"
 #include "turmericwing/host/metrics.h"
+#include "turmericwing/host/problem.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -34,6 +35,7 @@
     constexpr Duration housekeepingInterval = std::chrono::seconds(1);
     /// Limit of the TTL of lookup answers, besides the configured one.
     constexpr Duration maxLookupLifetime = std::chrono::seconds(3);
+    constexpr const char* explainTarget = "/explain"; ///< On the metrics port, with a query.
 
     /// Fraction of the memory for answers of upstreams. They may take twice as much for a moment, and bodies
     /// of requests and the rest of the process need the other half.
@@ -145,6 +147,7 @@
     void scheduleTick();
     void scheduleHousekeeping();
     void onLookup(const Request&, const std::shared_ptr<Exchange>&);
+    void onOperatorRequest(const Request&, const std::shared_ptr<Exchange>&);
     void drain();
     void checkDrained(TimePoint now);
     void scheduleStopPhase(TimePoint now);
@@ -190,10 +193,8 @@
     }));
     BOOST_OUTCOME_TRY(listen(settings.lookupAddress_,
         [this](Request&& request, const auto& exchange) { onLookup(request, exchange); }));
-    BOOST_OUTCOME_TRY(listen(settings.metricsAddress_, [this](Request&& request, const auto& exchange) {
-        exchange->respond(request.target_ == "/metrics" ? detail::plainResponse(200, metrics_.text())
-                                                        : detail::plainResponse(404));
-    }));
+    BOOST_OUTCOME_TRY(listen(settings.metricsAddress_,
+        [this](Request&& request, const auto& exchange) { onOperatorRequest(request, exchange); }));
     BOOST_OUTCOME_TRY(listen(settings.peerAddress_,
         [this](Request&& request, const auto& exchange) { relayServer_.handle(request, exchange); }));
     BOOST_OUTCOME_TRY(reporter_.open(settings.peerAddress_));
@@ -449,6 +450,28 @@
         200, state_.protocol_.encodeLookupAnswer_(addresses, lifetime), "application/json"));
 }
 
+/// Serves what operators read: metrics, and explanations of where a request would go.
+void Gateway::Core::onOperatorRequest(const Request& request, const std::shared_ptr<Exchange>& exchange)
+{
+    if (request.target_ == "/metrics")
+        return exchange->respond(detail::plainResponse(200, metrics_.text()));
+    const size_t queryStart = request.target_.find('?');
+    if (request.target_.substr(0, queryStart) != detail::explainTarget)
+        return exchange->respond(detail::plainResponse(404));
+    if (request.method_ != "GET")
+        return exchange->respond(detail::plainResponse(405));
+    const std::string query
+        = queryStart == std::string::npos ? std::string() : request.target_.substr(queryStart + 1);
+    auto parsed = parseExplainQuery(query);
+    if (!parsed)
+        return exchange->respond(detail::plainResponse(400,
+            host::problemJson(host::Reason::BadRequest, parsed.error().message_, {}),
+            "application/problem+json"));
+    parsed.value().authorization_ = headerValue(request.headers_, "Authorization");
+    exchange->respond(
+        detail::plainResponse(200, explanationJson(dispatcher_.explain(parsed.value())), "application/json"));
+}
+
 void Gateway::Core::onTick()
 {
     const TimePoint now = monotonicNow();
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -106,6 +106,14 @@
     return limits::admit(quotas.workspaces_[workspace.name_], quotas.options_, random);
 }
 
+double quotaAdmitProbability(const Quotas& quotas, const WorkspaceSpec& workspace)
+{
+    const auto quota = quotas.workspaces_.find(workspace.name_);
+    if (!detail::isLimited(workspace) || quota == quotas.workspaces_.end())
+        return 1;
+    return limits::admitProbability(quota->second, quotas.options_);
+}
+
 void refundQuota(Quotas& quotas, const WorkspaceSpec& workspace)
 {
     if (detail::isLimited(workspace))
--- a/test/cli/command-test.cc
+++ b/test/cli/command-test.cc
@@ -83,6 +83,15 @@
     CHECK(run({ .command_ = "check", .arguments_ = { "examples/sanad/move.ini" } }, {}).code_ == Refused);
 }
 
+TEST_CASE("explain refuses parameters that the host that is asked does not know")
+{
+    // Guards against a question whose answer ignores part of it.
+    const std::map<std::string, std::string> forGateway { { "path", "/x" }, { "object", "o" } };
+    CHECK(run({ .command_ = "explain", .query_ = forGateway }, {}).code_ == Usage);
+    const std::map<std::string, std::string> forOperator { { "path", "/x" }, { "move", "m" } };
+    CHECK(run({ .command_ = "explain", .query_ = forOperator, .asksGateway_ = true }, {}).code_ == Usage);
+}
+
 TEST_CASE("commands send the documented requests")
 {
     // Guards against requests that differ from the interface of the operator port.
@@ -96,6 +105,10 @@
         { { .command_ = "audit", .limit_ = 5 }, "GET /v1/operator/audit?limit=5 \n" },
         { { .command_ = "explain", .query_ = { { "path", "/a b" }, { "service", "orders" } } },
             "GET /v1/operator/explain?path=%2Fa%20b&service=orders \n" },
+        { { .command_ = "explain",
+              .query_ = { { "host", "a.example" }, { "path", "/x" } },
+              .asksGateway_ = true },
+            "GET /explain?host=a.example&path=%2Fx \n" },
         { { .command_ = "withdraw-key", .arguments_ = { "\xFF" } },
             "POST /v1/operator/key-withdraw {\"name\":\"\xEF\xBF\xBD\"}\n" },
         { { .command_ = "move", .arguments_ = { "rollback", "m" } },
--- a/test/gateway/live-test.cc
+++ b/test/gateway/live-test.cc
@@ -75,6 +75,30 @@
     CHECK(metrics.Get("/metrics")->body.find("turmericwing_requests_total") != std::string::npos);
 }
 
+TEST_CASE("an operator asks where a request would go, and nothing is sent")
+{
+    // Guards against an explanation that reaches an upstream, and against faults that are not told.
+    Fixture fixture;
+    const Upstream upstream(fixture.store_, "u1");
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    httplib::Client metrics("127.0.0.1", fixture.settings_.metricsAddress_.port_);
+    const auto explained = metrics.Get("/explain?host=a.example&path=/read/x&workspace=w1");
+    REQUIRE(explained);
+    CHECK(explained->status == 200);
+    const auto backend = nlohmann::json::parse(explained->body).at("backends").at(0);
+    CHECK(backend.at("decision") == "sent");
+    CHECK(backend.at("upstreams").at(0).at("id") == "u1");
+    CHECK(upstream.requests_ == 0);
+    const auto keyed = metrics.Get("/explain?host=a.example&path=/read/x", fixture.headers("id-1"));
+    CHECK(nlohmann::json::parse(keyed->body).at("workspace") == "w1");
+    CHECK(keyed->body.find("key-1") == std::string::npos);
+    const auto malformed = metrics.Get("/explain?host=a.example&path=read");
+    CHECK(malformed->status == 400);
+    CHECK(malformed->body.find("path beginning with") != std::string::npos);
+    CHECK(metrics.Post("/explain?host=a.example&path=/read/x")->status == 405);
+}
+
 TEST_CASE("idempotent requests are retried on another upstream, others are not")
 {
     Fixture fixture;
