--- a/include/turmericwing/gateway/dispatcher.h
+++ b/include/turmericwing/gateway/dispatcher.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "turmericwing/gateway/answerstream.h"
+#include "turmericwing/gateway/explain.h"
 #include "turmericwing/gateway/http.h"
 #include "turmericwing/gateway/listener.h"
 #include "turmericwing/gateway/state.h"
@@ -31,6 +32,8 @@
 /// Serves requests on one event loop; not thread-safe.
 class Dispatcher {
 public:
+    struct Core; ///< Internal, see dispatchcore.h.
+
     Dispatcher(boost::asio::io_context&, State&, UpstreamClient&, host::Metrics&, DispatchOptions = {});
     ~Dispatcher();
     Dispatcher(const Dispatcher&) = delete;
@@ -39,6 +42,9 @@
     /// Admits a request and dispatches it, or refuses it. The response goes through the exchange.
     void handle(Request&&, const std::shared_ptr<Exchange>&);
 
+    /// Returns where the request would go now, without sending it or recording anything.
+    Explanation explain(const ExplainQuery&);
+
     /// Sends waiting requests for which there is capacity, refuses those that can no longer start in time,
     /// and counts late attempts as rollout evidence. Called several times a second, as the load reported by
     /// peers changes.
@@ -55,7 +61,6 @@
     void endAll();
 
 private:
-    struct Core;
     std::shared_ptr<Core> core_;
 };
 
