Bound the memory of callers' requests and their connections

Cause: the body of one request was bounded by the configuration, the sum of all was not, and neither was the number of connections. Each connection also kept a read buffer of up to 64 KB.

Ruled out: heads (bounded before they are parsed), the parser's own memory under tiny chunks, and refusing whoever comes last, which keeps those who stall.

Change: all requests that are read or held share a budget of 0.45 of memory-mb. Without room, requests without progress end, a small one takes the room of the largest, a large one waits up to 5 s; the rest gets 503, not run, with Retry-After. Announced bodies claim their room before they are read. Connections are bounded by the descriptors of the process; the quietest one closes. The connection moves out of listener.cc, reading out of the connection.

--- a/include/turmericwing/gateway/http.h
+++ b/include/turmericwing/gateway/http.h
@@ -26,8 +26,13 @@
     Headers headers_;
     std::string body_;
     TimePoint receivedAt_ {}; ///< When the first byte of the request was read.
+    /// Counts the request as held until it is destroyed; see RequestBudget. May be null.
+    std::shared_ptr<const void> hold_ {};
 };
 
+/// Moves the body out of a request. The request counts as held until the body is destroyed, too.
+std::shared_ptr<const std::string> takeBody(Request&);
+
 struct Response {
     unsigned status_ = 0;
     std::string reason_; ///< Empty: reasonPhrase(status_).
--- a/include/turmericwing/gateway/listener.h
+++ b/include/turmericwing/gateway/listener.h
@@ -7,8 +7,10 @@
 #include "turmericwing/base/result.h"
 #include "turmericwing/gateway/catalog.h"
 #include "turmericwing/gateway/http.h"
+#include "turmericwing/gateway/requestmemory.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 
 namespace boost::asio {
@@ -44,6 +46,10 @@
     /// Returns the current limits; called for each request, because they change with the configuration.
     std::function<CallerLimits()> limits_ = [] { return CallerLimits(); };
     RequestHandler handler_;
+    /// Shared with the other listeners of the host.
+    std::shared_ptr<RequestMemory> memory_ = std::make_shared<RequestMemory>();
+    /// Most open connections. Beyond that, the one that is idle or makes no progress for longest closes.
+    size_t maxConnections_ = std::numeric_limits<size_t>::max();
 };
 
 class Listener {
--- a/include/turmericwing/gateway/settings.h
+++ b/include/turmericwing/gateway/settings.h
@@ -32,6 +32,7 @@
     std::map<std::string, std::string> regionOf_; ///< Region by failure domain.
     /// Memory that the process may use, in MiB. The default is that of the smallest machines.
     double memoryMb_ = 160;
+    double maxDescriptors_ = 0; ///< That the process may open; 0 if only the system's own limit holds.
     double linkMbps_ = 1000; ///< Of the host's own link, in Mbit/s.
     Bounds bounds_;
     friend bool operator==(const Settings&, const Settings&) = default;
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -148,7 +148,7 @@
     const std::string base = pool == state_.directory_.services_.end() ? "" : pool->second.baseVersion_;
     pending->version_ = chooseVersionFilter(
         state_.rollouts_, pending->service_, base, storeNow(state_, now), state_.random_);
-    pending->body_ = std::make_shared<const std::string>(std::move(pending->request_.body_));
+    pending->body_ = takeBody(pending->request_);
     pending->timer_ = std::make_unique<boost::asio::steady_timer>(loop_, pending->expiresAt_);
     pending->timer_->async_wait([this, weak = std::weak_ptr(pending)](boost::system::error_code cancelled) {
         const auto expired = weak.lock();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -6,6 +6,7 @@
 #include "rolloutwriter.h"
 #include "statelog.h"
 
+#include "turmericwing/gateway/connectionlimits.h"
 #include "turmericwing/gateway/dispatcher.h"
 #include "turmericwing/gateway/listener.h"
 #include "turmericwing/gateway/orders.h"
@@ -34,14 +35,43 @@
     /// Limit of the TTL of lookup answers, besides the configured one.
     constexpr Duration maxLookupLifetime = std::chrono::seconds(3);
 
-    /// Fraction of the memory for answers of upstreams. They may take twice as much for a moment, and bodies
-    /// of requests and the rest of the process need the other half.
+    /// Fraction of the memory for answers of upstreams. They may take twice as much for a moment, and
+    /// requests and the rest of the process need the other half.
     constexpr double answerMemoryFraction = 0.25;
 
+    constexpr uint64_t maxAuxiliaryBodyBytes = 65536;
+
+    uint64_t memoryBytes(const Settings& settings)
+    {
+        return static_cast<uint64_t>(settings.memoryMb_ * 1'048'576);
+    }
+
     /// Most bytes of answers of upstreams that the host holds at one time.
     uint64_t answerMemory(const Settings& settings)
     {
-        return static_cast<uint64_t>(settings.memoryMb_ * 1'048'576 * answerMemoryFraction);
+        return static_cast<uint64_t>(static_cast<double>(memoryBytes(settings)) * answerMemoryFraction);
+    }
+
+    ConnectionLimits connectionLimits(const Settings& settings)
+    {
+        uint64_t descriptors = systemDescriptorLimit();
+        if (settings.maxDescriptors_ > 0)
+            descriptors = std::min(descriptors, static_cast<uint64_t>(settings.maxDescriptors_));
+        return gateway::connectionLimits(descriptors, memoryBytes(settings));
+    }
+
+    std::shared_ptr<RequestMemory> makeRequestMemory(const Settings& settings)
+    {
+        return std::make_shared<RequestMemory>(
+            RequestMemory { .budget_ = { .options_ = requestBudgetOptions(memoryBytes(settings)) } });
+    }
+
+    /// Limits of the listeners that callers send no bodies to.
+    CallerLimits auxiliaryLimits()
+    {
+        CallerLimits limits;
+        limits.bodyBytes_ = maxAuxiliaryBodyBytes;
+        return limits;
     }
 
     /// A third crash is needed, as kept connections break for many causes, and at least two moments.
@@ -79,6 +109,8 @@
         , store_(std::move(options.store_))
         , state_(makeState(options))
         , relayOptions_(detail::relayOptions(state_.settings_))
+        , connectionLimits_(detail::connectionLimits(state_.settings_))
+        , requestMemory_(detail::makeRequestMemory(state_.settings_))
         , upstreamClient_(loop, { .maxHeldAnswerBytes_ = detail::answerMemory(state_.settings_) })
         , dispatcher_(loop, state_, upstreamClient_, metrics_, dispatchOptions_)
         , reporter_(loop, state_, [this](const HostReport& report) { onPeerReport(report); })
@@ -100,6 +132,8 @@
     TableStore store_;
     State state_;
     const RelayOptions relayOptions_;
+    const ConnectionLimits connectionLimits_;
+    const std::shared_ptr<RequestMemory> requestMemory_;
     host::Metrics metrics_;
     UpstreamClient upstreamClient_;
     const DispatchOptions dispatchOptions_ {};
@@ -125,7 +159,7 @@
     uint64_t upstreamsEra_ = 0; ///< Era of the store of the last answer for the upstreams.
 
     Result<void> start();
-    Result<void> listen(const Address&, RequestHandler);
+    Result<void> listen(const Address&, size_t maxConnections, RequestHandler);
     void follow(const std::string& table, const std::function<void(const TableRead&, bool isFullRead)>&);
     void onStoreAnswer(const TableRead&);
     void onStoreEra(uint64_t era);
@@ -164,10 +198,14 @@
     return state;
 }
 
-Result<void> Gateway::Core::listen(const Address& address, RequestHandler handler)
+Result<void> Gateway::Core::listen(const Address& address, size_t maxConnections, RequestHandler handler)
 {
-    auxiliaryListeners_.push_back(std::make_unique<Listener>(
-        loop_, ListenerOptions { .address_ = address, .handler_ = std::move(handler) }));
+    auxiliaryListeners_.push_back(std::make_unique<Listener>(loop_,
+        ListenerOptions { .address_ = address,
+            .limits_ = detail::auxiliaryLimits,
+            .handler_ = std::move(handler),
+            .memory_ = requestMemory_,
+            .maxConnections_ = maxConnections }));
     return auxiliaryListeners_.back()->start();
 }
 
@@ -181,19 +219,23 @@
             .handler_ =
                 [this](Request&& request, const std::shared_ptr<Exchange>& exchange) {
                     dispatcher_.handle(std::move(request), exchange);
-                } });
+                },
+            .memory_ = requestMemory_,
+            .maxConnections_ = connectionLimits_.callers_ });
     BOOST_OUTCOME_TRY(callerListener_->start());
-    BOOST_OUTCOME_TRY(listen(settings.readinessAddress_, [this](Request&& request, const auto& exchange) {
-        const bool known = request.target_ == state_.protocol_.readinessTarget_;
-        exchange->respond(detail::plainResponse(!known ? 404 : isReady(state_) ? 200 : 503));
-    }));
-    BOOST_OUTCOME_TRY(listen(settings.lookupAddress_,
+    BOOST_OUTCOME_TRY(listen(settings.readinessAddress_, connectionLimits_.operators_,
+        [this](Request&& request, const auto& exchange) {
+            const bool known = request.target_ == state_.protocol_.readinessTarget_;
+            exchange->respond(detail::plainResponse(!known ? 404 : isReady(state_) ? 200 : 503));
+        }));
+    BOOST_OUTCOME_TRY(listen(settings.lookupAddress_, connectionLimits_.lookups_,
         [this](Request&& request, const auto& exchange) { onLookup(request, exchange); }));
-    BOOST_OUTCOME_TRY(listen(settings.metricsAddress_, [this](Request&& request, const auto& exchange) {
-        exchange->respond(request.target_ == "/metrics" ? detail::plainResponse(200, metrics_.text())
-                                                        : detail::plainResponse(404));
-    }));
-    BOOST_OUTCOME_TRY(listen(settings.peerAddress_,
+    BOOST_OUTCOME_TRY(listen(settings.metricsAddress_, connectionLimits_.operators_,
+        [this](Request&& request, const auto& exchange) {
+            exchange->respond(request.target_ == "/metrics" ? detail::plainResponse(200, metrics_.text())
+                                                            : detail::plainResponse(404));
+        }));
+    BOOST_OUTCOME_TRY(listen(settings.peerAddress_, std::numeric_limits<size_t>::max(),
         [this](Request&& request, const auto& exchange) { relayServer_.handle(request, exchange); }));
     BOOST_OUTCOME_TRY(reporter_.open(settings.peerAddress_));
     follow(state_.protocol_.ordersTable_,
@@ -481,6 +523,7 @@
 {
     const TimePoint now = monotonicNow();
     stateLog_.logChanges(state_, now);
+    stateLog_.logRequests(*requestMemory_);
     upstreamClient_.closeExpired();
     hostRegistry_.removeExpiredPeers(now);
     routing::expireQuarantine(state_.quarantine_, evidenceNow(state_, monotonicNow()));
@@ -495,6 +538,14 @@
         static_cast<double>(upstreamClient_.connectionAttempts()));
     metrics_.setGauge(
         "turmericwing_answer_bytes_held", "", "", static_cast<double>(upstreamClient_.heldAnswerBytes()));
+    const RequestBudget& requests = requestMemory_->budget_;
+    metrics_.setGauge("turmericwing_request_bytes_held", "", "", static_cast<double>(requests.heldBytes_));
+    metrics_.setGauge(
+        "turmericwing_requests_waiting_for_room", "", "", static_cast<double>(waitingCount(requests)));
+    metrics_.setGauge("turmericwing_requests_without_room", "", "",
+        static_cast<double>(requests.refusedCount_ + requests.endedCount_));
+    metrics_.setGauge("turmericwing_connections_closed_for_room", "", "",
+        static_cast<double>(requestMemory_->connectionsClosed_));
     metrics_.setGauge(
         "turmericwing_requests_running", "", "", static_cast<double>(dispatcher_.pendingCount()));
     metrics_.setGauge(
--- a/src/gateway/http.cc
+++ b/src/gateway/http.cc
@@ -49,6 +49,17 @@
 
 } // namespace detail
 
+std::shared_ptr<const std::string> takeBody(Request& request)
+{
+    struct HeldBody {
+        std::string bytes_;
+        std::shared_ptr<const void> hold_;
+    };
+    auto held = std::make_shared<const HeldBody>(HeldBody { std::move(request.body_), request.hold_ });
+    const std::string* bytes = &held->bytes_;
+    return { std::move(held), bytes };
+}
+
 bool equalNames(std::string_view a, std::string_view b)
 {
     return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
--- /dev/null
+++ b/src/gateway/requestreader.h
@@ -0,0 +1,120 @@
+// Reads the requests of one connection from its bytes, within the memory that the requests of a host share.
+#pragma once
+
+#include "parsing.h"
+
+#include "turmericwing/gateway/catalog.h"
+#include "turmericwing/gateway/http.h"
+#include "turmericwing/gateway/requestmemory.h"
+
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace turmericwing::gateway::detail {
+
+/// Appends the parts of a body, and takes no memory of its own accord, not even for an announced length.
+class BodyReader {
+public:
+    template <bool IsRequest, typename Fields>
+    BodyReader(boost::beast::http::header<IsRequest, Fields>&, std::string& body)
+        : body_(body)
+    {
+    }
+    static void init(const boost::optional<uint64_t>&, boost::system::error_code& error) { error = {}; }
+    template <typename Buffers> size_t put(const Buffers& buffers, boost::system::error_code& error)
+    {
+        error = {};
+        size_t size = 0;
+        for (const boost::asio::const_buffer buffer : boost::beast::buffers_range(buffers)) {
+            body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+            size += buffer.size();
+        }
+        return size;
+    }
+    static void finish(boost::system::error_code& error) { error = {}; }
+
+private:
+    std::string& body_;
+};
+
+/// Body type for the parser.
+struct RequestBody {
+    using value_type = std::string;
+    using reader = BodyReader;
+};
+
+class RequestReader {
+public:
+    enum class State {
+        Idle, ///< Has no byte of a request.
+        Head,
+        Body,
+        Waiting, ///< For room; read() parses nothing until then.
+        Complete, ///< Until take().
+        Failed, ///< See status().
+    };
+
+    /// `onEnded` is called when the unfinished request ends in favour of others, with status 503.
+    RequestReader(std::shared_ptr<RequestMemory>, std::function<void()> onEnded);
+    ~RequestReader();
+    RequestReader(const RequestReader&) = delete;
+    RequestReader& operator=(const RequestReader&) = delete;
+
+    /// Takes bytes of the connection and parses them up to the end of the current request. Without bytes,
+    /// asks for room again.
+    State read(std::string_view bytes, const CallerLimits&, TimePoint now);
+
+    /// Keeps bytes behind a request for later; they count as held.
+    void keep(std::string_view bytes);
+
+    /// Returns the complete request, which holds its memory until it is destroyed, and is idle again.
+    Request take();
+
+    /// Drops everything that was read.
+    void clear();
+
+    State state() const { return state_; }
+    unsigned status() const { return status_; } ///< Of the response to a request that has failed.
+    size_t keptBytes() const { return unparsed_.size(); }
+    bool keepAlive() const { return keepAlive_; } ///< Whether the last request allows others after it.
+    /// When the current request made its last progress; see RequestBudgetOptions::progressBytes_.
+    TimePoint progressAt() const;
+    /// Whether the caller waits for an interim response before it sends the body; true once for a request.
+    bool takeContinue();
+
+private:
+    using Parser = boost::beast::http::request_parser<RequestBody>;
+
+    size_t parse(std::string_view bytes, const CallerLimits&, TimePoint now);
+    void begin(const CallerLimits&, TimePoint now);
+    size_t parseHead(std::string_view bytes, TimePoint now);
+    void onHead(size_t headBytes, TimePoint now);
+    void beginBody(TimePoint now);
+    size_t parseBody(std::string_view bytes, TimePoint now);
+    bool reserveBody(size_t bytes, TimePoint now);
+    bool claim(uint64_t bodyBytes, TimePoint now);
+    bool checkParsed(const boost::system::error_code&);
+    void fail(unsigned status);
+    void releaseUnused();
+    void countKept(uint64_t bytes);
+
+    const std::shared_ptr<RequestMemory> memory_;
+    const uint64_t number_;
+    State state_ = State::Idle;
+    unsigned status_ = 0;
+    bool keepAlive_ = true;
+    bool continueDue_ = false;
+    uint64_t bodyLimit_ = 0; ///< Bytes.
+    uint64_t headCost_ = 0; ///< Memory of the parsed head, bytes.
+    uint64_t receivedBytes_ = 0; ///< Of the current request.
+    TimePoint receivedAt_ {};
+    std::string unparsed_; ///< Bytes read and not yet parsed.
+    uint64_t keptCost_ = 0; ///< Memory held for bytes behind a request.
+    std::optional<Parser> parser_;
+};
+
+} // namespace turmericwing::gateway::detail
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -14,6 +14,7 @@
     constexpr double maxMemoryMb = 1'048'576;
     constexpr double minLinkMbps = 0.1;
     constexpr double maxLinkMbps = 1e6;
+    constexpr double minDescriptors = 64;
 
     /// A non-negative number and the text after it, its unit.
     struct Quantity {
@@ -69,6 +70,14 @@
             addFault(file, 0, key, "is not from 0.1 to 1000000");
     }
 
+    void takeDescriptors(IniFile& file, double& value)
+    {
+        static const std::string key = "limits.max-descriptors";
+        takeNumber(file, key, value);
+        if (value != 0 && value < minDescriptors)
+            addFault(file, 0, key, "is neither 0 nor at least 64");
+    }
+
     Bounds takeBounds(IniFile& file)
     {
         Bounds bounds;
@@ -136,6 +145,7 @@
     settings.regionOf_ = detail::takeRegions(file);
     settings.regionOf_[settings.failureDomain_] = settings.region_;
     detail::takeMemory(file, settings.memoryMb_);
+    detail::takeDescriptors(file, settings.maxDescriptors_);
     detail::takeLink(file, settings.linkMbps_);
     settings.bounds_ = detail::takeBounds(file);
     if (!file.faults_.empty())
--- a/src/gateway/statelog.cc
+++ b/src/gateway/statelog.cc
@@ -63,6 +63,21 @@
     logLostPeers(state, now);
 }
 
+void StateLog::logRequests(const RequestMemory& memory)
+{
+    const RequestBudget& budget = memory.budget_;
+    const uint64_t refused = budget.refusedCount_ - std::exchange(refusedRequests_, budget.refusedCount_);
+    const uint64_t ended = budget.endedCount_ - std::exchange(endedRequests_, budget.endedCount_);
+    const uint64_t closed
+        = memory.connectionsClosed_ - std::exchange(closedConnections_, memory.connectionsClosed_);
+    if (refused + ended + closed == 0)
+        return;
+    logEvent(LogLevel::Warning, "requests-without-room",
+        { { "refused", std::to_string(refused) }, { "ended", std::to_string(ended) },
+            { "closed", std::to_string(closed) }, { "held_bytes", std::to_string(budget.heldBytes_) },
+            { "waiting", std::to_string(waitingCount(budget)) } });
+}
+
 void StateLog::logSplits(const State& state)
 {
     for (const auto& [service, demand] : state.demand_) {
--- a/src/gateway/statelog.h
+++ b/src/gateway/statelog.h
@@ -2,6 +2,7 @@
 // longer alive.
 #pragma once
 
+#include "turmericwing/gateway/requestmemory.h"
 #include "turmericwing/gateway/state.h"
 
 #include <map>
@@ -18,6 +19,8 @@
 public:
     /// Called once a second, which bounds the number of lines for state that changes continuously.
     void logChanges(const State&, TimePoint now);
+    /// Logs how many requests found no room, and connections closed in favour of others, since the last call.
+    void logRequests(const RequestMemory&);
 
 private:
     void logSplits(const State&);
@@ -26,6 +29,9 @@
 
     std::map<std::string, std::string> loggedSplits_; ///< Shares in percent, by service.
     std::map<std::string, rollout::RampEvidence> loggedEvidence_; ///< By service.
+    uint64_t refusedRequests_ = 0; ///< Logged so far.
+    uint64_t endedRequests_ = 0; ///< Logged so far.
+    uint64_t closedConnections_ = 0; ///< Logged so far.
     std::set<std::string> livePeers_; ///< Names of the peers that were alive at the previous call.
 };
 
--- a/test/gateway/settings-test.cc
+++ b/test/gateway/settings-test.cc
@@ -44,6 +44,9 @@
     CHECK(load(good).value().memoryMb_ == 160);
     CHECK(load(good + "[limits]\nmemory-mb =\n").value().memoryMb_ == 160);
     CHECK(load(good + "[limits]\nmemory-mb = 260\n").value().memoryMb_ == 260);
+    CHECK(load(good + "[limits]\nmax-descriptors = 4100\n").value().maxDescriptors_ == 4100);
+    checkFault(
+        good + "[limits]\nmax-descriptors = 63\n", "limits.max-descriptors: is neither 0 nor at least 64");
     checkFault(good + "[limits]\nmemory-mb = 0\n", "limits.memory-mb: is not from 1 to 1048576");
     checkFault(good + "[limits]\nmemory-mb = 1e300\n", "limits.memory-mb: is not from 1 to 1048576");
     checkFault(good + "[limits]\nmemory-mb = much\n", "limits.memory-mb: 'much' is not a number");
