--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -15,6 +15,7 @@
     constexpr double minLinkMbps = 0.1;
     constexpr double maxLinkMbps = 1e6;
     constexpr double maxCores = 1024;
+    constexpr double minDescriptors = 64;
 
     /// A non-negative number and the text after it, its unit.
     struct Quantity {
@@ -77,6 +78,14 @@
             addFault(file, 0, key, "is greater than 1024");
     }
 
+    void takeDescriptors(IniFile& file, double& value)
+    {
+        static const std::string key = "limits.max-descriptors";
+        takeNumber(file, key, value);
+        if (value != 0 && value < minDescriptors)
+            addFault(file, 0, key, "is neither 0 nor at least 64");
+    }
+
     Bounds takeBounds(IniFile& file)
     {
         Bounds bounds;
@@ -144,6 +153,7 @@
     settings.regionOf_ = detail::takeRegions(file);
     settings.regionOf_[settings.failureDomain_] = settings.region_;
     detail::takeMemory(file, settings.memoryMb_);
+    detail::takeDescriptors(file, settings.maxDescriptors_);
     detail::takeLink(file, settings.linkMbps_);
     detail::takeCores(file, "limits.cpu-share", settings.cpuShare_);
     detail::takeCores(file, "limits.cores", settings.coreSpeed_);
