Keep the draw whether a request gives way in one place

The flag was set by one function and cleared by another statement after the selection, so that a reader had to follow both; dispatch() now sets it alone, to false for retries.

--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -130,7 +130,7 @@
     routing::PickFailure tryDispatchCounted(const PendingRequestPtr&, bool allowNonPreferred = false);
     routing::DemandClass demandClass(const PendingRequest&) const;
     int workClass(const PendingRequest&);
-    void drawGivesWay(PendingRequest&);
+    bool drawGivesWay(const PendingRequest&);
     void enqueueOrRefuse(const PendingRequestPtr&);
     void turnAway(const PendingRequestPtr&, routing::ShortOfRoom);
     void countShortOfRoom(const PendingRequest&, routing::ShortOfRoom);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -314,11 +314,9 @@
 {
     if (monotonicNow() + detail::minSendTime > pending->expiresAt_)
         return endUnserved(pending, Reason::DeadlineTooShort);
-    if (pending->triedUpstreams_.empty())
-        drawGivesWay(*pending);
-    const routing::PickFailure failure = tryDispatchCounted(pending);
-    pending->givesWay_ = pending->givesWay_ && failure == routing::PickFailure::NoneAvailable;
-    switch (failure) {
+    // A retry is bounded by the retry budget instead.
+    pending->givesWay_ = pending->triedUpstreams_.empty() && drawGivesWay(*pending);
+    switch (tryDispatchCounted(pending)) {
     case routing::PickFailure::None:
         return;
     case routing::PickFailure::NoneUsable:
@@ -352,13 +350,13 @@
 }
 
 /// Counts a new request as demand and decides at random whether it gives way.
-void Dispatcher::Core::drawGivesWay(PendingRequest& pending)
+bool Dispatcher::Core::drawGivesWay(const PendingRequest& pending)
 {
     routing::Scarcity& scarcity = services_[pending.service_].scarcity_;
     const routing::DemandClass key = demandClass(pending);
     routing::recordDemand(scarcity, key, workClass(pending), monotonicNow());
     const double fraction = routing::shedFraction(scarcity, key);
-    pending.givesWay_ = fraction > 0 && uniform(state_.random_) < fraction;
+    return fraction > 0 && uniform(state_.random_) < fraction;
 }
 
 /// tryDispatch(), and counts the request when it is first sent.
