Run pipelined reads of one connection side by side

Cause: a connection handled one request at a time, so that a read that a caller sent before the answer to another started when that was answered: the second of two reads of 200 ms is late for an objective of 250 ms before it starts.

Ruled out: overlapping all idempotent requests, as callers may rely on the order of their writes; closing at the first answer of a drain, which loses work that upstreams have done.

Change: GET and HEAD on idempotent routes run side by side, up to eight of a connection, and are answered in order; any other request runs alone. Nothing starts behind another while the host drains, or is read behind a request that ends the connection. A begun response is sent in its turn, with one part in memory until then.

Conclusion: reads no longer wait for each other.

--- a/include/turmericwing/gateway/listener.h
+++ b/include/turmericwing/gateway/listener.h
@@ -1,6 +1,6 @@
-// HTTP/1.1 server: accepts connections and passes complete requests to a handler, one at a time for each
-// connection. The handler responds through the exchange at any later time, and is notified if the caller
-// disconnects first.
+// HTTP/1.1 server: accepts connections and passes complete requests to a handler. Requests of one connection
+// run one after the other, but for those that may overlap; they are answered in their order. The handler
+// responds through the exchange at any later time, and is notified if the caller disconnects first.
 #pragma once
 
 #include "turmericwing/base/address.h"
@@ -46,6 +46,8 @@
     /// Returns the current limits; called for each request, because they change with the configuration.
     std::function<CallerLimits()> limits_ = [] { return CallerLimits(); };
     RequestHandler handler_;
+    /// Whether a request may run beside others of its connection for which that holds, too.
+    std::function<bool(const Request&)> mayOverlap_ = [](const Request&) { return false; };
     /// Shared with the other listeners of the host.
     std::shared_ptr<RequestMemory> memory_ = std::make_shared<RequestMemory>();
     /// Most open connections. Beyond that, the one that is idle or makes no progress for longest closes.
--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -1,4 +1,5 @@
-// Reads requests from a connection and writes the responses, one request at a time.
+// Reads requests from a connection, runs those that may overlap side by side, and writes the responses in
+// order.
 #include "callerconnection.h"
 
 #include "tcpoptions.h"
@@ -30,6 +31,37 @@
 /// Shared by all connections of the event loop; its content is copied before the next read.
 std::array<char, readBytes> readBuffer;
 
+/// One request of a connection, as its handler sees it.
+class PipelinedExchange : public Exchange {
+public:
+    PipelinedExchange(std::shared_ptr<Connection> connection, uint64_t number)
+        : connection_(std::move(connection))
+        , number_(number)
+    {
+    }
+    ~PipelinedExchange() override { connection_->onDropped(number_); }
+
+    void respond(Response response) override { connection_->respond(number_, std::move(response)); }
+    void beginResponse(Response head, uint64_t bodyBytes) override
+    {
+        connection_->beginResponse(number_, std::move(head), bodyBytes);
+    }
+    void sendPart(std::string part, std::function<void()> onSent) override
+    {
+        connection_->sendPart(number_, std::move(part), std::move(onSent));
+    }
+    void abandonResponse() override { connection_->abandonResponse(number_); }
+    void onCallerGone(std::function<void()> handler) override
+    {
+        connection_->onCallerGone(number_, std::move(handler));
+    }
+    bool isCallerGone() override { return connection_->isCallerGone(); }
+
+private:
+    const std::shared_ptr<Connection> connection_;
+    const uint64_t number_;
+};
+
 Connection::Connection(std::shared_ptr<Listener::State> owner, tcp::socket socket)
     : owner_(std::move(owner))
     , socket_(std::move(socket))
@@ -43,19 +75,22 @@
 
 void Connection::start()
 {
-    beginRequest();
+    beginIdle();
     waitReadable();
 }
 
 bool Connection::isIdle() const
 {
     error_code error;
-    return phase_ == Phase::Idle && reader_.keptBytes() == 0 && (socket_.available(error) == 0 || error);
+    return phase_ == Phase::Open && replies_.empty() && reader_.state() == RequestReader::State::Idle
+        && reader_.keptBytes() == 0 && (socket_.available(error) == 0 || error);
 }
 
 std::optional<TimePoint> Connection::quietSince() const
 {
-    if (phase_ == Phase::Reading)
+    if (phase_ != Phase::Open || !replies_.empty())
+        return std::nullopt;
+    if (reader_.state() != RequestReader::State::Idle)
         return reader_.progressAt();
     return isIdle() ? std::optional(idleSince_) : std::nullopt;
 }
@@ -77,11 +112,16 @@
 
 void Connection::onTimer()
 {
-    if (phase_ == Phase::Reading && reader_.state() == RequestReader::State::Waiting)
-        readOn({});
-    else if (phase_ == Phase::Reading)
-        reject(408);
-    else if (phase_ == Phase::Idle || phase_ == Phase::Lingering)
+    const auto state = reader_.state();
+    if (phase_ == Phase::Lingering)
+        return close();
+    if (phase_ == Phase::Closed)
+        return;
+    if (state == RequestReader::State::Waiting)
+        return readOn({});
+    if (state == RequestReader::State::Head || state == RequestReader::State::Body)
+        return reject(408);
+    if (replies_.empty())
         close();
 }
 
@@ -96,12 +136,13 @@
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
     reader_.clear();
-    callerGoneHandler_ = nullptr;
+    pipeline_.requests_.clear();
+    replies_.clear();
 }
 
-void Connection::beginRequest()
+/// Waits for the first byte of a request.
+void Connection::beginIdle()
 {
-    phase_ = Phase::Idle;
     idleSince_ = monotonicNow();
     startTimer(owner_->stopped_ ? Duration(lastRequestTimeout) : owner_->options_.limits_().idleTimeout_);
 }
@@ -118,15 +159,21 @@
     });
 }
 
+/// Whether bytes that arrive are parsed, and not only kept behind unanswered requests.
+bool Connection::mayParse() const { return phase_ == Phase::Open && mayReadNext(pipeline_); }
+
 /// Returns how many bytes to read; 0 pauses reading, to bound memory.
 size_t Connection::readSize() const
 {
     if (phase_ == Phase::Lingering)
         return readBytes;
-    if (isReading() && reader_.state() == RequestReader::State::Waiting)
+    const auto state = reader_.state();
+    if (state == RequestReader::State::Waiting)
         return 0;
-    if (isReading())
-        return reader_.state() == RequestReader::State::Body ? readBytes : smallReadBytes;
+    if (state == RequestReader::State::Body)
+        return readBytes;
+    if (replies_.empty() || state == RequestReader::State::Head)
+        return smallReadBytes;
     if (!hasRoomToReadAhead(owner_->options_.memory_->budget_, maxReadAhead))
         return 0;
     return maxReadAhead - std::min(maxReadAhead, reader_.keptBytes());
@@ -146,7 +193,7 @@
     if (error)
         return onDisconnect();
     const std::string_view bytes(readBuffer.data(), size);
-    if (isReading())
+    if (mayParse())
         readOn(bytes);
     else if (phase_ != Phase::Lingering)
         reader_.keep(bytes);
@@ -154,49 +201,60 @@
         waitReadable();
 }
 
-/// Parses what was read and moves on to what follows from it.
+/// Parses what was read, and starts the requests that are complete.
 void Connection::readOn(std::string_view bytes)
 {
     const CallerLimits limits = owner_->options_.limits_();
-    const auto before = reader_.state();
-    const auto state = reader_.read(bytes, limits, monotonicNow());
-    switch (state) {
+    for (bool more = true; more;) {
+        const auto before = reader_.state();
+        const bool isComplete = reader_.read(bytes, limits, monotonicNow()) == RequestReader::State::Complete;
+        onReadState(before, limits);
+        more = isComplete && mayParse() && reader_.keptBytes() > 0;
+        bytes = {};
+    }
+    if (phase_ == Phase::Open && reader_.state() == RequestReader::State::Idle && !replies_.empty())
+        timer_.cancel();
+}
+
+void Connection::onReadState(RequestReader::State before, const CallerLimits& limits)
+{
+    switch (reader_.state()) {
     case RequestReader::State::Idle:
         return;
     case RequestReader::State::Head:
-        phase_ = Phase::Reading;
         // The head timeout counts from the first byte.
         if (before == RequestReader::State::Idle)
             startTimer(limits.headerTimeout_);
         return;
     case RequestReader::State::Body:
-        phase_ = Phase::Reading;
         // A body may take any time, with at most the idle timeout between two parts.
         startTimer(limits.idleTimeout_);
-        if (reader_.takeContinue())
-            sendContinue();
+        sendContinue();
         return waitReadable();
     case RequestReader::State::Waiting:
-        phase_ = Phase::Reading;
-        if (before != RequestReader::State::Waiting)
-            roomUntil_ = monotonicNow() + roomTimeout;
-        return awaitRoom();
+        return awaitRoom(before);
     case RequestReader::State::Complete:
-        return handle();
+        return addRequest();
     case RequestReader::State::Failed:
         return reject(reader_.status());
     }
 }
 
-void Connection::awaitRoom()
+void Connection::awaitRoom(RequestReader::State before)
 {
-    if (monotonicNow() >= roomUntil_)
+    const TimePoint now = monotonicNow();
+    if (before != RequestReader::State::Waiting)
+        roomUntil_ = now + roomTimeout;
+    if (now >= roomUntil_)
         return reject(503);
     startTimer(roomRetryInterval);
 }
 
+/// Lets the caller send the body that it holds back, unless responses to earlier requests come first.
 void Connection::sendContinue()
 {
+    if (!replies_.empty() || !reader_.takeContinue())
+        return;
     static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
     error_code error;
     asio::write(socket_, asio::buffer(interim), error);
@@ -204,133 +262,241 @@
         onDisconnect();
 }
 
-void Connection::handle()
+void Connection::addRequest()
 {
     timer_.cancel();
-    phase_ = Phase::Handling;
     Request request = reader_.take();
-    isHeadMethod_ = request.method_ == "HEAD";
-    owner_->options_.handler_(std::move(request), shared_from_this());
+    const uint64_t number = ++lastNumber_;
+    pipeline_.requests_.push_back({ .number_ = number,
+        .mayOverlap_ = owner_->options_.mayOverlap_(request),
+        .isLast_ = !reader_.keepAlive() });
+    Reply& reply = replies_[number];
+    reply.isHeadMethod_ = request.method_ == "HEAD";
+    reply.request_ = std::move(request);
+    startNext();
+}
+
+void Connection::startNext()
+{
+    for (const uint64_t number : startRequests(pipeline_, owner_->closeAfterAnswers_)) {
+        // The answer to an earlier one may have closed the connection.
+        Reply* reply = findReply(number);
+        if (!reply || !reply->request_)
+            continue;
+        Request request = std::move(*reply->request_);
+        reply->request_.reset();
+        owner_->options_.handler_(
+            std::move(request), std::make_shared<PipelinedExchange>(shared_from_this(), number));
+    }
 }
 
-/// Refuses a request that has not been handled, and closes the connection.
+/// Refuses a request that has not been handled. The connection closes after this response, which follows
+/// those to earlier requests.
 void Connection::reject(unsigned status)
 {
+    timer_.cancel();
     reader_.clear();
-    isHeadMethod_ = false;
     Response response { .status_ = status };
     if (status == 503)
         response.headers_.push_back({ "Retry-After", refusedRetryAfter });
-    write(std::move(response), true);
+    const uint64_t number = ++lastNumber_;
+    pipeline_.requests_.push_back({ .number_ = number, .isLast_ = true, .isStarted_ = true });
+    replies_[number].response_ = std::move(response);
+    sendNext();
+}
+
+Reply* Connection::findReply(uint64_t number)
+{
+    const auto known = replies_.find(number);
+    return known == replies_.end() ? nullptr : &known->second;
+}
+
+void Connection::onCallerGone(uint64_t number, std::function<void()> handler)
+{
+    Reply* reply = findReply(number);
+    if (reply && (!reply->response_ || reply->isBegun_))
+        reply->callerGoneHandler_ = std::move(handler);
 }
 
-void Connection::respond(Response response)
+void Connection::respond(uint64_t number, Response response)
 {
-    if (phase_ != Phase::Handling)
+    Reply* reply = findReply(number);
+    if (!reply || reply->response_)
         return;
-    callerGoneHandler_ = nullptr;
-    write(std::move(response), !reader_.keepAlive() || owner_->closeAfterAnswers_);
+    reply->callerGoneHandler_ = nullptr;
+    reply->response_ = std::move(response);
+    sendNext();
 }
 
-void Connection::beginResponse(Response head, uint64_t bodyBytes)
+void Connection::beginResponse(uint64_t number, Response head, uint64_t bodyBytes)
 {
-    if (phase_ != Phase::Handling)
+    Reply* reply = findReply(number);
+    if (!reply || reply->response_)
         return;
-    closeAfterResponse_ = !reader_.keepAlive() || owner_->closeAfterAnswers_;
     head.headers_.push_back({ "Content-Length", std::to_string(bodyBytes) });
-    outgoingHead_ = responseHead(head, closeAfterResponse_);
-    if (isHeadMethod_ || bodyBytes == 0) {
-        head.body_.clear();
-        return write(std::move(head), closeAfterResponse_);
-    }
-    phase_ = Phase::Streaming;
-    remainingBodyBytes_ = bodyBytes;
+    head.body_.clear();
+    if (reply->isHeadMethod_ || bodyBytes == 0)
+        return respond(number, std::move(head));
+    reply->response_ = std::move(head);
+    reply->isBegun_ = true;
+    reply->remainingBodyBytes_ = bodyBytes;
 }
 
-void Connection::sendPart(std::string part, std::function<void()> onSent)
+void Connection::sendPart(uint64_t number, std::string part, std::function<void()> onSent)
 {
-    if (phase_ != Phase::Streaming)
+    Reply* reply = findReply(number);
+    if (!reply || !reply->isBegun_)
         return;
-    part.resize(std::min<uint64_t>(part.size(), remainingBodyBytes_));
-    remainingBodyBytes_ -= part.size();
-    outgoingBody_ = std::move(part);
-    const std::array<asio::const_buffer, 2> buffers { asio::buffer(outgoingHead_),
-        asio::buffer(outgoingBody_) };
-    asio::async_write(
-        socket_, buffers, [self = shared_from_this(), onSent = std::move(onSent)](error_code error, size_t) {
-            self->onPartWritten(error, onSent);
-        });
+    part.resize(std::min<uint64_t>(part.size(), reply->remainingBodyBytes_));
+    reply->remainingBodyBytes_ -= part.size();
+    reply->part_ = std::move(part);
+    reply->onSent_ = std::move(onSent);
+    sendNext();
 }
 
-void Connection::onPartWritten(error_code error, const std::function<void()>& onSent)
+void Connection::abandonResponse(uint64_t number)
 {
-    if (phase_ == Phase::Closed)
+    Reply* reply = findReply(number);
+    if (!reply || !reply->isBegun_)
         return;
-    if (error)
-        return onDisconnect();
-    outgoingHead_.clear();
-    outgoingBody_.clear();
-    if (remainingBodyBytes_ > 0)
-        return onSent();
-    callerGoneHandler_ = nullptr;
-    onWritten(error, closeAfterResponse_);
+    reply->callerGoneHandler_ = nullptr;
+    reply->isAbandoned_ = true;
+    sendNext();
 }
 
-void Connection::abandonResponse()
+void Connection::onDropped(uint64_t number)
 {
-    if (phase_ != Phase::Streaming)
+    Reply* reply = findReply(number);
+    if (!reply || (reply->response_ && !reply->isBegun_) || reply->isAbandoned_)
+        return;
+    if (reply->isBegun_ && reply->remainingBodyBytes_ == 0)
         return;
-    resetOnClose(socket_);
     close();
 }
 
-void Connection::write(Response response, bool close)
+/// Sends what the request in turn has got, if nothing is being sent.
+void Connection::sendNext()
 {
-    phase_ = Phase::Writing;
-    timer_.cancel();
-    outgoingHead_ = responseHead(response, close);
-    outgoingBody_ = isHeadMethod_ ? std::string() : std::move(response.body_);
+    if (phase_ != Phase::Open || replies_.empty())
+        return;
+    Reply& reply = replies_.begin()->second;
+    if (reply.isAbandoned_) {
+        // A shutdown first would end the connection in order.
+        resetOnClose(socket_);
+        error_code ignored;
+        socket_.close(ignored);
+        return onDisconnect();
+    }
+    if (writing_ || !reply.response_)
+        return;
+    if (!reply.isBegun_)
+        sendResponse(reply);
+    else if (reply.part_)
+        sendBegun(reply);
+}
+
+void Connection::sendResponse(Reply& reply)
+{
+    Response response = std::move(*reply.response_);
+    closeAfterWrite_ = closesAfterFirst(pipeline_, owner_->closeAfterAnswers_);
+    outgoingHead_ = responseHead(response, closeAfterWrite_);
+    outgoingBody_ = reply.isHeadMethod_ ? std::string() : std::move(response.body_);
     outgoingHold_ = std::move(response.hold_);
+    write();
+}
+
+void Connection::sendBegun(Reply& reply)
+{
+    if (!reply.isHeadSent_) {
+        reply.closes_ = closesAfterFirst(pipeline_, owner_->closeAfterAnswers_);
+        outgoingHead_ = responseHead(*reply.response_, reply.closes_);
+        reply.isHeadSent_ = true;
+    }
+    outgoingBody_ = std::move(*reply.part_);
+    reply.part_.reset();
+    write();
+}
+
+void Connection::write()
+{
+    writing_ = true;
     const std::array<asio::const_buffer, 2> buffers { asio::buffer(outgoingHead_),
         asio::buffer(outgoingBody_) };
-    asio::async_write(socket_, buffers,
-        [self = shared_from_this(), close](error_code error, size_t) { self->onWritten(error, close); });
+    asio::async_write(
+        socket_, buffers, [self = shared_from_this()](error_code error, size_t) { self->onWritten(error); });
 }
 
-void Connection::onWritten(error_code error, bool close)
+void Connection::onWritten(error_code error)
 {
+    writing_ = false;
     outgoingHead_ = {};
     outgoingBody_ = {};
     outgoingHold_ = nullptr;
     if (phase_ == Phase::Closed)
         return;
     if (error)
-        return this->close();
+        return onDisconnect();
+    Reply& reply = replies_.begin()->second;
+    if (reply.isAbandoned_)
+        return sendNext();
+    if (reply.isBegun_)
+        return onPartWritten(reply);
+    finishReply(closeAfterWrite_);
+}
+
+void Connection::onPartWritten(Reply& reply)
+{
+    if (reply.remainingBodyBytes_ == 0)
+        return finishReply(reply.closes_);
+    const auto onSent = std::move(reply.onSent_);
+    if (onSent)
+        onSent();
+}
+
+/// Goes on after the complete response to the first request.
+void Connection::finishReply(bool close)
+{
+    replies_.erase(replies_.begin());
+    pipeline_.requests_.pop_front();
     if (close)
         return linger();
-    beginRequest();
-    readOn({});
+    startNext();
+    sendNext();
+    if (replies_.empty() && reader_.state() == RequestReader::State::Idle)
+        beginIdle();
+    if (mayParse() && reader_.keptBytes() > 0)
+        readOn({});
+    if (phase_ != Phase::Open)
+        return;
+    sendContinue();
     if (phase_ != Phase::Closed)
         waitReadable();
 }
 
 /// Shuts down sending and waits for the caller to close: closing a socket with unread bytes resets the
-/// connection, and the caller could lose the response.
+/// connection, and the caller could lose the response. Requests behind the response count as not read.
 void Connection::linger()
 {
     phase_ = Phase::Lingering;
+    reader_.clear();
+    pipeline_.requests_.clear();
+    replies_.clear();
     error_code ignored; // Fails if the caller has closed already.
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     startTimer(lingerTimeout);
     waitReadable();
 }
 
+/// Closes and tells the handlers of unanswered requests, as nobody waits for their answers.
 void Connection::onDisconnect()
 {
-    const auto handler = std::move(callerGoneHandler_);
-    const bool handling = phase_ == Phase::Handling || phase_ == Phase::Streaming;
+    std::vector<std::function<void()>> handlers;
+    for (auto& [number, reply] : replies_) {
+        if (reply.callerGoneHandler_)
+            handlers.push_back(std::move(reply.callerGoneHandler_));
+    }
     close();
-    if (handling && handler)
+    for (const auto& handler : handlers)
         handler();
 }
 
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -4,10 +4,12 @@
 #include "requestreader.h"
 
 #include "turmericwing/gateway/listener.h"
+#include "turmericwing/gateway/pipeline.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
 #include <unordered_set>
 
 namespace turmericwing::gateway {
@@ -44,51 +46,75 @@
 
 namespace detail {
 
-    class Connection : public Exchange, public std::enable_shared_from_this<Connection> {
+    /// What a request on a connection has got as its response so far.
+    struct Reply {
+        bool isHeadMethod_ = false; ///< The response has no body.
+        std::optional<Request> request_; ///< Until it starts.
+        std::optional<Response> response_; ///< Complete, or the head of a begun one.
+        bool isBegun_ = false; ///< The body follows in parts.
+        bool isHeadSent_ = false; ///< Of a begun response.
+        bool isAbandoned_ = false; ///< A begun response that will not be complete.
+        bool closes_ = false; ///< The connection closes after a begun response; set when its head is sent.
+        uint64_t remainingBodyBytes_ = 0; ///< Of a begun response, those that sendPart() has not been given.
+        std::optional<std::string> part_; ///< Not sent yet.
+        std::function<void()> onSent_; ///< Of that part.
+        std::function<void()> callerGoneHandler_;
+    };
+
+    class Connection : public std::enable_shared_from_this<Connection> {
     public:
         Connection(std::shared_ptr<Listener::State>, boost::asio::ip::tcp::socket);
-        ~Connection() override;
+        ~Connection();
+        Connection(const Connection&) = delete;
+        Connection& operator=(const Connection&) = delete;
 
         void start();
 
-        void respond(Response) override;
-        void beginResponse(Response head, uint64_t bodyBytes) override;
-        void sendPart(std::string part, std::function<void()> onSent) override;
-        void abandonResponse() override;
-        void onCallerGone(std::function<void()> handler) override { callerGoneHandler_ = std::move(handler); }
-        bool isCallerGone() override;
+        // The parts of Exchange, for the request of that number.
+        void respond(uint64_t number, Response);
+        void beginResponse(uint64_t number, Response head, uint64_t bodyBytes);
+        void sendPart(uint64_t number, std::string part, std::function<void()> onSent);
+        void abandonResponse(uint64_t number);
+        void onCallerGone(uint64_t number, std::function<void()> handler);
+        bool isCallerGone();
+        /// The handler has dropped a request; without its answer, those behind it cannot be sent.
+        void onDropped(uint64_t number);
 
         /// Whether the connection has no request, not even one that has not been read yet.
         bool isIdle() const;
         /// Since when the connection has no request, or its unfinished request makes no progress. Empty while
         /// a complete request is not answered yet.
         std::optional<TimePoint> quietSince() const;
+        /// Closes without a notice to the handlers of requests.
         void close();
 
     private:
         enum class Phase {
-            Idle, ///< Waits for the first byte of a request.
-            Reading, ///< A part of a request has been read.
-            Handling, ///< The handler has the request.
-            Streaming, ///< A response has begun whose body follows in parts.
-            Writing, ///< A complete response is being sent.
+            Open,
             Lingering, ///< Shut down for sending; waits for the caller to close.
             Closed,
         };
 
-        void beginRequest();
         void waitReadable();
         void onReadable(boost::system::error_code);
-        bool isReading() const { return phase_ == Phase::Idle || phase_ == Phase::Reading; }
         size_t readSize() const;
+        bool mayParse() const;
         void readOn(std::string_view bytes);
-        void awaitRoom();
+        void onReadState(RequestReader::State before, const CallerLimits&);
+        void awaitRoom(RequestReader::State before);
+        void beginIdle();
         void sendContinue();
-        void handle();
+        void addRequest();
+        void startNext();
         void reject(unsigned status);
-        void write(Response, bool close);
-        void onPartWritten(boost::system::error_code, const std::function<void()>& onSent);
-        void onWritten(boost::system::error_code, bool close);
+        Reply* findReply(uint64_t number);
+        void sendNext();
+        void sendResponse(Reply&);
+        void sendBegun(Reply&);
+        void write();
+        void onWritten(boost::system::error_code);
+        void onPartWritten(Reply&);
+        void finishReply(bool close);
         void linger();
         void startTimer(Duration);
         void onTimer();
@@ -96,19 +122,20 @@
 
         std::shared_ptr<Listener::State> owner_;
         boost::asio::ip::tcp::socket socket_;
-        boost::asio::steady_timer timer_;
-        Phase phase_ = Phase::Idle;
+        boost::asio::steady_timer timer_; ///< Of reading, or of lingering.
+        Phase phase_ = Phase::Open;
         bool waitPending_ = false; ///< A wait for readability is pending.
-        bool isHeadMethod_ = false; ///< The response has no body.
+        bool writing_ = false; ///< A write for the first reply is pending.
         TimePoint idleSince_ {};
         TimePoint roomUntil_ {}; ///< When a request that waits for room is refused.
         RequestReader reader_;
+        uint64_t lastNumber_ = 0;
+        Pipeline pipeline_;
+        std::map<uint64_t, Reply> replies_; ///< Of the requests of the pipeline, by their number.
         std::string outgoingHead_;
         std::string outgoingBody_;
         std::shared_ptr<const void> outgoingHold_; ///< See Response::hold_.
-        uint64_t remainingBodyBytes_ = 0; ///< Of a begun response, those that sendPart() has not been given.
-        bool closeAfterResponse_ = false; ///< Of a begun response.
-        std::function<void()> callerGoneHandler_;
+        bool closeAfterWrite_ = false; ///< Of a complete response that is being sent.
     };
 
 } // namespace detail
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -159,6 +159,7 @@
     uint64_t upstreamsEra_ = 0; ///< Era of the store of the last answer for the upstreams.
 
     Result<void> start();
+    bool mayOverlap(const Request&) const;
     Result<void> listen(const Address&, size_t maxConnections, RequestHandler);
     void follow(const std::string& table, const std::function<void(const TableRead&, bool isFullRead)>&);
     void onStoreAnswer(const TableRead&);
@@ -209,6 +210,15 @@
     return auxiliaryListeners_.back()->start();
 }
 
+/// A request that changes something must not run beside others of its caller, who may rely on their order.
+bool Gateway::Core::mayOverlap(const Request& request) const
+{
+    if (!state_.catalog_ || (request.method_ != "GET" && request.method_ != "HEAD"))
+        return false;
+    const Route* route = state_.catalog_->findRoute(headerValue(request.headers_, "Host"), request.target_);
+    return route && route->kind_ == RequestKind::Idempotent;
+}
+
 Result<void> Gateway::Core::start()
 {
     const Settings& settings = state_.settings_;
@@ -220,6 +230,7 @@
                 [this](Request&& request, const std::shared_ptr<Exchange>& exchange) {
                     dispatcher_.handle(std::move(request), exchange);
                 },
+            .mayOverlap_ = [this](const Request& request) { return mayOverlap(request); },
             .memory_ = requestMemory_,
             .maxConnections_ = connectionLimits_.callers_ });
     BOOST_OUTCOME_TRY(callerListener_->start());
