Tell in an explanation how likely a request gives way

Cause: an explanation showed the decision for a request that does not give way, and nothing of the chance that it does. Ruled out: drawing it, as the answer would change from call to call. Change: giveWayChance in each backend, from the request path's own function.

--- a/include/turmericwing/gateway/explain.h
+++ b/include/turmericwing/gateway/explain.h
@@ -66,6 +66,9 @@
     Decision decision_ = Decision::Refused;
     std::optional<ExplainedRefusal> refusal_; ///< Set if refused.
     double expectedWait_ = 0; ///< Seconds, if it waits.
+    /// Probability that the request gives way to more urgent ones, and then goes to an idle slot only. The
+    /// decision is that of a request that does not.
+    double giveWayChance_ = 0;
     /// First those that attempts would go to, in order, then others with their obstacles.
     std::vector<ExplainedUpstream> upstreams_;
     std::map<std::string, size_t> obstacles_; ///< Number of upstreams by obstacle, of all.
--- a/src/gateway/explain.cc
+++ b/src/gateway/explain.cc
@@ -214,6 +214,8 @@
     void decide(Dispatcher::Core& core, PendingRequest& pending, ServicePool& pool, ExplainedBackend& backend,
         TimePoint now)
     {
+        backend.giveWayChance_
+            = routing::shedFraction(core.services_[pending.service_].scarcity_, core.demandClass(pending));
         const auto first = core.pickUpstream(pending, pool, false);
         if (first.pick_) {
             backend.decision_ = Decision::Sent;
@@ -304,8 +306,8 @@
         json value { { "service", backend.service_ }, { "share", backend.share_ },
             { "preferredRegion", backend.preferredRegion_ }, { "allowedRegions", backend.allowedRegions_ },
             { "onlyVersion", backend.version_.only_ }, { "exceptVersion", backend.version_.except_ },
-            { "decision", toString(backend.decision_) }, { "obstacles", backend.obstacles_ },
-            { "upstreams", json::array() } };
+            { "decision", toString(backend.decision_) }, { "giveWayChance", backend.giveWayChance_ },
+            { "obstacles", backend.obstacles_ }, { "upstreams", json::array() } };
         if (backend.decision_ == Decision::Waits)
             value["expectedWaitSeconds"] = backend.expectedWait_;
         if (backend.refusal_)
