Compare the wait in a region with the wait elsewhere

At its peak a large region passed requests on to others that were nearly as busy, where they wait as long and find their objects not cached.

Change: a region keeps its requests until the mean wait for a slot exceeds the wait at the mean utilisation of all regions by half of a round trip.

Tests: routing, gateway, adapter, adapter-words pass.

--- a/include/turmericwing/routing/regionsplit.h
+++ b/include/turmericwing/routing/regionsplit.h
@@ -19,9 +19,10 @@
     /// Utilisation, as a fraction of capacity, up to which a region keeps its own requests. Raised to the
     /// mean utilisation of all regions if that is higher.
     double targetUtilisation_ = 0.75;
-    /// Longest mean wait for a slot, as a multiple of the time for which a request holds one, at which a
-    /// region keeps its own requests. Upstreams with few slots exceed it below targetUtilisation_.
-    double maxSlotWait_ = std::numeric_limits<double>::infinity();
+    /// How much longer the mean wait for a slot may be in a region than elsewhere, as a multiple of the time
+    /// for which a request holds one, for the region to keep its own requests. Upstreams with few slots
+    /// exceed it below targetUtilisation_.
+    double maxExtraWait_ = std::numeric_limits<double>::infinity();
     double minUtilisation_ = 0.3; ///< Kept by a region however long its requests wait.
     /// Largest fraction of the traffic that changes its region per second.
     double stepPerSecond_ = 0.04;
@@ -46,9 +47,10 @@
 /// Invariant: the shares add up to 1 unless the list is empty. Ordered by name, the host's own region first.
 using RegionSplit = std::vector<RegionShare>;
 
-/// Utilisation of upstreams with that many slots, up to targetUtilisation_, at which the mean wait for a slot
-/// is maxSlotWait_ if requests arrive at random. targetUtilisation_ if the slots are unknown.
-double utilisationWithinWait(const RegionSplitOptions&, double upstreamSlots);
+/// Utilisation from minUtilisation_ to targetUtilisation_ at which the mean wait for a slot is about
+/// maxExtraWait_ longer than at the utilisation `elsewhere`, if requests arrive at random. In coarse steps,
+/// so that hosts that measure slightly different times agree. targetUtilisation_ if the slots are unknown.
+double utilisationWithinWait(const RegionSplitOptions&, double upstreamSlots, double elsewhere);
 
 /// Returns the split for callers of the region `own` at these loads; empty without any capacity.
 RegionSplit targetSplit(const RegionSplitOptions&, const std::string& own, std::vector<RegionLoad>);
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -119,10 +119,10 @@
         return regions;
     }
 
-    /// Wait for a slot of the own region, as a multiple of the time for which a request holds one, up to
-    /// which another region is no better. Half of a round trip: one more request also lengthens the wait of
-    /// others.
-    double tolerableSlotWait(const State& state, const ServicePool& pool, const ServiceDemand& demand)
+    /// How much longer a request may wait for a slot here than in another region, as a multiple of the time
+    /// for which it holds one, until that region is better. Half of a round trip: one more request also
+    /// lengthens the wait of others.
+    double tolerableExtraWait(const State& state, const ServicePool& pool, const ServiceDemand& demand)
     {
         double wait = std::numeric_limits<double>::infinity();
         for (const routing::Target& target : pool.targets_) {
@@ -242,7 +242,7 @@
         for (const auto& [name, region] : regions)
             loads.push_back(region);
         routing::RegionSplitOptions options = state.splitOptions_;
-        options.maxSlotWait_ = detail::tolerableSlotWait(state, pool, demand);
+        options.maxExtraWait_ = detail::tolerableExtraWait(state, pool, demand);
         const auto target = routing::targetSplit(options, state.settings_.region_, loads);
         if (idle) {
             demand.split_ = target;
--- a/src/routing/regionsplit.cc
+++ b/src/routing/regionsplit.cc
@@ -82,21 +82,21 @@
     /// Utilisation up to which a region takes requests.
     double bearableUtilisation(const RegionSplitOptions& options, const RegionLoad& load, double mean)
     {
-        return std::max(mean, utilisationWithinWait(options, load.upstreamSlots_));
+        return std::max(mean, utilisationWithinWait(options, load.upstreamSlots_, mean));
     }
 
 } // namespace detail
 
-double utilisationWithinWait(const RegionSplitOptions& options, double upstreamSlots)
+double utilisationWithinWait(const RegionSplitOptions& options, double upstreamSlots, double elsewhere)
 {
     constexpr double step = 0.05;
     constexpr double maxSlots = 64; ///< More slots than that wait less at any utilisation of interest.
-    if (upstreamSlots < 1)
+    if (upstreamSlots < 1 || elsewhere >= options.targetUtilisation_)
         return options.targetUtilisation_;
     const auto slots = static_cast<uint32_t>(std::min(upstreamSlots, maxSlots));
+    const double longest = options.maxExtraWait_ + detail::meanSlotWait(slots, elsewhere);
     double utilisation = options.targetUtilisation_;
-    while (utilisation > options.minUtilisation_
-        && detail::meanSlotWait(slots, utilisation) > options.maxSlotWait_)
+    while (utilisation > options.minUtilisation_ && detail::meanSlotWait(slots, utilisation) > longest)
         utilisation -= step;
     return std::max(utilisation, options.minUtilisation_);
 }
--- a/test/routing/regionsplit-test.cc
+++ b/test/routing/regionsplit-test.cc
@@ -104,7 +104,7 @@
     // three slots a request waits for most of the time that it holds one, while other regions have idle
     // slots.
     const auto kept = [](double slots, double wait) {
-        const RegionSplitOptions options { .maxSlotWait_ = wait };
+        const RegionSplitOptions options { .maxExtraWait_ = wait };
         const std::vector<RegionLoad> loads { { "a", 100, 200, slots }, { "b", 1900, 200, slots } };
         return 200 * shareOf(targetSplit(options, "a", loads), "a");
     };
@@ -115,6 +115,14 @@
     CHECK(kept(0, 0.01) == doctest::Approx(75));
 }
 
+TEST_CASE("a large region keeps its peak while the others are nearly as busy")
+{
+    // Requests that leave wait as long elsewhere, and find their objects not cached.
+    const RegionSplitOptions options { .maxExtraWait_ = 0.05 };
+    const auto split = targetSplit(options, "a", { { "a", 300, 132, 3 }, { "b", 300, 110, 3 } });
+    CHECK(shareOf(split, "a") == 1);
+}
+
 TEST_CASE("a restriction to home regions excludes the others")
 {
     const RegionSplit split { { "a", 0.5 }, { "b", 0.5 }, { "c", 0 } };
