Take a placeholder that the platform did not fill in for a missing value

Cause: the template has new fields for cores and descriptors, and a platform that does not know them leaves the placeholder. Ruled out: leaving the fields out of the template, as hosts then count as equal and do not know their bound of descriptors.

--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -15,6 +15,7 @@
     constexpr double minLinkMbps = 0.1;
     constexpr double maxLinkMbps = 1e6;
     constexpr double maxCores = 1024;
+    constexpr std::string_view placeholderStart = "{{";
     constexpr double minDescriptors = 64;
 
     /// A non-negative number and the text after it, its unit.
@@ -71,9 +72,19 @@
             addFault(file, 0, key, "is not from 0.1 to 1000000");
     }
 
-    void takeCores(IniFile& file, const std::string& key, double& value)
+    /// Takes a number of which a platform may know nothing: a placeholder of the template that was not filled
+    /// in counts as missing.
+    void takeKnownNumber(IniFile& file, const std::string& key, double& value)
     {
+        const auto field = file.values_.find(key);
+        if (field != file.values_.end() && field->second.text_.starts_with(placeholderStart))
+            file.values_.erase(field);
         takeNumber(file, key, value);
+    }
+
+    void takeCores(IniFile& file, const std::string& key, double& value)
+    {
+        takeKnownNumber(file, key, value);
         if (value > maxCores)
             addFault(file, 0, key, "is greater than 1024");
     }
@@ -81,7 +92,7 @@
     void takeDescriptors(IniFile& file, double& value)
     {
         static const std::string key = "limits.max-descriptors";
-        takeNumber(file, key, value);
+        takeKnownNumber(file, key, value);
         if (value != 0 && value < minDescriptors)
             addFault(file, 0, key, "is neither 0 nor at least 64");
     }
