Mend what two reviews of the joined code found

Cause and change, by part:

Callers' connections: a large answer that broke off beside pipelined requests reset the connection with all of theirs; an answer is now begun only when it is alone on its connection, and nothing starts behind it. Bytes kept behind a request count from their arrival. A body that waits for room keeps its place. A dropped exchange tells the other handlers. A request that waits for this host is not closed as quiet. Callers have half of the descriptors, as three quarters left 64 of 1,024 for upstreams.

Choice: the work of a route no longer contains the time that its caller did not read, nor failures. Scarcity is aged when it is read. What an upstream says of itself in the head of a streamed answer counts at once. The rate of a peer's admissions is at most its demand.

Names: the log line and gauge on memory are requests-without-memory, as a counter on upstreams' slots had the same family; cores_ is the number of cores.

Ruled out: a time limit for a caller that reads slowly, which would end honest ones on slow links; it stays open.

--- a/include/turmericwing/gateway/listener.h
+++ b/include/turmericwing/gateway/listener.h
@@ -25,8 +25,10 @@
 public:
     virtual ~Exchange() = default;
     virtual void respond(Response) = 0;
-    /// Begins a response whose body of `bodyBytes` follows in parts; the body of `head` is ignored.
-    virtual void beginResponse(Response head, uint64_t bodyBytes) = 0;
+    /// Begins a response whose body of `bodyBytes` follows in parts; the body of `head` is ignored. Returns
+    /// false, without effect, while the connection has other requests: they would end with a response that
+    /// breaks off.
+    virtual bool beginResponse(Response head, uint64_t bodyBytes) = 0;
     /// Sends the next part of a begun response. `onSent` is called when the socket has taken it and another
     /// part may follow, and not at all after the last part or once the caller has left.
     virtual void sendPart(std::string part, std::function<void()> onSent) = 0;
--- a/include/turmericwing/gateway/requestbudget.h
+++ b/include/turmericwing/gateway/requestbudget.h
@@ -59,12 +59,12 @@
 };
 
 /// Asks that an unfinished request may hold `bytes` in all. Where there is no room,
-/// - requests without progress end, the one that stopped first before others, but small ones only for small
-/// ones;
+/// - requests without progress end, the one that stopped first before others, but a small one only for
+/// another;
 /// - for a small request, the largest unfinished one ends next;
-/// - a large request waits, unless it holds the room of a large one already: it cannot wait for others that
-/// wait
-///   for it, and is refused.
+/// - a large request waits, unless it holds the room of a large one already: as others may wait for that, it
+/// is
+///   refused.
 Claim claimRoom(RequestBudget&, uint64_t request, uint64_t bytes, TimePoint now);
 
 /// Records the bytes that an unfinished request has received in all.
--- a/include/turmericwing/gateway/settings.h
+++ b/include/turmericwing/gateway/settings.h
@@ -35,7 +35,7 @@
     double maxDescriptors_ = 0; ///< That the process may open; 0 if only the system's own limit holds.
     double linkMbps_ = 1000; ///< Of the host's own link, in Mbit/s.
     double cpuShare_ = 0; ///< Share of each core that the process may use; 0 if unknown.
-    double coreSpeed_ = 1; ///< Number or relative speed of the cores.
+    double cores_ = 1; ///< Number of cores, or their speed as a multiple of a usual one.
     Bounds bounds_;
     friend bool operator==(const Settings&, const Settings&) = default;
 };
--- a/include/turmericwing/routing/scarcity.h
+++ b/include/turmericwing/routing/scarcity.h
@@ -55,6 +55,9 @@
     TimePoint agedAt_ {};
 };
 
+/// Ages the counts to now.
+void age(Scarcity&, TimePoint now);
+
 /// Counts a request when it is first dispatched.
 void recordDemand(Scarcity&, const DemandClass&, int workClass, TimePoint now);
 
--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -5,6 +5,7 @@
 #include "tcpoptions.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -42,9 +43,9 @@
     ~PipelinedExchange() override { connection_->onDropped(number_); }
 
     void respond(Response response) override { connection_->respond(number_, std::move(response)); }
-    void beginResponse(Response head, uint64_t bodyBytes) override
+    bool beginResponse(Response head, uint64_t bodyBytes) override
     {
-        connection_->beginResponse(number_, std::move(head), bodyBytes);
+        return connection_->beginResponse(number_, std::move(head), bodyBytes);
     }
     void sendPart(std::string part, std::function<void()> onSent) override
     {
@@ -90,6 +91,9 @@
 {
     if (phase_ != Phase::Open || !replies_.empty())
         return std::nullopt;
+    // A request that waits for room waits for this host, not for its caller.
+    if (reader_.state() == RequestReader::State::Waiting)
+        return std::nullopt;
     if (reader_.state() != RequestReader::State::Idle)
         return reader_.progressAt();
     return isIdle() ? std::optional(idleSince_) : std::nullopt;
@@ -112,13 +116,20 @@
 
 void Connection::onTimer()
 {
+    // The timer was set again after this expiry had been queued.
+    if (std::chrono::steady_clock::now() < timer_.expiry())
+        return;
     const auto state = reader_.state();
     if (phase_ == Phase::Lingering)
         return close();
     if (phase_ == Phase::Closed)
         return;
-    if (state == RequestReader::State::Waiting)
-        return readOn({});
+    if (state == RequestReader::State::Waiting) {
+        readOn({});
+        if (phase_ != Phase::Closed && readSize() > 0)
+            waitReadable();
+        return;
+    }
     if (state == RequestReader::State::Head || state == RequestReader::State::Body)
         return reject(408);
     if (replies_.empty())
@@ -258,7 +269,8 @@
     static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
     error_code error;
     asio::write(socket_, asio::buffer(interim), error);
-    if (error)
+    // A caller that does not read its responses sends its body after a wait of its own.
+    if (error && error != asio::error::would_block)
         onDisconnect();
 }
 
@@ -328,18 +340,23 @@
     sendNext();
 }
 
-void Connection::beginResponse(uint64_t number, Response head, uint64_t bodyBytes)
+bool Connection::beginResponse(uint64_t number, Response head, uint64_t bodyBytes)
 {
     Reply* reply = findReply(number);
-    if (!reply || reply->response_)
-        return;
+    // One that breaks off resets the connection, with all other requests on it.
+    if (!reply || reply->response_ || pipeline_.requests_.size() != 1)
+        return false;
+    pipeline_.requests_.front().mayOverlap_ = false;
     head.headers_.push_back({ "Content-Length", std::to_string(bodyBytes) });
     head.body_.clear();
-    if (reply->isHeadMethod_ || bodyBytes == 0)
-        return respond(number, std::move(head));
+    if (reply->isHeadMethod_ || bodyBytes == 0) {
+        respond(number, std::move(head));
+        return true;
+    }
     reply->response_ = std::move(head);
     reply->isBegun_ = true;
     reply->remainingBodyBytes_ = bodyBytes;
+    return true;
 }
 
 void Connection::sendPart(uint64_t number, std::string part, std::function<void()> onSent)
@@ -371,7 +388,12 @@
         return;
     if (reply->isBegun_ && reply->remainingBodyBytes_ == 0)
         return;
-    close();
+    reply->callerGoneHandler_ = nullptr;
+    // Not at once: the handlers of the other requests must not run while an exchange is being destroyed.
+    asio::post(owner_->loop_, [self = shared_from_this()] {
+        if (self->phase_ != Phase::Closed)
+            self->onDisconnect();
+    });
 }
 
 /// Sends what the request in turn has got, if nothing is being sent.
@@ -462,7 +484,7 @@
         return linger();
     startNext();
     sendNext();
-    if (replies_.empty() && reader_.state() == RequestReader::State::Idle)
+    if (phase_ == Phase::Open && replies_.empty() && reader_.state() == RequestReader::State::Idle)
         beginIdle();
     if (mayParse() && reader_.keptBytes() > 0)
         readOn({});
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -72,7 +72,7 @@
 
         // The parts of Exchange, for the request of that number.
         void respond(uint64_t number, Response);
-        void beginResponse(uint64_t number, Response head, uint64_t bodyBytes);
+        bool beginResponse(uint64_t number, Response head, uint64_t bodyBytes);
         void sendPart(uint64_t number, std::string part, std::function<void()> onSent);
         void abandonResponse(uint64_t number);
         void onCallerGone(uint64_t number, std::function<void()> handler);
--- a/src/gateway/connectionlimits.cc
+++ b/src/gateway/connectionlimits.cc
@@ -9,6 +9,8 @@
 
 namespace detail {
 
+    // Parts of the descriptors. More than a quarter is left for upstreams, the store and peers.
+    constexpr uint64_t callerDivisor = 2;
     constexpr uint64_t lookupDivisor = 8;
     constexpr uint64_t operatorDivisor = 32;
     constexpr uint64_t connectionMemory = uint64_t { 32 } << 10; ///< With the buffers of the system, bytes.
@@ -22,7 +24,7 @@
         const uint64_t connections = std::min(part, memoryBytes / detail::connectionMemory);
         return std::max(static_cast<size_t>(connections), detail::minConnections);
     };
-    return { .callers_ = share(descriptors - descriptors / 4),
+    return { .callers_ = share(descriptors / detail::callerDivisor),
         .lookups_ = share(descriptors / detail::lookupDivisor),
         .operators_ = share(descriptors / detail::operatorDivisor) };
 }
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -61,6 +61,7 @@
         std::unique_ptr<boost::asio::steady_timer> timer_;
         /// The response has begun and is sent while it arrives; the attempt is not retried any more.
         bool responseBegun_ = false;
+        std::optional<routing::LoadReport> reportedLoad_; ///< By the answer to the latest attempt.
         bool waitsForCaller_ = false; ///< The caller has not taken the latest part of the response.
         std::string lastError_; ///< Why the last attempt failed, or why none was made; empty if neither.
         std::optional<Response> upstreamFailure_; ///< Signed 5xx response, forwarded if no retry is allowed.
@@ -150,7 +151,7 @@
     void turnAway(const PendingRequestPtr&, routing::ShortOfRoom);
     void countShortOfRoom(const PendingRequest&, routing::ShortOfRoom);
     void logScarcity(const std::string& service);
-    void recordWork(const PendingRequest&, TimePoint now);
+    void recordWork(const PendingRequest&, double observedSeconds);
     void sendAttempt(const PendingRequestPtr&, ServicePool&, const routing::Pick&);
     std::string attemptHead(const PendingRequest&, const routing::Target&, TimePoint now) const;
     routing::Permission permission(const PendingRequest&, const ServiceSpec*, const routing::Target&,
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -65,6 +65,15 @@
         return routing::regionAtPosition(demand.split_, pending.allowedRegions_, point);
     }
 
+    /// Whether upstreams of the service report how long work takes there. Hosts that hear such figures at the
+    /// same time would choose the same upstream; without them, each host's own counts differ enough.
+    bool reportWork(const ServicePool& pool)
+    {
+        return std::any_of(pool.targets_.begin(), pool.targets_.end(), [](const routing::Target& target) {
+            return target.reportedLoad_.report_.workPercent_.has_value();
+        });
+    }
+
     /// Picks a backend service of the route at random by weight.
     const std::string& drawBackend(const Route& route, Random& random)
     {
@@ -282,7 +291,7 @@
         .allowNonPreferred_ = allowNonPreferred,
         .missSeconds_ = serviceTime(pending.service_, *pending.route_),
         .slotSeconds_ = state_.demand_[pending.service_].slotSeconds_,
-        .random_ = &state_.random_,
+        .random_ = detail::reportWork(pool) ? &state_.random_ : nullptr,
         .idleOnly_ = pending.givesWay_ };
     const ServiceSpec* service = pending.catalog_->findService(pending.service_);
     const auto permit = [&](const routing::Target& target) {
@@ -508,7 +517,10 @@
         if (found == pendingRequests_.end())
             continue;
         const PendingRequestPtr pending = found->second;
-        if (tryDispatchCounted(pending, true) != routing::PickFailure::None)
+        const routing::PickFailure failure = tryDispatchCounted(pending, true);
+        if (failure == routing::PickFailure::NoneUsable)
+            endUnserved(pending, noUpstreamReason(*pending));
+        else if (failure != routing::PickFailure::None)
             turnAway(pending, routing::ShortOfRoom::WaitedInVain);
     }
     const std::vector<routing::Waiter> waiters = queue.waiters_;
@@ -549,22 +561,23 @@
 void Dispatcher::Core::logScarcity(const std::string& service)
 {
     detail::ServiceState& known = services_[service];
-    const bool isScarce = routing::isScarce(known.scarcity_);
     const TimePoint now = monotonicNow();
+    routing::age(known.scarcity_, now);
+    const bool isScarce = routing::isScarce(known.scarcity_);
     const auto& classes = known.scarcity_.classes_;
-    if (classes.empty() || isScarce == known.scarcityLogged_
-        || now < known.scarcityLoggedAt_ + detail::minScarcityLogGap)
+    if (isScarce == known.scarcityLogged_ || now < known.scarcityLoggedAt_ + detail::minScarcityLogGap)
         return;
     known.scarcityLogged_ = isScarce;
     known.scarcityLoggedAt_ = now;
     const int percent = static_cast<int>(std::lround(routing::pressure(known.scarcity_) * 100));
-    const routing::DemandClass& lowest = classes.rbegin()->first;
-    const int gaveWay = static_cast<int>(std::lround(routing::shedFraction(known.scarcity_, lowest) * 100));
+    double gaveWay = 0;
+    for (const auto& [key, demand] : classes)
+        gaveWay = std::max(gaveWay, routing::shedFraction(known.scarcity_, key));
+    const std::string lowest = classes.empty() ? "" : routing::rankLabel(classes.rbegin()->first.rank_);
     host::logEvent(host::LogLevel::Info, "scarcity",
         { { "service", service }, { "state", isScarce ? "begun" : "ended" },
-            { "turned_away_percent", std::to_string(percent) },
-            { "lowest_priority", routing::rankLabel(lowest.rank_) },
-            { "gives_way_percent", std::to_string(gaveWay) } });
+            { "turned_away_percent", std::to_string(percent) }, { "lowest_priority", lowest },
+            { "gives_way_percent", std::to_string(std::lround(gaveWay * 100)) } });
 }
 
 Dispatcher::Dispatcher(boost::asio::io_context& loop, State& state, UpstreamClient& upstreamClient,
@@ -612,8 +625,11 @@
 void Dispatcher::endAll()
 {
     const auto requests = core_->pendingRequests_;
-    for (const auto& [id, pending] : requests)
-        core_->endAtStop(pending);
+    for (const auto& [id, pending] : requests) {
+        // The end of one request may end others of its connection.
+        if (core_->pendingRequests_.contains(id))
+            core_->endAtStop(pending);
+    }
 }
 
 } // namespace turmericwing::gateway
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -118,8 +118,11 @@
 {
     const TimePoint now = monotonicNow();
     const HeaderNames& names = state_.protocol_.headers_;
-    applyUpstreamNotice(*pending, response);
-    const auto load = applyLoadReport(*pending, response);
+    if (!pending->responseBegun_) {
+        applyUpstreamNotice(*pending, response);
+        pending->reportedLoad_ = applyLoadReport(*pending, response);
+    }
+    const auto load = pending->reportedLoad_;
     const UpstreamRef ref = findUpstream(state_.directory_, pending->currentUpstream_);
     // Without an id in the request, nothing shows that the statement is about this request.
     const bool notRun = !pending->requestId_.empty()
@@ -164,6 +167,7 @@
     routing::recordAnswer(target, options_.pick_, monotonicNow(), usual, pending.usualLatency_, failed);
     if (failed)
         return;
+    recordWork(pending, observedSeconds);
     double& serviceTime = services_[pending.service_].serviceTime_;
     const double sample = serviceTime * usual / std::max(pending.usualLatency_, 0.001);
     serviceTime += detail::serviceTimeWeight * (std::clamp(sample, 0.02, 5.0) - serviceTime);
@@ -400,15 +404,14 @@
     completeRequest(pending, 0, "caller-gone", pending->lastError_);
 }
 
-/// Adds the time that the last upstream took to the mean of the request's route.
-void Dispatcher::Core::recordWork(const PendingRequest& pending, TimePoint now)
+/// Adds the time that an upstream took for a successful answer to the mean of the request's route.
+void Dispatcher::Core::recordWork(const PendingRequest& pending, double observedSeconds)
 {
     auto& known = services_[pending.service_].routeWork_;
     if (!known.contains(pending.route_->name_) && known.size() >= detail::maxRoutesWithWork)
         return;
-    const double sample = seconds(now - pending.sentAt_);
-    double& mean = known.try_emplace(pending.route_->name_, sample).first->second;
-    mean += detail::routeWorkWeight * (sample - mean);
+    double& mean = known.try_emplace(pending.route_->name_, observedSeconds).first->second;
+    mean += detail::routeWorkWeight * (observedSeconds - mean);
 }
 
 /// Fields of an upstream's answer that its caller gets.
@@ -450,14 +453,18 @@
         .statesNotRun_ = !headerValue(head.headers_, names.notRun_).empty() };
     if (!mayStream(options_.stream_, known))
         return false;
-    pending.responseBegun_ = true;
-    pending.mayHaveRun_ = true;
-    pending.upstreamFailure_.reset();
     Response begun { .status_ = head.status_,
         .reason_ = head.reason_,
         .headers_ = callerHeaders(head.headers_),
         .body_ = {} };
-    pending.exchange_->beginResponse(std::move(begun), bodyBytes);
+    if (!pending.exchange_->beginResponse(std::move(begun), bodyBytes))
+        return false;
+    pending.responseBegun_ = true;
+    pending.mayHaveRun_ = true;
+    pending.upstreamFailure_.reset();
+    // The caller may take long to read the rest.
+    applyUpstreamNotice(pending, head);
+    pending.reportedLoad_ = applyLoadReport(pending, head);
     return true;
 }
 
@@ -490,7 +497,6 @@
     // The sink has got the body of a response that has begun.
     if (!pending->responseBegun_)
         pending->exchange_->respond(std::move(response));
-    recordWork(*pending, monotonicNow());
     completeRequest(pending, status, "answered", pending->lastError_);
 }
 
--- a/src/gateway/explain.cc
+++ b/src/gateway/explain.cc
@@ -214,17 +214,19 @@
     void decide(Dispatcher::Core& core, PendingRequest& pending, ServicePool& pool, ExplainedBackend& backend,
         TimePoint now)
     {
-        backend.giveWayChance_
-            = routing::shedFraction(core.services_[pending.service_].scarcity_, core.demandClass(pending));
+        routing::Scarcity scarcity = core.services_[pending.service_].scarcity_;
+        routing::age(scarcity, now);
+        backend.giveWayChance_ = routing::shedFraction(scarcity, core.demandClass(pending));
         const auto first = core.pickUpstream(pending, pool, false);
         if (first.pick_) {
             backend.decision_ = Decision::Sent;
             return;
         }
         if (first.failure_ == routing::PickFailure::NoneAvailable) {
-            const routing::Waiter waiter {
-                .rank_ = rankOf(pending), .arrivedAt_ = now, .startBy_ = core.startDeadline(pending)
-            };
+            const routing::Waiter waiter { .rank_ = rankOf(pending),
+                .arrivedAt_ = now,
+                .startBy_ = core.startDeadline(pending),
+                .workClass_ = core.workClass(pending) };
             routing::WaitQueue queue = core.services_[pending.service_].waitQueue_;
             if (routing::tryEnqueue(queue, waiter, now)) {
                 backend.decision_ = Decision::Waits;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -38,8 +38,8 @@
     constexpr Duration maxLookupLifetime = std::chrono::seconds(3);
     constexpr const char* explainTarget = "/explain"; ///< On the metrics port, with a query.
 
-    /// Fraction of the memory for answers of upstreams. They may take twice as much for a moment, and
-    /// requests and the rest of the process need the other half.
+    /// Fraction of the memory for answers of upstreams, which may take twice as much for a moment. For that
+    /// of requests see requestBudgetOptions().
     constexpr double answerMemoryFraction = 0.25;
 
     constexpr uint64_t maxAuxiliaryBodyBytes = 65536;
@@ -576,7 +576,7 @@
     metrics_.setGauge("turmericwing_request_bytes_held", "", "", static_cast<double>(requests.heldBytes_));
     metrics_.setGauge(
         "turmericwing_requests_waiting_for_room", "", "", static_cast<double>(waitingCount(requests)));
-    metrics_.setGauge("turmericwing_requests_without_room", "", "",
+    metrics_.setGauge("turmericwing_requests_without_memory", "", "",
         static_cast<double>(requests.refusedCount_ + requests.endedCount_));
     metrics_.setGauge("turmericwing_connections_closed_for_room", "", "",
         static_cast<double>(requestMemory_->connectionsClosed_));
--- a/src/gateway/quotas.cc
+++ b/src/gateway/quotas.cc
@@ -40,7 +40,7 @@
         const double gap = std::max(minReportGapSeconds, seconds(now - peerDemands.reportedAt_));
         peerDemands.serial_ = report.sequence_;
         peerDemands.reportedAt_ = now;
-        // A report names the workspaces whose count has changed.
+        // A report names the workspaces whose count has changed, and repeats some others.
         for (auto& [workspace, demand] : peerDemands.workspaces_)
             demand.admittedRate_ = 0;
         for (const Demand& demand : report.demands_) {
@@ -49,8 +49,10 @@
             const int32_t admitted
                 = added ? 0 : static_cast<int32_t>(demand.admitted_ - known->second.admitted_);
             sums[demand.workspace_].admitted_ += admitted;
-            known->second
-                = { demand.admitted_, demand.rate_, std::max(0, admitted) / gap, now + peerDemandLifetime };
+            // No more than the peer's demand: a report after lost ones covers a longer time than the gap.
+            const double admittedRate
+                = std::min(std::max(0, admitted) / gap, std::max(demand.rate_, known->second.rate_));
+            known->second = { demand.admitted_, demand.rate_, admittedRate, now + peerDemandLifetime };
         }
     }
 
--- a/src/gateway/requestbudget.cc
+++ b/src/gateway/requestbudget.cc
@@ -8,13 +8,14 @@
 
 namespace detail {
 
-    constexpr double requestMemoryFraction
-        = 0.45; ///< The answers of upstreams and the process need the rest.
-    constexpr uint64_t reserveDivisor = 12; ///< Of the limit.
-    constexpr uint64_t waitingDivisor
-        = 16; ///< Part of the limit that waiting requests may take of the system.
-    constexpr uint64_t waitingBytes = uint64_t { 64 }
-        << 10; ///< Received and not read, of each waiting request.
+    /// The answers of upstreams and the process need the rest.
+    constexpr double requestMemoryFraction = 0.45;
+    /// The reserve for small requests is this part of the limit: 1 / 12.
+    constexpr uint64_t reserveDivisor = 12;
+    /// Waiting requests may take this part of the limit of the system: 1 / 16.
+    constexpr uint64_t waitingDivisor = 16;
+    /// Received and not read, of each waiting request.
+    constexpr uint64_t waitingBytes = uint64_t { 64 } << 10;
 
     bool isSmall(const RequestBudget& budget, uint64_t bytes) { return bytes <= budget.options_.smallBytes_; }
 
--- a/src/gateway/requestreader.cc
+++ b/src/gateway/requestreader.cc
@@ -74,6 +74,8 @@
     void RequestReader::keep(std::string_view bytes)
     {
         unparsed_.append(bytes);
+        if (!keptSince_)
+            keptSince_ = monotonicNow();
         countKept(unparsed_.capacity());
     }
 
@@ -96,7 +98,7 @@
         if (state_ == State::Idle && !bytes.empty())
             begin(limits, now);
         if (state_ == State::Waiting)
-            beginBody(now);
+            resume(now);
         if (state_ == State::Head)
             consumed += parseHead(bytes, now);
         if (state_ == State::Body)
@@ -108,7 +110,9 @@
     {
         countKept(0);
         state_ = State::Head;
-        receivedAt_ = now;
+        isFromKept_ = keptSince_.has_value();
+        receivedAt_ = keptSince_.value_or(now);
+        keptSince_.reset();
         receivedBytes_ = 0;
         headCost_ = 0;
         continueDue_ = false;
@@ -140,14 +144,28 @@
     {
         receivedBytes_ = headBytes;
         headCost_ = 2 * headBytes + fieldCost * countFields(parser_->get());
-        if (!parser_->is_done()) {
-            continueDue_ = parser_->get()[http::field::expect] == "100-continue";
+        continueDue_ = !parser_->is_done() && parser_->get()[http::field::expect] == "100-continue";
+        afterHead(now);
+    }
+
+    /// Goes on after a complete head.
+    void RequestReader::afterHead(TimePoint now)
+    {
+        if (!parser_->is_done())
             return beginBody(now);
-        }
         if (claim(0, now))
             state_ = State::Complete;
     }
 
+    /// Goes on with what waits for room. A body that has begun, or an unfinished head, asks for it again with
+    /// its next bytes.
+    void RequestReader::resume(TimePoint now)
+    {
+        state_ = resumeState_;
+        if (state_ == State::Head && parser_->is_header_done())
+            afterHead(now);
+    }
+
     /// Claims the room of a body of known length before any of it is read.
     void RequestReader::beginBody(TimePoint now)
     {
@@ -205,9 +223,10 @@
             if (handler != memory_->onEnded_.end())
                 handler->second();
         }
-        if (result.room_ == Room::Waits)
+        if (result.room_ == Room::Waits) {
+            resumeState_ = state_;
             state_ = State::Waiting;
-        else if (result.room_ == Room::Refused)
+        } else if (result.room_ == Room::Refused)
             fail(503);
         return result.room_ == Room::Granted;
     }
@@ -219,6 +238,9 @@
         state_ = State::Idle;
         keepAlive_ = message.keep_alive();
         const uint64_t bytes = releaseRequest(memory_->budget_, number_);
+        // What came with a request that had waited has waited as long.
+        if (!unparsed_.empty() && isFromKept_)
+            keptSince_ = receivedAt_;
         if (!unparsed_.empty())
             keep({});
         const auto method = message.method_string();
--- a/src/gateway/requestreader.h
+++ b/src/gateway/requestreader.h
@@ -93,6 +93,8 @@
     void begin(const CallerLimits&, TimePoint now);
     size_t parseHead(std::string_view bytes, TimePoint now);
     void onHead(size_t headBytes, TimePoint now);
+    void afterHead(TimePoint now);
+    void resume(TimePoint now);
     void beginBody(TimePoint now);
     size_t parseBody(std::string_view bytes, TimePoint now);
     bool reserveBody(size_t bytes, TimePoint now);
@@ -105,6 +107,9 @@
     const std::shared_ptr<RequestMemory> memory_;
     const uint64_t number_;
     State state_ = State::Idle;
+    std::optional<TimePoint> keptSince_; ///< Arrival of the first of the bytes behind a request.
+    bool isFromKept_ = false; ///< The current request was read from such bytes.
+    State resumeState_ = State::Idle; ///< To which a request returns that waits for room.
     unsigned status_ = 0;
     bool keepAlive_ = true;
     bool continueDue_ = false;
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -167,7 +167,7 @@
     detail::takeDescriptors(file, settings.maxDescriptors_);
     detail::takeLink(file, settings.linkMbps_);
     detail::takeCores(file, "limits.cpu-share", settings.cpuShare_);
-    detail::takeCores(file, "limits.cores", settings.coreSpeed_);
+    detail::takeCores(file, "limits.cores", settings.cores_);
     settings.bounds_ = detail::takeBounds(file);
     if (!file.faults_.empty())
         return makeError(ErrorCode::Invalid, faultText(file));
--- a/src/gateway/state.cc
+++ b/src/gateway/state.cc
@@ -287,9 +287,9 @@
 
 HostCapacity hostCapacity(const Settings& settings)
 {
-    if (settings.cpuShare_ <= 0 || settings.coreSpeed_ <= 0)
+    if (settings.cpuShare_ <= 0 || settings.cores_ <= 0)
         return {};
-    return { .cores_ = settings.cpuShare_ * settings.coreSpeed_,
+    return { .cores_ = settings.cpuShare_ * settings.cores_,
         .memoryMb_ = settings.memoryMb_,
         .linkMbps_ = settings.linkMbps_ };
 }
--- a/src/gateway/statelog.cc
+++ b/src/gateway/statelog.cc
@@ -72,7 +72,7 @@
         = memory.connectionsClosed_ - std::exchange(closedConnections_, memory.connectionsClosed_);
     if (refused + ended + closed == 0)
         return;
-    logEvent(LogLevel::Warning, "requests-without-room",
+    logEvent(LogLevel::Warning, "requests-without-memory",
         { { "refused", std::to_string(refused) }, { "ended", std::to_string(ended) },
             { "closed", std::to_string(closed) }, { "held_bytes", std::to_string(budget.heldBytes_) },
             { "waiting", std::to_string(waitingCount(budget)) } });
--- a/src/routing/scarcity.cc
+++ b/src/routing/scarcity.cc
@@ -12,20 +12,6 @@
     constexpr double minRequests = 0.01; ///< Aged count below which a class is dropped.
     constexpr int maxLabel = 3; ///< Higher priorities share a label.
 
-    void age(Scarcity& scarcity, TimePoint now)
-    {
-        const double halfLives = seconds(now - scarcity.agedAt_) / seconds(scarcity.options_.halfLife_);
-        const double factor = std::exp2(-halfLives);
-        scarcity.agedAt_ = now;
-        for (auto& [key, demand] : scarcity.classes_) {
-            demand.requests_ *= factor;
-            demand.turnedAway_ *= factor;
-            demand.sent_ *= factor;
-        }
-        std::erase_if(
-            scarcity.classes_, [](const auto& entry) { return entry.second.requests_ < minRequests; });
-    }
-
     /// The aged demand of a class; nullptr if it is not counted.
     ClassDemand* findDemand(Scarcity& scarcity, const DemandClass& key, TimePoint now)
     {
@@ -61,9 +47,23 @@
 
 } // namespace detail
 
+void age(Scarcity& scarcity, TimePoint now)
+{
+    const double halfLives = seconds(now - scarcity.agedAt_) / seconds(scarcity.options_.halfLife_);
+    const double factor = std::exp2(-halfLives);
+    scarcity.agedAt_ = now;
+    for (auto& [key, demand] : scarcity.classes_) {
+        demand.requests_ *= factor;
+        demand.turnedAway_ *= factor;
+        demand.sent_ *= factor;
+    }
+    std::erase_if(
+        scarcity.classes_, [](const auto& entry) { return entry.second.requests_ < detail::minRequests; });
+}
+
 void recordDemand(Scarcity& scarcity, const DemandClass& key, int workClass, TimePoint now)
 {
-    detail::age(scarcity, now);
+    age(scarcity, now);
     if (!scarcity.classes_.contains(key) && scarcity.classes_.size() >= scarcity.options_.maxClasses_)
         return;
     ClassDemand& demand = scarcity.classes_[key];
