--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -87,7 +87,8 @@
     const int on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const sockaddr_in address = loopback(port);
-    if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 || listen(fd, backlog) != 0)
+    if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0
+        || listen(fd, backlog) != 0)
         throw std::runtime_error("cannot listen");
     return fd;
 }
@@ -184,7 +185,8 @@
                 std::string name = text.substr(0, colon);
                 for (char& c : name)
                     c = static_cast<char>(std::tolower(c));
-                message.fields_[name] = text.substr(std::min(text.find_first_not_of(' ', colon + 1), text.size()));
+                message.fields_[name]
+                    = text.substr(std::min(text.find_first_not_of(' ', colon + 1), text.size()));
             }
             line = next + 2;
         }
@@ -297,7 +299,8 @@
 
     Json rowJson(const std::pair<std::string, std::string>& name, const Row& row) const
     {
-        Json json { { "table", name.first }, { "part", "" }, { "key", name.second }, { "ver", row.version_ } };
+        Json json { { "table", name.first }, { "part", "" }, { "key", name.second },
+            { "ver", row.version_ } };
         if (row.removed_)
             json["tombstone"] = true;
         else
@@ -322,7 +325,8 @@
     {
         for (const Json& row : call.value("expected", Json::array())) {
             const auto known = rows_.find({ row.at("table"), row.at("key") });
-            const uint64_t version = known == rows_.end() || known->second.removed_ ? 0 : known->second.version_;
+            const uint64_t version
+                = known == rows_.end() || known->second.removed_ ? 0 : known->second.version_;
             if (row.at("ver").get<uint64_t>() != version)
                 return 412;
         }
@@ -380,20 +384,21 @@
     Server server_;
 };
 
-/// An upstream: answers each request after `work` seconds with its seal and a short body. Refuses what exceeds
-/// its slots and three times as many waiting ones, and says so.
+/// An upstream: answers each request after `work` seconds with its seal and a short body. Refuses what
+/// exceeds its slots and three times as many waiting ones, and says so.
 class Upstream {
 public:
-    Upstream(Store& store, std::string id, const char* zone, int slots, std::function<double(const Message&)> work)
+    Upstream(
+        Store& store, std::string id, const char* zone, int slots, std::function<double(const Message&)> work)
         : id_(std::move(id))
         , slots_(slots)
         , work_(std::move(work))
         , server_([this](int fd) { serve(fd); })
     {
         store.put("servers", id_,
-            { { "service", "s" }, { "address", "127.0.0.1:" + std::to_string(server_.port()) }, { "zone", zone },
-                { "version", "v1" }, { "slots", slots }, { "state", "ready" }, { "cold_left", "0ms" },
-                { "seq", 1 }, { "born", 1'790'000'000'000 } });
+            { { "service", "s" }, { "address", "127.0.0.1:" + std::to_string(server_.port()) },
+                { "zone", zone }, { "version", "v1" }, { "slots", slots }, { "state", "ready" },
+                { "cold_left", "0ms" }, { "seq", 1 }, { "born", 1'790'000'000'000 } });
     }
     std::atomic<int> runs_ = 0;
 
@@ -409,7 +414,8 @@
                 continue;
             }
             if (present_ >= 4 * slots_) {
-                if (!sendAll(fd, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n" + head + "Content-Length: 0\r\n\r\n"))
+                if (!sendAll(
+                        fd, "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n" + head + "Content-Length: 0\r\n\r\n"))
                     return;
                 continue;
             }
@@ -431,7 +437,8 @@
     Server server_;
 };
 
-inline Json route(const char* name, const char* prefix, const char* kind, const char* timeout, const char* slo)
+inline Json route(
+    const char* name, const char* prefix, const char* kind, const char* timeout, const char* slo)
 {
     return { { "type", "routes" }, { "metadata", { { "name", name } } },
         { "spec",
@@ -477,9 +484,10 @@
         std::ofstream(path) << "[host]\nname = edge-a-1\nregion = r\nfailure-domain = a\n[listen]\ncallers = "
                             << local(callerPort_) << "readiness = " << local(readinessPort_)
                             << "lookups = " << local(freePort()) << "peer-ports = " << peers << "," << peers
-                            << "\nmetrics-port = " << freePort() << "\n[store]\naddress = " << local(store.port())
-                            << "[limits]\nmemory-mb = " << limits.memoryMb_ << "\nlink-mbps = " << limits.linkMbps_
-                            << "\ncpu-share = " << limits.cpuShare_
+                            << "\nmetrics-port = " << freePort()
+                            << "\n[store]\naddress = " << local(store.port())
+                            << "[limits]\nmemory-mb = " << limits.memoryMb_
+                            << "\nlink-mbps = " << limits.linkMbps_ << "\ncpu-share = " << limits.cpuShare_
                             << "\ncores = 1\nmax-descriptors = " << limits.descriptors_
                             << "\n[failure-domains]\na = r\n[bounds]\nretry-ratio = 0.2\nretry-slack = 62\n"
                                "drain-time = 2500ms\nstop-time = 6s\nlookup-life = 5s\n";
@@ -506,8 +514,8 @@
         if (fd < 0)
             return false;
         Message answer;
-        const bool answered = sendAll(fd, "GET /api/readyz HTTP/1.1\r\nHost: platform\r\n\r\n")
-            && Reader(fd).read(answer, 1);
+        const bool answered
+            = sendAll(fd, "GET /api/readyz HTTP/1.1\r\nHost: platform\r\n\r\n") && Reader(fd).read(answer, 1);
         close(fd);
         return answered && answer.status() == 200;
     }
@@ -553,8 +561,8 @@
     std::atomic<pid_t> pid_ = 0; ///< 0 once the process has ended.
 };
 
-inline std::string requestHead(
-    const std::string& method, const std::string& target, const std::string& id, size_t bodyBytes, int deadlineMs)
+inline std::string requestHead(const std::string& method, const std::string& target, const std::string& id,
+    size_t bodyBytes, int deadlineMs)
 {
     std::string head = method + " " + target + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id
         + "\r\nX-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\nAuthorization: Token key-1\r\n";
@@ -565,7 +573,8 @@
 
 /// Runs a case with a temporary folder that is removed at the end. Returns the exit status: 0 if the rule
 /// held, 1 if it was broken, 2 if the case could not run.
-inline int runCase(const char* recordPath, const std::function<int(Record&, const std::string& directory, bool trouble)>& run)
+inline int runCase(const char* recordPath,
+    const std::function<int(Record&, const std::string& directory, bool trouble)>& run)
 {
     std::signal(SIGPIPE, SIG_IGN);
     char directory[] = "/tmp/review-XXXXXX";
