--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -26,6 +26,7 @@
 #include <poll.h>
 #include <stdexcept>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -571,6 +572,17 @@
     return head + "\r\n";
 }
 
+/// Lets this process, and those that it starts, have that many descriptors. Returns false if the system does
+/// not.
+inline bool allowDescriptors(rlim_t count)
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_max < count)
+        return false;
+    limit.rlim_cur = std::max(limit.rlim_cur, count);
+    return setrlimit(RLIMIT_NOFILE, &limit) == 0;
+}
+
 /// Runs a case with a temporary folder that is removed at the end. Returns the exit status: 0 if the rule
 /// held, 1 if it was broken, 2 if the case could not run.
 inline int runCase(const char* recordPath,
