--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -26,6 +26,7 @@
 #include <poll.h>
 #include <stdexcept>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -497,6 +498,7 @@
         if (pid_ < 0)
             throw std::runtime_error("cannot fork");
         if (pid_ == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // Ends with the case, also when that is killed.
             const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
             dup2(out, STDOUT_FILENO);
             dup2(out, STDERR_FILENO);
