Show what callers that do not behave do to the memory of a host

What callers saw: processes beyond the memory of their machine (heads without end, bodies of many sizes, trailers, chunk extensions, bytes behind unanswered requests, requests and answers together), 503 for single bodies inside the limits, and no answer while others do not read theirs.

--- a/test/gateway/callergone-live-test.cc
+++ b/test/gateway/callergone-live-test.cc
@@ -131,6 +131,40 @@
     CHECK(upstream.requests_ == 2);
 }
 
+TEST_CASE("a caller that leaves is noticed while the memory for requests is in use")
+{
+    // Beyond half of the memory, bytes behind an unanswered request were not read, and so not the end of the
+    // connection behind them either: the upstream worked on for a caller that had left.
+    constexpr size_t largeBytes = 50'000'000;
+    Fixture fixture;
+    auto document = nlohmann::json::parse(configuration(2));
+    for (auto& resource : document["resources"]) {
+        if (resource["type"] == "limits")
+            resource["spec"]["max_body_bytes"] = largeBytes;
+    }
+    fixture.store_.put("op", "config", document.dump());
+    Upstream upstream(fixture.store_, "u1");
+    upstream.handler_ = [&](const httplib::Request&, httplib::Response&) {
+        if (!standin::Server::waitUntil(monotonicNow() + std::chrono::seconds(2)))
+            upstream.callerDisconnected_ = true;
+    };
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    const int stalling = connectTo(fixture.settings_.callerAddress_);
+    const std::string head = "POST /write/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: s\r\nX-Deadline-Ms: "
+                             "3000\r\nAuthorization: Token key-1\r\nContent-Length: "
+        + std::to_string(largeBytes) + "\r\n\r\n";
+    REQUIRE(send(stalling, head.data(), head.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(head.size()));
+    const int leaving = connectTo(fixture.settings_.callerAddress_);
+    sendRequest(leaving, "leaves");
+    REQUIRE(eventually([&] { return upstream.requests_ == 1; }));
+    const std::string behind = "GET /read/behind";
+    REQUIRE(send(leaving, behind.data(), behind.size(), MSG_NOSIGNAL) > 0);
+    close(leaving);
+    CHECK(eventually([&] { return upstream.callerDisconnected_.load(); }));
+    close(stalling);
+}
+
 TEST_CASE("the rest of a request that is given up does not reach its upstream any more")
 {
     // The socket was closed in the ordinary way, and the system went on sending: requests that had been
--- a/test/gateway/process.h
+++ b/test/gateway/process.h
@@ -64,16 +64,10 @@
     bool hasEnded() const { return waitpid(pid_, nullptr, WNOHANG) != 0; }
 
     /// Largest resident memory so far, in KB.
-    uint64_t mostMemoryKb() const
-    {
-        std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
-        for (std::string word; status >> word;) {
-            uint64_t kb = 0;
-            if (word == "VmHWM:" && status >> kb)
-                return kb;
-        }
-        return 0;
-    }
+    uint64_t mostMemoryKb() const { return statusKb("VmHWM:"); }
+
+    /// Resident memory, in KB.
+    uint64_t memoryKb() const { return statusKb("VmRSS:"); }
 
     const uint16_t callerPort_ = freePort();
 
@@ -85,6 +79,18 @@
     }
 
 private:
+    /// Value of an entry of the process's status; 0 if it has none.
+    uint64_t statusKb(const std::string& entry) const
+    {
+        std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+        for (std::string word; status >> word;) {
+            uint64_t kb = 0;
+            if (word == entry && status >> kb)
+                return kb;
+        }
+        return 0;
+    }
+
     const uint16_t readinessPort_ = freePort();
     const std::filesystem::path settingsPath_;
     pid_t pid_ = 0;
