Let a body grow in blocks, so that it never takes its size twice

What callers saw: 503 for one chunked body of 64 MB on an idle host of 160 MB, and on 260 MB right after another body; both are inside max_body_bytes.

Cause: a body of unknown length stood in one string, which was copied as it grew, and claimed its size twice for that moment.

Change: bodies are stored in blocks of 16 KB (Body, blockpool), mapped one by one; a freed block fits any later body, and beyond 4 MB of free ones they go back to the system. Requests, answers and the parts of answers use it.

--- a/include/turmericwing/gateway/http.h
+++ b/include/turmericwing/gateway/http.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "turmericwing/base/time.h"
+#include "turmericwing/gateway/body.h"
 
 #include <cstdint>
 #include <memory>
@@ -24,20 +25,20 @@
     std::string method_;
     std::string target_;
     Headers headers_;
-    std::string body_;
+    Body body_;
     TimePoint receivedAt_ {}; ///< When the first byte of the request was read.
     /// Counts the request as held until it is destroyed; see RequestBudget. May be null.
     std::shared_ptr<const void> hold_ {};
 };
 
 /// Moves the body out of a request. The request counts as held until the body is destroyed, too.
-std::shared_ptr<const std::string> takeBody(Request&);
+std::shared_ptr<const Body> takeBody(Request&);
 
 struct Response {
     unsigned status_ = 0;
     std::string reason_; ///< Empty: reasonPhrase(status_).
     Headers headers_;
-    std::string body_;
+    Body body_;
     /// Counts an upstream's body as held until it is destroyed; see AnswerBudget. Null for other responses.
     std::shared_ptr<const void> hold_ {};
 };
--- a/include/turmericwing/gateway/listener.h
+++ b/include/turmericwing/gateway/listener.h
@@ -31,7 +31,7 @@
     virtual bool beginResponse(Response head, uint64_t bodyBytes) = 0;
     /// Sends the next part of a begun response. `onSent` is called when the socket has taken it and another
     /// part may follow, and not at all after the last part or once the caller has left.
-    virtual void sendPart(std::string part, std::function<void()> onSent) = 0;
+    virtual void sendPart(Body part, std::function<void()> onSent) = 0;
     /// Resets the connection of a begun response, so that the caller cannot take it for complete.
     virtual void abandonResponse() = 0;
     /// Sets a handler that is called at most once, if the caller disconnects before the end of the response.
--- a/include/turmericwing/gateway/upstreams.h
+++ b/include/turmericwing/gateway/upstreams.h
@@ -38,14 +38,14 @@
     std::function<bool(const Response& head, uint64_t bodyBytes)> onHead_;
     /// Gets the next part of the body. No more is read until `onTaken` is called; the part counts as held
     /// until `onTaken` is destroyed or called.
-    std::function<void(std::string part, std::function<void()> onTaken)> onPart_;
+    std::function<void(Body part, std::function<void()> onTaken)> onPart_;
 };
 
 struct UpstreamCall {
     std::string upstream_; ///< Id of the upstream; key of its idle connections.
     Address address_;
     std::string head_; ///< Request line and header fields, including the final empty line.
-    std::shared_ptr<const std::string> body_; ///< May be null.
+    std::shared_ptr<const Body> body_; ///< May be null.
     bool isHeadMethod_ = false; ///< The method is HEAD, so the answer has no body.
     /// Header field that the answer must repeat with this value; detects answers to other requests. A request
     /// with an empty value gets a connection of its own, and its answer must not have the field.
--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -2,6 +2,7 @@
 // order.
 #include "callerconnection.h"
 
+#include "parsing.h"
 #include "tcpoptions.h"
 
 #include <boost/asio/io_context.hpp>
@@ -47,7 +48,7 @@
     {
         return connection_->beginResponse(number_, std::move(head), bodyBytes);
     }
-    void sendPart(std::string part, std::function<void()> onSent) override
+    void sendPart(Body part, std::function<void()> onSent) override
     {
         connection_->sendPart(number_, std::move(part), std::move(onSent));
     }
@@ -359,12 +360,12 @@
     return true;
 }
 
-void Connection::sendPart(uint64_t number, std::string part, std::function<void()> onSent)
+void Connection::sendPart(uint64_t number, Body part, std::function<void()> onSent)
 {
     Reply* reply = findReply(number);
     if (!reply || !reply->isBegun_)
         return;
-    part.resize(std::min<uint64_t>(part.size(), reply->remainingBodyBytes_));
+    part.truncate(std::min<uint64_t>(part.size(), reply->remainingBodyBytes_));
     reply->remainingBodyBytes_ -= part.size();
     reply->part_ = std::move(part);
     reply->onSent_ = std::move(onSent);
@@ -422,7 +423,7 @@
     Response response = std::move(*reply.response_);
     closeAfterWrite_ = closesAfterFirst(pipeline_, owner_->closeAfterAnswers_);
     outgoingHead_ = responseHead(response, closeAfterWrite_);
-    outgoingBody_ = reply.isHeadMethod_ ? std::string() : std::move(response.body_);
+    outgoingBody_ = reply.isHeadMethod_ ? Body() : std::move(response.body_);
     outgoingHold_ = std::move(response.hold_);
     write();
 }
@@ -442,10 +443,8 @@
 void Connection::write()
 {
     writing_ = true;
-    const std::array<asio::const_buffer, 2> buffers { asio::buffer(outgoingHead_),
-        asio::buffer(outgoingBody_) };
-    asio::async_write(
-        socket_, buffers, [self = shared_from_this()](error_code error, size_t) { self->onWritten(error); });
+    asio::async_write(socket_, messageBuffers(outgoingHead_, &outgoingBody_),
+        [self = shared_from_this()](error_code error, size_t) { self->onWritten(error); });
 }
 
 void Connection::onWritten(error_code error)
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -56,7 +56,7 @@
         bool isAbandoned_ = false; ///< A begun response that will not be complete.
         bool closes_ = false; ///< The connection closes after a begun response; set when its head is sent.
         uint64_t remainingBodyBytes_ = 0; ///< Of a begun response, those that sendPart() has not been given.
-        std::optional<std::string> part_; ///< Not sent yet.
+        std::optional<Body> part_; ///< Not sent yet.
         std::function<void()> onSent_; ///< Of that part.
         std::function<void()> callerGoneHandler_;
     };
@@ -73,7 +73,7 @@
         // The parts of Exchange, for the request of that number.
         void respond(uint64_t number, Response);
         bool beginResponse(uint64_t number, Response head, uint64_t bodyBytes);
-        void sendPart(uint64_t number, std::string part, std::function<void()> onSent);
+        void sendPart(uint64_t number, Body part, std::function<void()> onSent);
         void abandonResponse(uint64_t number);
         void onCallerGone(uint64_t number, std::function<void()> handler);
         bool isCallerGone();
@@ -133,7 +133,7 @@
         Pipeline pipeline_;
         std::map<uint64_t, Reply> replies_; ///< Of the requests of the pipeline, by their number.
         std::string outgoingHead_;
-        std::string outgoingBody_;
+        Body outgoingBody_;
         std::shared_ptr<const void> outgoingHold_; ///< See Response::hold_.
         bool closeAfterWrite_ = false; ///< Of a complete response that is being sent.
     };
--- a/src/gateway/dispatchcore.h
+++ b/src/gateway/dispatchcore.h
@@ -56,7 +56,7 @@
         double workFactor_ = 1; ///< Of the upstream of the latest attempt, as it was known when it was sent.
         TimePoint sentAt_ {};
         bool countedInRollout_ = false; ///< Whether the attempt in flight was counted as rollout evidence.
-        std::shared_ptr<const std::string> body_;
+        std::shared_ptr<const Body> body_;
         UpstreamClient::Cancel cancel_;
         std::unique_ptr<boost::asio::steady_timer> timer_;
         /// The response has begun and is sent while it arrives; the attempt is not retried any more.
@@ -191,7 +191,7 @@
     void endAttempt(PendingRequest&);
     AnswerSink answerSink(const PendingRequestPtr&);
     bool beginForwarding(PendingRequest&, const Response& head, uint64_t bodyBytes);
-    void forwardPart(const PendingRequestPtr&, std::string part, std::function<void()> onTaken);
+    void forwardPart(const PendingRequestPtr&, Body part, std::function<void()> onTaken);
     void abandonResponse(const PendingRequestPtr&, const std::string& reason);
     Headers callerHeaders(const Headers& upstreamHeaders) const;
     void forwardResponse(const PendingRequestPtr&, Response);
--- a/src/gateway/dispatcher.cc
+++ b/src/gateway/dispatcher.cc
@@ -28,9 +28,10 @@
 
     routing::Fingerprint fingerprintOf(const PendingRequest& pending)
     {
-        const std::string& body = pending.body_ ? *pending.body_ : pending.request_.body_;
+        const Body& body = pending.body_ ? *pending.body_ : pending.request_.body_;
         return routing::fingerprint(pending.workspace_ ? pending.workspace_->name_ : std::string(),
-            pending.route_->name_, pending.request_.method_, pending.request_.target_, body, body.size());
+            pending.route_->name_, pending.request_.method_, pending.request_.target_,
+            body.prefix(routing::maxFingerprintBodyBytes), body.size());
     }
 
     std::vector<std::string> homeRegions(const PendingRequest& pending)
--- a/src/gateway/dispatchoutcome.cc
+++ b/src/gateway/dispatchoutcome.cc
@@ -435,7 +435,7 @@
                      return sent && beginForwarding(*sent, head, bodyBytes);
                  },
         .onPart_ =
-            [this, weak](std::string part, std::function<void()> onTaken) {
+            [this, weak](Body part, std::function<void()> onTaken) {
                 if (const auto sent = weak.lock())
                     forwardPart(sent, std::move(part), std::move(onTaken));
             } };
@@ -468,8 +468,7 @@
     return true;
 }
 
-void Dispatcher::Core::forwardPart(
-    const PendingRequestPtr& pending, std::string part, std::function<void()> onTaken)
+void Dispatcher::Core::forwardPart(const PendingRequestPtr& pending, Body part, std::function<void()> onTaken)
 {
     pending->waitsForCaller_ = true;
     const auto onSent = [weak = std::weak_ptr(pending), onTaken = std::move(onTaken)] {
--- a/src/gateway/http.cc
+++ b/src/gateway/http.cc
@@ -49,15 +49,15 @@
 
 } // namespace detail
 
-std::shared_ptr<const std::string> takeBody(Request& request)
+std::shared_ptr<const Body> takeBody(Request& request)
 {
     struct HeldBody {
-        std::string bytes_;
+        Body body_;
         std::shared_ptr<const void> hold_;
     };
     auto held = std::make_shared<const HeldBody>(HeldBody { std::move(request.body_), request.hold_ });
-    const std::string* bytes = &held->bytes_;
-    return { std::move(held), bytes };
+    const Body* body = &held->body_;
+    return { std::move(held), body };
 }
 
 bool equalNames(std::string_view a, std::string_view b)
--- a/src/gateway/parsing.h
+++ b/src/gateway/parsing.h
@@ -4,10 +4,14 @@
 #include "turmericwing/gateway/http.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
 
 #include <iterator>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace turmericwing::gateway::detail {
 
@@ -27,6 +31,47 @@
     bytes.erase(0, consumed);
 }
 
+/// A body type for the parsers of Boost.Beast that stores into a Body.
+struct BodyStorage {
+    using value_type = Body;
+
+    class reader {
+    public:
+        template <bool IsRequest, typename Fields>
+        reader(boost::beast::http::header<IsRequest, Fields>&, Body& body)
+            : body_(body)
+        {
+        }
+        /// Takes no memory for an announced length.
+        static void init(const boost::optional<uint64_t>&, boost::system::error_code& error) { error = {}; }
+        template <typename Buffers> size_t put(const Buffers& buffers, boost::system::error_code& error)
+        {
+            error = {};
+            size_t size = 0;
+            for (const boost::asio::const_buffer buffer : boost::beast::buffers_range(buffers)) {
+                body_.append({ static_cast<const char*>(buffer.data()), buffer.size() });
+                size += buffer.size();
+            }
+            return size;
+        }
+        static void finish(boost::system::error_code& error) { error = {}; }
+
+    private:
+        Body& body_;
+    };
+};
+
+/// Returns the buffers of a message that is written; the body may be null.
+inline std::vector<boost::asio::const_buffer> messageBuffers(const std::string& head, const Body* body)
+{
+    std::vector<boost::asio::const_buffer> buffers { boost::asio::buffer(head) };
+    if (!body)
+        return buffers;
+    for (const std::string_view part : body->parts())
+        buffers.emplace_back(part.data(), part.size());
+    return buffers;
+}
+
 /// Returns the number of header fields.
 inline size_t countFields(const boost::beast::http::fields& fields)
 {
--- a/src/gateway/requestreader.cc
+++ b/src/gateway/requestreader.cc
@@ -15,7 +15,6 @@
     constexpr uint64_t fieldCost = 160;
     /// Most bytes that the parser may leave, such as a chunk extension. Heads have a limit of their own.
     constexpr size_t maxUnparsedBytes = 65536;
-    constexpr size_t minBodyCapacity = 1024; ///< Of a body of unknown length.
     constexpr size_t maxKeptCapacity = 4096; ///< Of an empty buffer.
 
     /// Returns bytes to the budget when it is destroyed.
@@ -67,7 +66,7 @@
         if (isReading && unparsed_.size() > maxUnparsedBytes)
             fail(400);
         else if (isReading)
-            claim(parser_->get().body().capacity(), now);
+            claim(now);
         return state_;
     }
 
@@ -116,7 +115,7 @@
         receivedBytes_ = 0;
         headCost_ = 0;
         continueDue_ = false;
-        bodyLimit_ = limits.bodyBytes_;
+        bodyClaim_ = 0;
         parser_.emplace();
         parser_->header_limit(limits.headerBytes_);
         parser_->body_limit(limits.bodyBytes_);
@@ -153,7 +152,7 @@
     {
         if (!parser_->is_done())
             return beginBody(now);
-        if (claim(0, now))
+        if (claim(now))
             state_ = State::Complete;
     }
 
@@ -170,10 +169,9 @@
     void RequestReader::beginBody(TimePoint now)
     {
         const uint64_t length = parser_->content_length().value_or(0);
-        if (!claim(length, now))
+        if (!claimBody(Body::memoryBytes(length), now))
             return;
         state_ = State::Body;
-        parser_->get().body().reserve(length);
         parser_->eager(true);
     }
 
@@ -183,7 +181,9 @@
         error_code error;
         while (consumed < bytes.size() && !parser_->is_done() && !error) {
             const std::string_view rest = bytes.substr(consumed);
-            if (!reserveBody(rest.size(), now))
+            // A body of unknown length grows by no more than that.
+            if (!parser_->content_length()
+                && !claimBody(Body::memoryBytes(parser_->get().body().size() + rest.size()), now))
                 return consumed;
             consumed += parser_->put(boost::asio::buffer(rest.data(), rest.size()), error);
             if (!checkParsed(error))
@@ -196,27 +196,22 @@
         return consumed;
     }
 
-    /// Lets a body of unknown length grow by up to `bytes`.
-    bool RequestReader::reserveBody(size_t bytes, TimePoint now)
+    /// Claims memory for the body, if it has less.
+    bool RequestReader::claimBody(uint64_t bytes, TimePoint now)
     {
-        std::string& body = parser_->get().body();
-        const size_t needed = body.size() + bytes;
-        if (parser_->content_length() || needed <= body.capacity())
+        if (bytes <= bodyClaim_)
             return true;
-        const uint64_t most = std::max<uint64_t>(needed, bodyLimit_);
-        const uint64_t capacity
-            = std::min<uint64_t>(most, std::max({ needed, 2 * body.capacity(), minBodyCapacity }));
-        // While it is copied, a body takes its size twice.
-        if (!claim(std::max<uint64_t>(capacity, 2 * body.size()), now))
-            return false;
-        body.reserve(capacity);
-        return true;
+        const uint64_t before = std::exchange(bodyClaim_, bytes);
+        const bool granted = claim(now);
+        if (!granted)
+            bodyClaim_ = before;
+        return granted;
     }
 
-    /// Claims room for the request with a body of `bodyBytes`. Waits or fails if there is none.
-    bool RequestReader::claim(uint64_t bodyBytes, TimePoint now)
+    /// Claims room for the request as it is. Waits or fails if there is none.
+    bool RequestReader::claim(TimePoint now)
     {
-        const uint64_t bytes = requestCost + headCost_ + unparsed_.capacity() + bodyBytes;
+        const uint64_t bytes = requestCost + headCost_ + unparsed_.capacity() + bodyClaim_;
         const Claim result = claimRoom(memory_->budget_, number_, bytes, now);
         for (const uint64_t ended : result.ended_) {
             const auto handler = memory_->onEnded_.find(ended);
--- a/src/gateway/requestreader.h
+++ b/src/gateway/requestreader.h
@@ -7,7 +7,6 @@
 #include "turmericwing/gateway/http.h"
 #include "turmericwing/gateway/requestmemory.h"
 
-#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <optional>
@@ -16,37 +15,6 @@
 
 namespace turmericwing::gateway::detail {
 
-/// Appends the parts of a body, and takes no memory of its own accord, not even for an announced length.
-class BodyReader {
-public:
-    template <bool IsRequest, typename Fields>
-    BodyReader(boost::beast::http::header<IsRequest, Fields>&, std::string& body)
-        : body_(body)
-    {
-    }
-    static void init(const boost::optional<uint64_t>&, boost::system::error_code& error) { error = {}; }
-    template <typename Buffers> size_t put(const Buffers& buffers, boost::system::error_code& error)
-    {
-        error = {};
-        size_t size = 0;
-        for (const boost::asio::const_buffer buffer : boost::beast::buffers_range(buffers)) {
-            body_.append(static_cast<const char*>(buffer.data()), buffer.size());
-            size += buffer.size();
-        }
-        return size;
-    }
-    static void finish(boost::system::error_code& error) { error = {}; }
-
-private:
-    std::string& body_;
-};
-
-/// Body type for the parser.
-struct RequestBody {
-    using value_type = std::string;
-    using reader = BodyReader;
-};
-
 class RequestReader {
 public:
     enum class State {
@@ -87,7 +55,7 @@
     bool takeContinue();
 
 private:
-    using Parser = boost::beast::http::request_parser<RequestBody>;
+    using Parser = boost::beast::http::request_parser<BodyStorage>;
 
     size_t parse(std::string_view bytes, const CallerLimits&, TimePoint now);
     void begin(const CallerLimits&, TimePoint now);
@@ -97,8 +65,8 @@
     void resume(TimePoint now);
     void beginBody(TimePoint now);
     size_t parseBody(std::string_view bytes, TimePoint now);
-    bool reserveBody(size_t bytes, TimePoint now);
-    bool claim(uint64_t bodyBytes, TimePoint now);
+    bool claimBody(uint64_t bytes, TimePoint now);
+    bool claim(TimePoint now);
     bool checkParsed(const boost::system::error_code&);
     void fail(unsigned status);
     void releaseUnused();
@@ -113,8 +81,8 @@
     unsigned status_ = 0;
     bool keepAlive_ = true;
     bool continueDue_ = false;
-    uint64_t bodyLimit_ = 0; ///< Bytes.
     uint64_t headCost_ = 0; ///< Memory of the parsed head, bytes.
+    uint64_t bodyClaim_ = 0; ///< Memory claimed for the body, bytes.
     uint64_t receivedBytes_ = 0; ///< Of the current request.
     TimePoint receivedAt_ {};
     std::string unparsed_; ///< Bytes read and not yet parsed.
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -13,7 +13,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
 #include <array>
@@ -47,7 +46,7 @@
     /// Shared by all connections of the event loop; its content is copied before the next read.
     std::array<char, readBufferBytes> answerBuffer;
 
-    using AnswerParser = http::response_parser<http::string_body>;
+    using AnswerParser = http::response_parser<BodyStorage>;
 
     /// Returns N of "timeout=N" in a Keep-Alive field, in seconds, or nothing if there is none.
     std::optional<int> keepAliveSeconds(std::string_view field)
@@ -63,10 +62,7 @@
     }
 
     /// Whether an answer is followed by another one to the same request (RFC 9110, section 15.2).
-    bool isInterim(const http::response<http::string_body>& message)
-    {
-        return message.result_int() / 100 == 1;
-    }
+    bool isInterim(const http::response<BodyStorage>& message) { return message.result_int() / 100 == 1; }
 
     /// State of passing the request to the socket.
     enum class RequestWrite { Running, Done, Failed };
@@ -159,8 +155,8 @@
         void fail(const std::string& detail);
         void close();
         void abort();
-        bool isReusable(const http::response<http::string_body>&) const;
-        Response copyHead(const http::response<http::string_body>&) const;
+        bool isReusable(const http::response<BodyStorage>&) const;
+        Response copyHead(const http::response<BodyStorage>&) const;
 
         std::shared_ptr<UpstreamClient::State> owner_;
         const UpstreamCall call_;
@@ -238,9 +234,7 @@
     {
         mayHaveSent_ = true;
         resetParser();
-        const std::array<asio::const_buffer, 2> buffers { asio::buffer(call_.head_),
-            call_.body_ ? asio::buffer(*call_.body_) : asio::const_buffer() };
-        asio::async_write(socket_, buffers,
+        asio::async_write(socket_, messageBuffers(call_.head_, call_.body_.get()),
             [self = shared_from_this()](error_code error, size_t) { self->onWritten(error); });
         waitReadable();
     }
@@ -358,7 +352,7 @@
     /// Passes to the sink what has arrived, and ends the call after the last part.
     void Call::passPart()
     {
-        std::string part = std::exchange(parser_->get().body(), {});
+        Body part = std::exchange(parser_->get().body(), {});
         if (!parser_->is_done()) {
             partPassedAt_ = monotonicNow();
             // Nothing else keeps the call while it does not read.
@@ -456,7 +450,7 @@
         finish(SendOutcome::Answered, std::move(response), {});
     }
 
-    Response Call::copyHead(const http::response<http::string_body>& message) const
+    Response Call::copyHead(const http::response<BodyStorage>& message) const
     {
         return { message.result_int(), { message.reason().data(), message.reason().size() },
             copyHeaders(message), {} };
@@ -472,7 +466,7 @@
 
     /// Whether the connection can carry another request. Bytes after the answer, or a request body that was
     /// not sent completely, prevent that.
-    bool Call::isReusable(const http::response<http::string_body>& message) const
+    bool Call::isReusable(const http::response<BodyStorage>& message) const
     {
         return message.keep_alive() && requestWrite_ == RequestWrite::Done && unparsed_.empty()
             && !strayAnswers_ && !call_.echoValue_.empty() && refusedIds_.size() <= maxRefusedIds
--- a/test/gateway/callergone-live-test.cc
+++ b/test/gateway/callergone-live-test.cc
@@ -185,7 +185,7 @@
                                         .address_ = { "127.0.0.1", ntohs(address.sin_port) },
                                         .head_ = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: "
                                             + std::to_string(body.size()) + "\r\n\r\n",
-                                        .body_ = std::make_shared<const std::string>(body) },
+                                        .body_ = std::make_shared<const gateway::Body>(body) },
         [](const gateway::UpstreamAnswer&) {});
     loop.run_for(std::chrono::milliseconds(300));
     const int upstream = accept(listener, nullptr, nullptr);
--- a/test/gateway/relay-test.cc
+++ b/test/gateway/relay-test.cc
@@ -44,7 +44,7 @@
     Response response_;
     void respond(Response response) override { response_ = std::move(response); }
     bool beginResponse(Response, uint64_t) override { return false; }
-    void sendPart(std::string, std::function<void()>) override { }
+    void sendPart(Body, std::function<void()>) override { }
     void abandonResponse() override { }
     void onCallerGone(std::function<void()>) override { }
     bool isCallerGone() override { return false; }
