Parse the fields of a request only when all are there and have room

What callers saw: a host of 260 MB with 353 MB resident under 2,700 callers whose heads of 2,400 empty fields had no end, inside header_bytes; and 76,940 KB of 49,152 under 120 trailers of 15,000 empty fields.

Cause: fields were parsed as they came. An unfinished head was counted as the bytes that the parser had left over, which were none, though each field of four bytes took some 85. The fields of a trailer were never counted, and were passed on as if they were fields of the head.

Change: a head is kept as its bytes, which are counted, until its end has come. Its fields are counted first and claim their memory, and are then parsed straight into the request, without a second copy. The limit of heads covers the request line and the fields together.

--- a/src/gateway/requestreader.cc
+++ b/src/gateway/requestreader.cc
@@ -11,12 +11,15 @@
 namespace detail {
 
     constexpr uint64_t requestCost = 2048; ///< Of a request and its connection, besides their bytes.
-    /// Of a parsed field besides its bytes, in the parser and in the request.
+    /// Of a parsed field besides its bytes, in the request and in the head of an attempt.
     constexpr uint64_t fieldCost = 160;
     /// Most bytes that the parser may leave, such as a chunk extension. Heads have a limit of their own.
     constexpr size_t maxUnparsedBytes = 65536;
     constexpr size_t maxKeptCapacity = 4096; ///< Of an empty buffer.
 
+    constexpr std::string_view lineEnd = "\r\n";
+    constexpr std::string_view headEnd = "\r\n\r\n";
+
     /// Returns bytes to the budget when it is destroyed.
     struct HeldBytes {
         HeldBytes(std::shared_ptr<RequestMemory> memory, uint64_t bytes)
@@ -113,9 +116,12 @@
         receivedAt_ = keptSince_.value_or(now);
         keptSince_.reset();
         receivedBytes_ = 0;
+        headLimit_ = limits.headerBytes_;
+        requestLineBytes_ = 0;
+        searchedBytes_ = 0;
         headCost_ = 0;
-        continueDue_ = false;
         bodyClaim_ = 0;
+        continueDue_ = false;
         parser_.emplace();
         parser_->header_limit(limits.headerBytes_);
         parser_->body_limit(limits.bodyBytes_);
@@ -130,21 +136,73 @@
         return false;
     }
 
-    size_t RequestReader::parseHead(std::string_view bytes, TimePoint now)
+    size_t RequestReader::feed(std::string_view bytes)
     {
         error_code error;
         const size_t consumed = parser_->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
-        if (checkParsed(error) && parser_->is_header_done())
-            onHead(consumed, now);
+        checkParsed(error);
+        return consumed;
+    }
+
+    /// Parses the fields only when all of them are there and have room: once parsed, an empty field takes
+    /// many times its bytes.
+    size_t RequestReader::parseHead(std::string_view bytes, TimePoint now)
+    {
+        size_t consumed = 0;
+        if (requestLineBytes_ == 0)
+            consumed = parseRequestLine(bytes);
+        if (state_ == State::Head && requestLineBytes_ > 0)
+            consumed += parseFields(bytes.substr(consumed), now);
         return consumed;
     }
 
-    void RequestReader::onHead(size_t headBytes, TimePoint now)
+    size_t RequestReader::parseRequestLine(std::string_view bytes)
     {
-        receivedBytes_ = headBytes;
-        headCost_ = 2 * headBytes + fieldCost * countFields(parser_->get());
-        continueDue_ = !parser_->is_done() && parser_->get()[http::field::expect] == "100-continue";
+        const size_t end = bytes.find(lineEnd);
+        if (std::min(end, bytes.size()) > headLimit_) {
+            fail(431);
+            return 0;
+        }
+        if (end != std::string_view::npos)
+            return requestLineBytes_ = feed(bytes.substr(0, end + lineEnd.size()));
+        // Bytes that cannot begin a request fail at once. Once it lacks bytes, a parser waits for a whole
+        // head.
+        error_code error;
+        RequestParser().put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+        checkParsed(error);
+        return 0;
+    }
+
+    size_t RequestReader::parseFields(std::string_view bytes, TimePoint now)
+    {
+        const size_t from = searchedBytes_ - std::min(searchedBytes_, headEnd.size() - 1);
+        const size_t end = bytes.find(headEnd, from);
+        const bool hasFields = !bytes.starts_with(lineEnd);
+        const size_t fieldBytes = !hasFields ? lineEnd.size()
+            : end == std::string_view::npos  ? bytes.size()
+                                             : end + headEnd.size();
+        if (requestLineBytes_ + fieldBytes > headLimit_) {
+            fail(431);
+            return 0;
+        }
+        if (hasFields && end == std::string_view::npos) {
+            searchedBytes_ = bytes.size();
+            return 0;
+        }
+        const std::string_view fields = bytes.substr(0, fieldBytes);
+        const auto count = static_cast<size_t>(std::count(fields.begin(), fields.end(), '\n'));
+        headCost_ = 2 * (requestLineBytes_ + fieldBytes) + fieldCost * count;
+        if (!claim(now))
+            return 0;
+        parser_->request().headers_.reserve(count);
+        const size_t consumed = feed(fields);
+        if (state_ != State::Head)
+            return consumed;
+        receivedBytes_ = requestLineBytes_ + consumed;
+        continueDue_ = !parser_->is_done()
+            && equalNames(headerValue(parser_->request().headers_, "Expect"), "100-continue");
         afterHead(now);
+        return consumed;
     }
 
     /// Goes on after a complete head.
@@ -183,7 +241,7 @@
             const std::string_view rest = bytes.substr(consumed);
             // A body of unknown length grows by no more than that.
             if (!parser_->content_length()
-                && !claimBody(Body::memoryBytes(parser_->get().body().size() + rest.size()), now))
+                && !claimBody(Body::memoryBytes(parser_->request().body_.size() + rest.size()), now))
                 return consumed;
             consumed += parser_->put(boost::asio::buffer(rest.data(), rest.size()), error);
             if (!checkParsed(error))
@@ -228,20 +286,18 @@
 
     Request RequestReader::take()
     {
-        auto message = parser_->release();
+        Request request = std::move(parser_->request());
+        keepAlive_ = parser_->keep_alive();
         parser_.reset();
         state_ = State::Idle;
-        keepAlive_ = message.keep_alive();
-        const uint64_t bytes = releaseRequest(memory_->budget_, number_);
+        request.receivedAt_ = receivedAt_;
+        request.hold_ = holdBytes(memory_, releaseRequest(memory_->budget_, number_));
         // What came with a request that had waited has waited as long.
         if (!unparsed_.empty() && isFromKept_)
             keptSince_ = receivedAt_;
         if (!unparsed_.empty())
             keep({});
-        const auto method = message.method_string();
-        const auto target = message.target();
-        return { { method.data(), method.size() }, { target.data(), target.size() }, copyHeaders(message),
-            std::move(message.body()), receivedAt_, holdBytes(memory_, bytes) };
+        return request;
     }
 
     void RequestReader::fail(unsigned status)
--- a/src/gateway/requestreader.h
+++ b/src/gateway/requestreader.h
@@ -1,14 +1,12 @@
 // Reads the requests of one connection from its bytes, within the memory that the requests of a host share.
 #pragma once
 
-#include "parsing.h"
+#include "requestparser.h"
 
 #include "turmericwing/gateway/catalog.h"
 #include "turmericwing/gateway/http.h"
 #include "turmericwing/gateway/requestmemory.h"
 
-#include <boost/beast/http/parser.hpp>
-
 #include <optional>
 #include <string>
 #include <string_view>
@@ -55,12 +53,12 @@
     bool takeContinue();
 
 private:
-    using Parser = boost::beast::http::request_parser<BodyStorage>;
-
     size_t parse(std::string_view bytes, const CallerLimits&, TimePoint now);
     void begin(const CallerLimits&, TimePoint now);
     size_t parseHead(std::string_view bytes, TimePoint now);
-    void onHead(size_t headBytes, TimePoint now);
+    size_t parseRequestLine(std::string_view bytes);
+    size_t parseFields(std::string_view bytes, TimePoint now);
+    size_t feed(std::string_view bytes);
     void afterHead(TimePoint now);
     void resume(TimePoint now);
     void beginBody(TimePoint now);
@@ -81,13 +79,16 @@
     unsigned status_ = 0;
     bool keepAlive_ = true;
     bool continueDue_ = false;
+    uint32_t headLimit_ = 0; ///< Bytes.
+    uint64_t requestLineBytes_ = 0; ///< 0 until the request line has been parsed.
+    size_t searchedBytes_ = 0; ///< Unparsed bytes that do not have the end of the head.
     uint64_t headCost_ = 0; ///< Memory of the parsed head, bytes.
     uint64_t bodyClaim_ = 0; ///< Memory claimed for the body, bytes.
     uint64_t receivedBytes_ = 0; ///< Of the current request.
     TimePoint receivedAt_ {};
     std::string unparsed_; ///< Bytes read and not yet parsed.
     uint64_t keptCost_ = 0; ///< Memory held for bytes behind a request.
-    std::optional<Parser> parser_;
+    std::optional<RequestParser> parser_;
 };
 
 } // namespace turmericwing::gateway::detail
