Free the memory of texts that have been used, and keep few bytes between chunks

What callers saw: 61,532 to 73,072 KB resident on a host of 49,152 KB under 800 chunk extensions without end, though each request ended at once.

Cause: an assignment of {} empties a std::string and keeps its memory. Buffers of requests, and heads and bodies of answers, stayed with idle connections. Bytes behind a request that had failed were kept as well, and up to 64 KB of a chunk extension or trailer was.

Change: such texts are freed (freeText, Body), buffers grow in three sizes, a failed request keeps nothing, and chunk extensions and trailers have the limit of heads.

--- a/include/turmericwing/gateway/body.h
+++ b/include/turmericwing/gateway/body.h
@@ -60,6 +60,8 @@
     friend bool operator==(const Body&, const Body&);
 
 private:
+    void swap(Body&) noexcept;
+
     size_t size_ = 0;
     std::string text_;
     std::vector<Block> blocks_; ///< All but the last are full.
--- a/src/gateway/body.cc
+++ b/src/gateway/body.cc
@@ -20,21 +20,23 @@
     return *this;
 }
 
-Body::Body(Body&& other) noexcept
-    : size_(std::exchange(other.size_, 0))
-    , text_(std::exchange(other.text_, {}))
-    , blocks_(std::exchange(other.blocks_, {}))
-{
-}
+Body::Body(Body&& other) noexcept { swap(other); }
 
 Body& Body::operator=(Body&& other) noexcept
 {
-    size_ = std::exchange(other.size_, 0);
-    text_ = std::exchange(other.text_, {});
-    blocks_ = std::exchange(other.blocks_, {});
+    // The assignment of a text would keep the memory of the former one.
+    Body moved(std::move(other));
+    swap(moved);
     return *this;
 }
 
+void Body::swap(Body& other) noexcept
+{
+    std::swap(size_, other.size_);
+    text_.swap(other.text_);
+    blocks_.swap(other.blocks_);
+}
+
 void Body::append(std::string_view bytes)
 {
     if (blocks_.empty() && text_.size() < maxTextBytes) {
--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -450,8 +450,8 @@
 void Connection::onWritten(error_code error)
 {
     writing_ = false;
-    outgoingHead_ = {};
-    outgoingBody_ = {};
+    freeText(outgoingHead_);
+    outgoingBody_.clear();
     outgoingHold_ = nullptr;
     if (phase_ == Phase::Closed)
         return;
--- a/src/gateway/parsing.h
+++ b/src/gateway/parsing.h
@@ -72,6 +72,9 @@
     return buffers;
 }
 
+/// Empties a text and frees its memory, which an assignment would keep.
+inline void freeText(std::string& text) { std::string().swap(text); }
+
 /// Returns the number of header fields.
 inline size_t countFields(const boost::beast::http::fields& fields)
 {
--- a/src/gateway/requestreader.cc
+++ b/src/gateway/requestreader.cc
@@ -1,7 +1,10 @@
 // Parses requests with the parser of Boost.Beast and claims room before their bytes are kept.
 #include "requestreader.h"
 
+#include "parsing.h"
+
 #include <algorithm>
+#include <array>
 
 namespace turmericwing::gateway {
 
@@ -13,9 +16,8 @@
     constexpr uint64_t requestCost = 2048; ///< Of a request and its connection, besides their bytes.
     /// Of a parsed field besides its bytes, in the request and in the head of an attempt.
     constexpr uint64_t fieldCost = 160;
-    /// Most bytes that the parser may leave, such as a chunk extension. Heads have a limit of their own.
-    constexpr size_t maxUnparsedBytes = 65536;
     constexpr size_t maxKeptCapacity = 4096; ///< Of an empty buffer.
+    constexpr std::array<size_t, 3> usualCapacities { 1024, 4096, 16384 }; ///< Of a buffer that grows.
 
     constexpr std::string_view lineEnd = "\r\n";
     constexpr std::string_view headEnd = "\r\n\r\n";
@@ -58,24 +60,38 @@
     {
         if (unparsed_.empty()) {
             const size_t consumed = parse(bytes, limits, now);
-            unparsed_.assign(bytes.substr(consumed));
+            if (state_ != State::Failed)
+                append(bytes.substr(consumed));
         } else {
-            unparsed_.append(bytes);
+            append(bytes);
             const size_t consumed = parse(unparsed_, limits, now);
             unparsed_.erase(0, consumed);
         }
         releaseUnused();
         const bool isReading = state_ == State::Head || state_ == State::Body;
-        if (isReading && unparsed_.size() > maxUnparsedBytes)
+        // A chunk's size with its extension, or a trailer. The head has been checked.
+        if (isReading && unparsed_.size() > headLimit_)
             fail(400);
         else if (isReading)
             claim(now);
         return state_;
     }
 
-    void RequestReader::keep(std::string_view bytes)
+    /// Appends unparsed bytes. Buffers of a few sizes fit the room of those that were freed.
+    void RequestReader::append(std::string_view bytes)
     {
+        const size_t needed = unparsed_.size() + bytes.size();
+        if (needed > unparsed_.capacity()) {
+            const auto usual = std::find_if(usualCapacities.begin(), usualCapacities.end(),
+                [&](size_t capacity) { return capacity >= needed; });
+            unparsed_.reserve(usual == usualCapacities.end() ? needed : *usual);
+        }
         unparsed_.append(bytes);
+    }
+
+    void RequestReader::keep(std::string_view bytes)
+    {
+        append(bytes);
         if (!keptSince_)
             keptSince_ = monotonicNow();
         countKept(unparsed_.capacity());
@@ -312,7 +328,7 @@
         releaseRequest(memory_->budget_, number_);
         countKept(0);
         parser_.reset();
-        unparsed_ = {};
+        freeText(unparsed_);
         state_ = State::Idle;
     }
 
@@ -321,7 +337,7 @@
     void RequestReader::releaseUnused()
     {
         if (unparsed_.empty() && unparsed_.capacity() > maxKeptCapacity)
-            unparsed_ = {};
+            freeText(unparsed_);
     }
 
 } // namespace detail
--- a/src/gateway/requestreader.h
+++ b/src/gateway/requestreader.h
@@ -53,6 +53,7 @@
     bool takeContinue();
 
 private:
+    void append(std::string_view bytes);
     size_t parse(std::string_view bytes, const CallerLimits&, TimePoint now);
     void begin(const CallerLimits&, TimePoint now);
     size_t parseHead(std::string_view bytes, TimePoint now);
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -388,7 +388,7 @@
         releaseUnfinished(*owner_->answerBudget_, number_);
         owner_->receivingCalls_.erase(number_);
         parser_.reset();
-        unparsed_ = {};
+        freeText(unparsed_);
     }
 
     void Call::onReadError(error_code error)
--- a/test/gateway/body-test.cc
+++ b/test/gateway/body-test.cc
@@ -51,8 +51,11 @@
     body.append("end");
     CHECK(body.text() == bytes + "end");
     CHECK(body.prefix(3) == bytes.substr(0, 3));
-    const Body moved = std::move(body);
+    Body moved = std::move(body);
     CHECK(moved.size() == bytes.size() + 3);
+    // An assignment of a text keeps its memory.
+    moved.clear();
+    CHECK(moved.memoryBytes() < 100);
 }
 
 TEST_CASE("blocks are given back with their body")
