Bound all memory of the process together, and measure what nobody claims

Cause: requests had 0.45 of the memory and answers a quarter, by estimates of their own. Neither saw what the other held, nor what the allocator kept, and the rest lay idle in calm.

Change: one limit, 15/16 of memory-mb, for everything. Bodies and claims are counted as before; resident memory beside them is measured (/proc/self/statm) at most every 50 ms, while more than half of the limit is in use. Beyond three quarters free blocks and pages go back to the system, at most twice a second. Requests leave answers a sixteenth, answers take at most a quarter of the memory, and connections count with 16 KB each. A request that could fit only without what lasts is refused at once. New metric turmericwing_other_bytes_held.

--- a/include/turmericwing/gateway/requestbudget.h
+++ b/include/turmericwing/gateway/requestbudget.h
@@ -23,9 +23,8 @@
     friend bool operator==(const RequestBudgetOptions&, const RequestBudgetOptions&) = default;
 };
 
-/// Returns the options of a host that may use `memoryBytes` in all. A single body of the usual limit, 64 MiB,
-/// has room on the smallest hosts (160 MiB).
-RequestBudgetOptions requestBudgetOptions(uint64_t memoryBytes);
+/// Returns the options of a host whose requests, and all else that it holds, may use `limitBytes`.
+RequestBudgetOptions requestBudgetOptions(uint64_t limitBytes);
 
 /// A request that has not been read completely.
 struct UnfinishedRequest {
@@ -39,6 +38,8 @@
 
 struct RequestBudget {
     RequestBudgetOptions options_ {};
+    uint64_t takenBytes_ = 0; ///< Part of the limit that others than requests use now.
+    uint64_t lastingBytes_ = 0; ///< Part of it that they still use when their answers have been sent.
     uint64_t heldBytes_ = 0; ///< Of unfinished requests and of complete ones that have not ended.
     uint64_t largeBytes_ = 0; ///< Part of them that large requests hold.
     std::unordered_map<uint64_t, UnfinishedRequest> unfinished_ {}; ///< By the number of the request.
--- a/include/turmericwing/gateway/upstreams.h
+++ b/include/turmericwing/gateway/upstreams.h
@@ -5,6 +5,7 @@
 #include "turmericwing/base/address.h"
 #include "turmericwing/base/time.h"
 #include "turmericwing/gateway/http.h"
+#include "turmericwing/gateway/requestmemory.h"
 
 #include <functional>
 #include <memory>
@@ -28,6 +29,8 @@
     size_t maxIdlePerUpstream_ = 8;
     /// Most bytes of all answers held at one time; beyond it the call with the largest answer fails.
     uint64_t maxHeldAnswerBytes_ = uint64_t { 40 } << 20;
+    /// Shared with the listeners of the host, whose requests leave more or less to answers; may be null.
+    std::shared_ptr<RequestMemory> memory_ {};
 };
 
 /// Receives an answer while it arrives.
--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -71,9 +71,10 @@
     , reader_(owner_->options_.memory_, [this] { reject(503); })
 {
     owner_->connections_.insert(this);
+    ++owner_->options_.memory_->host_.connections_;
 }
 
-Connection::~Connection() { owner_->connections_.erase(this); }
+Connection::~Connection() { owner_->forget(this); }
 
 void Connection::start()
 {
@@ -142,7 +143,7 @@
     if (phase_ == Phase::Closed)
         return;
     phase_ = Phase::Closed;
-    owner_->connections_.erase(this);
+    owner_->forget(this);
     timer_.cancel();
     error_code ignored; // The connection is closed regardless.
     socket_.shutdown(tcp::socket::shutdown_both, ignored);
@@ -186,7 +187,7 @@
         return readBytes;
     if (replies_.empty() || state == RequestReader::State::Head)
         return smallReadBytes;
-    if (!hasRoomToReadAhead(owner_->options_.memory_->budget_, maxReadAhead))
+    if (!hasRoomToReadAhead(*owner_->options_.memory_, maxReadAhead))
         return 0;
     return maxReadAhead - std::min(maxReadAhead, reader_.keptBytes());
 }
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -40,6 +40,7 @@
     void onAccepted(boost::system::error_code, boost::asio::ip::tcp::socket);
     bool makeRoom();
     void addConnection(boost::asio::ip::tcp::socket);
+    void forget(detail::Connection*);
     void acceptQueued();
     void close();
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -38,10 +38,6 @@
     constexpr Duration maxLookupLifetime = std::chrono::seconds(3);
     constexpr const char* explainTarget = "/explain"; ///< On the metrics port, with a query.
 
-    /// Fraction of the memory for answers of upstreams, which may take twice as much for a moment. For that
-    /// of requests see requestBudgetOptions().
-    constexpr double answerMemoryFraction = 0.25;
-
     constexpr uint64_t maxAuxiliaryBodyBytes = 65536;
 
     uint64_t memoryBytes(const Settings& settings)
@@ -49,12 +45,6 @@
         return static_cast<uint64_t>(settings.memoryMb_ * 1'048'576);
     }
 
-    /// Most bytes of answers of upstreams that the host holds at one time.
-    uint64_t answerMemory(const Settings& settings)
-    {
-        return static_cast<uint64_t>(static_cast<double>(memoryBytes(settings)) * answerMemoryFraction);
-    }
-
     ConnectionLimits connectionLimits(const Settings& settings)
     {
         uint64_t descriptors = systemDescriptorLimit();
@@ -63,12 +53,6 @@
         return gateway::connectionLimits(descriptors, memoryBytes(settings));
     }
 
-    std::shared_ptr<RequestMemory> makeRequestMemory(const Settings& settings)
-    {
-        return std::make_shared<RequestMemory>(
-            RequestMemory { .budget_ = { .options_ = requestBudgetOptions(memoryBytes(settings)) } });
-    }
-
     /// Limits of the listeners that callers send no bodies to.
     CallerLimits auxiliaryLimits()
     {
@@ -113,8 +97,9 @@
         , state_(makeState(options))
         , relayOptions_(detail::relayOptions(state_.settings_))
         , connectionLimits_(detail::connectionLimits(state_.settings_))
-        , requestMemory_(detail::makeRequestMemory(state_.settings_))
-        , upstreamClient_(loop, { .maxHeldAnswerBytes_ = detail::answerMemory(state_.settings_) })
+        , requestMemory_(makeRequestMemory(detail::memoryBytes(state_.settings_)))
+        , upstreamClient_(
+              loop, { .maxHeldAnswerBytes_ = requestMemory_->answers_->limit_, .memory_ = requestMemory_ })
         , dispatcher_(loop, state_, upstreamClient_, metrics_, dispatchOptions_)
         , reporter_(loop, state_, [this](const HostReport& report) { onPeerReport(report); })
         , relayedStore_(makeRelayedStore(loop, store_, relayOptions_, [this] { return relayChoice_; }))
@@ -574,6 +559,8 @@
         "turmericwing_answer_bytes_held", "", "", static_cast<double>(upstreamClient_.heldAnswerBytes()));
     const RequestBudget& requests = requestMemory_->budget_;
     metrics_.setGauge("turmericwing_request_bytes_held", "", "", static_cast<double>(requests.heldBytes_));
+    metrics_.setGauge(
+        "turmericwing_other_bytes_held", "", "", static_cast<double>(otherBytes(requestMemory_->host_)));
     metrics_.setGauge(
         "turmericwing_requests_waiting_for_room", "", "", static_cast<double>(waitingCount(requests)));
     metrics_.setGauge("turmericwing_requests_without_memory", "", "",
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -51,10 +51,17 @@
     });
 }
 
-/// Closes the quietest connection if there are as many as allowed. Returns whether there is room for one.
+void Listener::State::forget(detail::Connection* connection)
+{
+    if (connections_.erase(connection) > 0)
+        --options_.memory_->host_.connections_;
+}
+
+/// Closes the quietest connection if there are as many as allowed, or no memory for another one. Returns
+/// whether there is room for one.
 bool Listener::State::makeRoom()
 {
-    if (connections_.size() < options_.maxConnections_)
+    if (connections_.size() < options_.maxConnections_ && claimConnection(*options_.memory_, monotonicNow()))
         return true;
     detail::Connection* quietest = nullptr;
     TimePoint quietestSince = monotonicNow() - detail::quietTime;
--- a/src/gateway/requestbudget.cc
+++ b/src/gateway/requestbudget.cc
@@ -8,10 +8,8 @@
 
 namespace detail {
 
-    /// The answers of upstreams and the process need the rest.
-    constexpr double requestMemoryFraction = 0.45;
-    /// The reserve for small requests is this part of the limit: 1 / 12.
-    constexpr uint64_t reserveDivisor = 12;
+    /// The reserve for small requests is this part of the limit: 1 / 16.
+    constexpr uint64_t reserveDivisor = 16;
     /// Waiting requests may take this part of the limit of the system: 1 / 16.
     constexpr uint64_t waitingDivisor = 16;
     /// Received and not read, of each waiting request.
@@ -41,7 +39,7 @@
     {
         const uint64_t reserved = isSmall(budget, bytes) ? 0 : budget.options_.reserve_;
         const uint64_t smallBytes = heldBytes - largeBytes;
-        const uint64_t needed = largeBytes + std::max(reserved, smallBytes) + bytes;
+        const uint64_t needed = budget.takenBytes_ + largeBytes + std::max(reserved, smallBytes) + bytes;
         return needed - std::min(needed, budget.options_.limit_);
     }
 
@@ -122,13 +120,11 @@
 
 } // namespace detail
 
-RequestBudgetOptions requestBudgetOptions(uint64_t memoryBytes)
+RequestBudgetOptions requestBudgetOptions(uint64_t limitBytes)
 {
-    const auto limit
-        = static_cast<uint64_t>(static_cast<double>(memoryBytes) * detail::requestMemoryFraction);
-    return { .limit_ = limit,
-        .reserve_ = limit / detail::reserveDivisor,
-        .maxWaiting_ = static_cast<size_t>(limit / detail::waitingDivisor / detail::waitingBytes) };
+    return { .limit_ = limitBytes,
+        .reserve_ = limitBytes / detail::reserveDivisor,
+        .maxWaiting_ = static_cast<size_t>(limitBytes / detail::waitingDivisor / detail::waitingBytes) };
 }
 
 Claim claimRoom(RequestBudget& budget, uint64_t request, uint64_t bytes, TimePoint now)
@@ -149,7 +145,7 @@
         own.progressAt_ = waited ? now : own.progressAt_;
         return claim;
     }
-    const bool everFits = bytes + budget.options_.reserve_ <= budget.options_.limit_;
+    const bool everFits = bytes + budget.options_.reserve_ + budget.lastingBytes_ <= budget.options_.limit_;
     const bool queueHasRoom = waited || waitingCount(budget) < budget.options_.maxWaiting_;
     if (mayWait && everFits && queueHasRoom) {
         own.waitsSince_ = waited ? own.waitsSince_ : now;
@@ -198,7 +194,8 @@
 
 bool hasRoomToReadAhead(const RequestBudget& budget, uint64_t bytes)
 {
-    return budget.heldBytes_ + bytes <= budget.options_.limit_ / 2;
+    return budget.takenBytes_ + budget.heldBytes_ + bytes + budget.options_.reserve_
+        <= budget.options_.limit_;
 }
 
 size_t waitingCount(const RequestBudget& budget)
--- a/src/gateway/requestreader.cc
+++ b/src/gateway/requestreader.cc
@@ -22,22 +22,6 @@
     constexpr std::string_view lineEnd = "\r\n";
     constexpr std::string_view headEnd = "\r\n\r\n";
 
-    /// Returns bytes to the budget when it is destroyed.
-    struct HeldBytes {
-        HeldBytes(std::shared_ptr<RequestMemory> memory, uint64_t bytes)
-            : memory_(std::move(memory))
-            , bytes_(bytes)
-        {
-            changeHeld(memory_->budget_, 0, bytes_);
-        }
-        ~HeldBytes() { changeHeld(memory_->budget_, bytes_, 0); }
-        HeldBytes(const HeldBytes&) = delete;
-        HeldBytes& operator=(const HeldBytes&) = delete;
-
-        const std::shared_ptr<RequestMemory> memory_;
-        const uint64_t bytes_;
-    };
-
     RequestReader::RequestReader(std::shared_ptr<RequestMemory> memory, std::function<void()> onEnded)
         : memory_(std::move(memory))
         , number_(++memory_->lastNumber_)
@@ -51,6 +35,7 @@
     RequestReader::~RequestReader()
     {
         countKept(0);
+        countBody(0);
         releaseRequest(memory_->budget_, number_);
         memory_->onEnded_.erase(number_);
     }
@@ -286,18 +271,22 @@
     bool RequestReader::claim(TimePoint now)
     {
         const uint64_t bytes = requestCost + headCost_ + unparsed_.capacity() + bodyClaim_;
-        const Claim result = claimRoom(memory_->budget_, number_, bytes, now);
-        for (const uint64_t ended : result.ended_) {
-            const auto handler = memory_->onEnded_.find(ended);
-            if (handler != memory_->onEnded_.end())
-                handler->second();
-        }
-        if (result.room_ == Room::Waits) {
+        const Room room = claimMemory(*memory_, number_, bytes, now);
+        if (room == Room::Granted)
+            countBody(bodyClaim_);
+        else if (room == Room::Refused)
+            fail(503);
+        else {
             resumeState_ = state_;
             state_ = State::Waiting;
-        } else if (result.room_ == Room::Refused)
-            fail(503);
-        return result.room_ == Room::Granted;
+        }
+        return room == Room::Granted;
+    }
+
+    void RequestReader::countBody(uint64_t bytes)
+    {
+        memory_->bodyBytes_ += bytes - countedBody_;
+        countedBody_ = bytes;
     }
 
     Request RequestReader::take()
@@ -307,7 +296,8 @@
         parser_.reset();
         state_ = State::Idle;
         request.receivedAt_ = receivedAt_;
-        request.hold_ = holdBytes(memory_, releaseRequest(memory_->budget_, number_));
+        request.hold_ = holdBytes(memory_, releaseRequest(memory_->budget_, number_), countedBody_);
+        countBody(0);
         // What came with a request that had waited has waited as long.
         if (!unparsed_.empty() && isFromKept_)
             keptSince_ = receivedAt_;
@@ -326,6 +316,7 @@
     void RequestReader::clear()
     {
         releaseRequest(memory_->budget_, number_);
+        countBody(0);
         countKept(0);
         parser_.reset();
         freeText(unparsed_);
@@ -342,9 +333,4 @@
 
 } // namespace detail
 
-std::shared_ptr<const void> holdBytes(const std::shared_ptr<RequestMemory>& memory, uint64_t bytes)
-{
-    return std::make_shared<detail::HeldBytes>(memory, bytes);
-}
-
 } // namespace turmericwing::gateway
--- a/src/gateway/requestreader.h
+++ b/src/gateway/requestreader.h
@@ -66,6 +66,7 @@
     size_t parseBody(std::string_view bytes, TimePoint now);
     bool claimBody(uint64_t bytes, TimePoint now);
     bool claim(TimePoint now);
+    void countBody(uint64_t bytes);
     bool checkParsed(const boost::system::error_code&);
     void fail(unsigned status);
     void releaseUnused();
@@ -85,6 +86,7 @@
     size_t searchedBytes_ = 0; ///< Unparsed bytes that do not have the end of the head.
     uint64_t headCost_ = 0; ///< Memory of the parsed head, bytes.
     uint64_t bodyClaim_ = 0; ///< Memory claimed for the body, bytes.
+    uint64_t countedBody_ = 0; ///< Part of RequestMemory::bodyBytes_ that is of this request.
     uint64_t receivedBytes_ = 0; ///< Of the current request.
     TimePoint receivedAt_ {};
     std::string unparsed_; ///< Bytes read and not yet parsed.
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -89,8 +89,9 @@
     State(asio::io_context& loop, UpstreamOptions options)
         : loop_(loop)
         , options_(options)
-        , answerBudget_(
-              std::make_shared<AnswerBudget>(AnswerBudget { .limit_ = options.maxHeldAnswerBytes_ }))
+        , answerBudget_(options.memory_
+                  ? options.memory_->answers_
+                  : std::make_shared<AnswerBudget>(AnswerBudget { .limit_ = options.maxHeldAnswerBytes_ }))
     {
     }
 
@@ -319,8 +320,11 @@
         const uint64_t bodyBytes = parser_->get().body().size();
         if (headBytes_ == 0 && parser_->is_header_done())
             headBytes_ = receivedBytes_ - std::min(receivedBytes_, bodyBytes + unparsed_.size());
-        holdUnfinished(*owner_->answerBudget_, number_, headBytes_ + bodyBytes + unparsed_.size());
+        holdUnfinished(*owner_->answerBudget_, number_,
+            headBytes_ + parser_->get().body().memoryBytes() + unparsed_.capacity());
         owner_->receivingCalls_.try_emplace(number_, weak_from_this());
+        if (owner_->options_.memory_)
+            updateAnswerLimit(*owner_->options_.memory_, monotonicNow());
         while (const auto largest = answerToEnd(*owner_->answerBudget_)) {
             if (const auto call = owner_->receivingCalls_[*largest].lock())
                 call->fail("answer: no memory for more of it");
@@ -358,7 +362,7 @@
             // Nothing else keeps the call while it does not read.
             return call_.sink_.onPart_(std::move(part), [self = shared_from_this()] { self->onTaken(); });
         }
-        const auto hold = holdComplete(owner_->answerBudget_, part.size());
+        const auto hold = holdComplete(owner_->answerBudget_, part.memoryBytes());
         call_.sink_.onPart_(std::move(part), [hold] {});
         if (handler_)
             onAnswer();
@@ -446,7 +450,7 @@
         }
         response.body_ = std::move(message.body());
         releaseAnswer();
-        response.hold_ = holdComplete(owner_->answerBudget_, headBytes_ + response.body_.size());
+        response.hold_ = holdComplete(owner_->answerBudget_, headBytes_ + response.body_.memoryBytes());
         finish(SendOutcome::Answered, std::move(response), {});
     }
 
--- a/test/gateway/requestbudget-test.cc
+++ b/test/gateway/requestbudget-test.cc
@@ -93,3 +93,16 @@
     RequestBudget budget { .options_ = requestBudgetOptions(uint64_t { 160 } << 20) };
     CHECK(claimRoom(budget, 1, (uint64_t { 64 } << 20) + 48 * 1024, start).room_ == Room::Granted);
 }
+
+TEST_CASE("what others hold leaves less, and a request that fits only without their answers waits")
+{
+    RequestBudget budget = smallBudget();
+    budget.takenBytes_ = 600;
+    budget.lastingBytes_ = 200;
+    CHECK(claimRoom(budget, 1, 300, start).room_ == Room::Granted);
+    CHECK(claimRoom(budget, 2, 500, start).room_ == Room::Waits);
+    CHECK(claimRoom(budget, 3, 701, start).room_ == Room::Refused);
+    releaseRequest(budget, 1);
+    budget.takenBytes_ = 400;
+    CHECK(claimRoom(budget, 2, 500, start).room_ == Room::Granted);
+}
