Bound what the system receives for a connection before it is read

What callers saw: 92,198 to 97,434 KB on a host of 49,152, of which 49 to 55 MB were received and not read, under 600 callers that send on behind a request that is not answered yet; and some 42 MB unread under 800 chunk extensions. DEPLOY.md counts such bytes as memory of the machine.

Cause: the system takes 64 KB and more for each connection, accepted or still in the listen queue, whether this process reads or not.

Change: connections of callers receive at most 16 KB unread, 64 KB while a large body arrives, those of readiness, lookups, operators and relays 4 KB. The windows of open connections count as memory of the host. The listen queue is as long as a 64th of the memory holds, 64 to 1,024 connections.

--- a/include/turmericwing/gateway/hostmemory.h
+++ b/include/turmericwing/gateway/hostmemory.h
@@ -10,8 +10,10 @@
 
 namespace turmericwing::gateway {
 
-/// Received bytes of a connection that the system holds at most while no body has claimed room for them.
-constexpr uint64_t connectionWindowBytes = uint64_t { 16 } << 10;
+/// Received bytes of a connection that the system holds at most, while this process does not read them.
+constexpr size_t callerWindowBytes = size_t { 16 } << 10;
+constexpr size_t wideWindowBytes = size_t { 64 } << 10; ///< The same while a large body arrives.
+constexpr size_t auxiliaryWindowBytes = size_t { 4 } << 10; ///< Of connections that have small requests only.
 
 struct HostMemoryOptions {
     uint64_t limit_ = 0; ///< Most bytes of the process and of its connections; 0: no bound.
@@ -24,10 +26,14 @@
 /// Returns the options of a host that may use `memoryBytes` in all.
 HostMemoryOptions hostMemoryOptions(uint64_t memoryBytes);
 
+/// Returns how many connections may wait in the queue of each listener of such a host. They hold received
+/// bytes before they are accepted.
+int listenQueueLength(uint64_t memoryBytes);
+
 struct HostMemory {
     HostMemoryOptions options_ {};
     uint64_t unclaimedBytes_ = options_.processBytes_; ///< Resident, and held by no request or answer.
-    size_t connections_ = 0; ///< Open ones of callers.
+    uint64_t windowBytes_ = 0; ///< Received bytes of all open connections together, at most.
     TimePoint measureAt_ {}; ///< When the next measurement may follow.
     TimePoint trimAt_ {}; ///< When free memory may go back to the system again.
 };
--- a/include/turmericwing/gateway/listener.h
+++ b/include/turmericwing/gateway/listener.h
@@ -54,6 +54,8 @@
     std::shared_ptr<RequestMemory> memory_ = std::make_shared<RequestMemory>();
     /// Most open connections. Beyond that, the one that is idle or makes no progress for longest closes.
     size_t maxConnections_ = std::numeric_limits<size_t>::max();
+    size_t windowBytes_ = callerWindowBytes; ///< See callerWindowBytes.
+    int queueLength_ = 1024; ///< Most connections that wait to be accepted.
 };
 
 class Listener {
--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -68,10 +68,11 @@
     : owner_(std::move(owner))
     , socket_(std::move(socket))
     , timer_(owner_->loop_)
+    , windowBytes_(owner_->options_.windowBytes_)
     , reader_(owner_->options_.memory_, [this] { reject(503); })
 {
     owner_->connections_.insert(this);
-    ++owner_->options_.memory_->host_.connections_;
+    owner_->options_.memory_->host_.windowBytes_ += windowBytes_;
 }
 
 Connection::~Connection() { owner_->forget(this); }
@@ -242,6 +243,8 @@
     case RequestReader::State::Body:
         // A body may take any time, with at most the idle timeout between two parts.
         startTimer(limits.idleTimeout_);
+        if (reader_.bodyClaim() > wideWindowBytes)
+            setWindow(std::max(wideWindowBytes, owner_->options_.windowBytes_));
         sendContinue();
         return waitReadable();
     case RequestReader::State::Waiting:
@@ -276,9 +279,20 @@
         onDisconnect();
 }
 
+/// Lets the system receive up to `bytes` before they are read.
+void Connection::setWindow(size_t bytes)
+{
+    if (bytes == windowBytes_)
+        return;
+    setReceiveWindow(socket_.native_handle(), bytes);
+    owner_->options_.memory_->host_.windowBytes_ += bytes - windowBytes_;
+    windowBytes_ = bytes;
+}
+
 void Connection::addRequest()
 {
     timer_.cancel();
+    setWindow(owner_->options_.windowBytes_);
     Request request = reader_.take();
     const uint64_t number = ++lastNumber_;
     pipeline_.requests_.push_back({ .number_ = number,
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -86,6 +86,7 @@
         /// Since when the connection has no request, or its unfinished request makes no progress. Empty while
         /// a complete request is not answered yet.
         std::optional<TimePoint> quietSince() const;
+        size_t windowBytes() const { return windowBytes_; }
         /// Closes without a notice to the handlers of requests.
         void close();
 
@@ -97,6 +98,7 @@
         };
 
         void waitReadable();
+        void setWindow(size_t bytes);
         void onReadable(boost::system::error_code);
         size_t readSize() const;
         bool mayParse() const;
@@ -129,6 +131,7 @@
         bool writing_ = false; ///< A write for the first reply is pending.
         TimePoint idleSince_ {};
         TimePoint roomUntil_ {}; ///< When a request that waits for room is refused.
+        size_t windowBytes_; ///< Received bytes that the system holds at most.
         RequestReader reader_;
         uint64_t lastNumber_ = 0;
         Pipeline pipeline_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -195,7 +195,9 @@
             .limits_ = detail::auxiliaryLimits,
             .handler_ = std::move(handler),
             .memory_ = requestMemory_,
-            .maxConnections_ = maxConnections }));
+            .maxConnections_ = maxConnections,
+            .windowBytes_ = auxiliaryWindowBytes,
+            .queueLength_ = listenQueueLength(detail::memoryBytes(state_.settings_)) }));
     return auxiliaryListeners_.back()->start();
 }
 
@@ -221,7 +223,8 @@
                 },
             .mayOverlap_ = [this](const Request& request) { return mayOverlap(request); },
             .memory_ = requestMemory_,
-            .maxConnections_ = connectionLimits_.callers_ });
+            .maxConnections_ = connectionLimits_.callers_,
+            .queueLength_ = listenQueueLength(detail::memoryBytes(settings)) });
     BOOST_OUTCOME_TRY(callerListener_->start());
     BOOST_OUTCOME_TRY(listen(settings.readinessAddress_, connectionLimits_.operators_,
         [this](Request&& request, const auto& exchange) {
--- a/src/gateway/hostmemory.cc
+++ b/src/gateway/hostmemory.cc
@@ -18,6 +18,11 @@
     /// Part of the memory above the limit: for what grows between two measurements.
     constexpr uint64_t marginDivisor = 16;
     constexpr uint64_t minMarginBytes = uint64_t { 3 } << 20;
+    /// Part of the memory that the connections in the queue of the callers' listener may hold.
+    constexpr uint64_t queueDivisor = 64;
+    constexpr uint64_t auxiliaryListeners = 4;
+    constexpr uint64_t minQueueLength = 64;
+    constexpr uint64_t maxQueueLength = 1024;
     constexpr uint64_t answerReserveDivisor = 16;
     constexpr uint64_t mostAnswersDivisor = 4;
     constexpr uint64_t processDivisor = 4; ///< The process without requests takes no more of the memory.
@@ -35,17 +40,23 @@
 HostMemoryOptions hostMemoryOptions(uint64_t memoryBytes)
 {
     const uint64_t margin = std::max(memoryBytes / detail::marginDivisor, detail::minMarginBytes);
-    return { .limit_ = memoryBytes - std::min(memoryBytes, margin),
+    const auto queued = static_cast<uint64_t>(listenQueueLength(memoryBytes));
+    const uint64_t queueBytes
+        = queued * (callerWindowBytes + detail::auxiliaryListeners * auxiliaryWindowBytes);
+    return { .limit_ = memoryBytes - std::min(memoryBytes, margin + queueBytes),
         .answerReserve_ = memoryBytes / detail::answerReserveDivisor,
         .mostAnswerBytes_ = memoryBytes / detail::mostAnswersDivisor,
         .processBytes_ = memoryBytes / detail::processDivisor };
 }
 
-uint64_t otherBytes(const HostMemory& memory)
+int listenQueueLength(uint64_t memoryBytes)
 {
-    return memory.unclaimedBytes_ + memory.connections_ * connectionWindowBytes;
+    const uint64_t length = memoryBytes / detail::queueDivisor / callerWindowBytes;
+    return static_cast<int>(std::clamp(length, detail::minQueueLength, detail::maxQueueLength));
 }
 
+uint64_t otherBytes(const HostMemory& memory) { return memory.unclaimedBytes_ + memory.windowBytes_; }
+
 uint64_t residentBytes()
 {
     // "size resident ...", in pages (proc(5)).
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -2,6 +2,7 @@
 #include "turmericwing/gateway/listener.h"
 
 #include "callerconnection.h"
+#include "tcpoptions.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -13,7 +14,6 @@
 
 namespace detail {
 
-    constexpr int listenBacklog = 1024;
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
     /// A connection may close in favour of a new one after this time without a request or without progress.
     constexpr auto quietTime = std::chrono::seconds(1);
@@ -54,7 +54,7 @@
 void Listener::State::forget(detail::Connection* connection)
 {
     if (connections_.erase(connection) > 0)
-        --options_.memory_->host_.connections_;
+        options_.memory_->host_.windowBytes_ -= connection->windowBytes();
 }
 
 /// Closes the quietest connection if there are as many as allowed, or no memory for another one. Returns
@@ -141,7 +141,8 @@
     BOOST_OUTCOME_TRY(check("reuse address"));
     state_->acceptor_.bind(endpoint, error);
     BOOST_OUTCOME_TRY(check("bind"));
-    state_->acceptor_.listen(detail::listenBacklog, error);
+    detail::setReceiveWindow(state_->acceptor_.native_handle(), state_->options_.windowBytes_);
+    state_->acceptor_.listen(state_->options_.queueLength_, error);
     BOOST_OUTCOME_TRY(check("listen"));
     state_->accept();
     return boost::outcome_v2::success();
--- a/src/gateway/requestmemory.cc
+++ b/src/gateway/requestmemory.cc
@@ -73,7 +73,7 @@
     if (memory.host_.options_.limit_ == 0)
         return true;
     const uint64_t number = ++memory.lastNumber_;
-    const Room room = claimMemory(memory, number, connectionWindowBytes, now);
+    const Room room = claimMemory(memory, number, callerWindowBytes, now);
     releaseRequest(memory.budget_, number);
     return room == Room::Granted;
 }
--- a/src/gateway/requestreader.h
+++ b/src/gateway/requestreader.h
@@ -46,6 +46,7 @@
     State state() const { return state_; }
     unsigned status() const { return status_; } ///< Of the response to a request that has failed.
     size_t keptBytes() const { return unparsed_.size(); }
+    uint64_t bodyClaim() const { return bodyClaim_; } ///< Memory for the body of the request, bytes.
     bool keepAlive() const { return keepAlive_; } ///< Whether the last request allows others after it.
     /// When the current request made its last progress; see RequestBudgetOptions::progressBytes_.
     TimePoint progressAt() const;
--- a/src/gateway/tcpoptions.cc
+++ b/src/gateway/tcpoptions.cc
@@ -30,6 +30,14 @@
     socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
 }
 
+void setReceiveWindow(int socket, size_t bytes)
+{
+    // With a buffer of this size, Linux does not raise the window by itself. The clamp is set when the
+    // connection is set up, and has to be raised as well.
+    setOption(socket, SOL_SOCKET, SO_RCVBUF, static_cast<int>(bytes));
+    setOption(socket, IPPROTO_TCP, TCP_WINDOW_CLAMP, static_cast<int>(bytes));
+}
+
 PeekResult peekSocket(boost::asio::ip::tcp::socket& socket)
 {
     char byte = 0;
--- a/src/gateway/tcpoptions.h
+++ b/src/gateway/tcpoptions.h
@@ -3,6 +3,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstddef>
+
 namespace turmericwing::gateway::detail {
 
 /// A connection fails when sent bytes are not acknowledged for this long (TCP_USER_TIMEOUT).
@@ -18,6 +20,10 @@
 /// Makes the next close() reset the connection and discard what was not sent yet.
 void resetOnClose(boost::asio::ip::tcp::socket&);
 
+/// Limits the bytes that the system receives on a connection before this process reads them. Connections that
+/// are accepted from a listening socket inherit its limit.
+void setReceiveWindow(int socket, size_t bytes);
+
 enum class PeekResult {
     Nothing, ///< The connection is open and has no bytes to read.
     Bytes, ///< There are bytes to read; the connection may have ended after them.
--- a/test/gateway/hostmemory-test.cc
+++ b/test/gateway/hostmemory-test.cc
@@ -33,7 +33,7 @@
     for (const uint64_t memoryMb : { 112, 160, 260, 512 }) {
         CAPTURE(memoryMb);
         const auto memory = makeMemory(memoryMb, 16);
-        memory->host_.connections_ = 300;
+        memory->host_.windowBytes_ = 300 * callerWindowBytes;
         for (uint64_t request = 1; request <= 300; ++request)
             CHECK(claimMemory(*memory, request, 10'000, start) == Room::Granted);
         CHECK(claimMemory(*memory, 1000, 64 * mebibyte + 48 * 1024, start) == Room::Granted);
