Notice a caller that leaves behind bytes that are not read

Cause: a connection from which nothing is read for now was not looked at again before its answer. The end of the connection stands behind the unread bytes.

Change: such connections are looked at every 250 ms, those that wait for room every 100 ms (poll with POLLRDHUP).

--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -26,6 +26,8 @@
 /// Time for a caller to read the last response and close.
 constexpr auto lingerTimeout = std::chrono::seconds(1);
 constexpr auto roomRetryInterval = std::chrono::milliseconds(100);
+/// Between two looks at a connection from which nothing is read for now.
+constexpr auto pauseCheckInterval = std::chrono::milliseconds(250);
 /// Longest wait of a request for room; beyond it, another host is the better choice.
 constexpr auto roomTimeout = std::chrono::seconds(5);
 constexpr const char* refusedRetryAfter = "1"; ///< Seconds.
@@ -127,18 +129,22 @@
         return close();
     if (phase_ == Phase::Closed)
         return;
+    if (isPaused() && hasPeerClosed(socket_.native_handle()))
+        return onDisconnect();
     if (state == RequestReader::State::Waiting) {
         readOn({});
-        if (phase_ != Phase::Closed && readSize() > 0)
-            waitReadable();
-        return;
+        return readOrPause();
     }
     if (state == RequestReader::State::Head || state == RequestReader::State::Body)
         return reject(408);
     if (replies_.empty())
-        close();
+        return close();
+    readOrPause();
 }
 
+/// Whether bytes that have been received are not read for now, with those that tell of the connection's end.
+bool Connection::isPaused() const { return phase_ == Phase::Open && readSize() == 0; }
+
 void Connection::close()
 {
     if (phase_ == Phase::Closed)
@@ -198,7 +204,7 @@
     const size_t most = readSize();
     // A caller that pauses is still noticed when it leaves, if it has sent nothing since.
     if (!error && most == 0 && peekSocket(socket_) != PeekResult::Ended)
-        return;
+        return readOrPause();
     size_t size = 0;
     if (!error)
         size = socket_.read_some(asio::buffer(readBuffer.data(), std::max<size_t>(most, 1)), error);
@@ -211,8 +217,19 @@
         readOn(bytes);
     else if (phase_ != Phase::Lingering)
         reader_.keep(bytes);
-    if (phase_ != Phase::Closed && readSize() > 0)
-        waitReadable();
+    readOrPause();
+}
+
+/// Reads on. While nothing may be read, looks from time to time whether the caller has left.
+void Connection::readOrPause()
+{
+    if (phase_ == Phase::Closed)
+        return;
+    if (readSize() > 0)
+        return waitReadable();
+    // One that waits for room has a timer already.
+    if (reader_.state() != RequestReader::State::Waiting)
+        startTimer(pauseCheckInterval);
 }
 
 /// Parses what was read, and starts the requests that are complete.
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -101,7 +101,9 @@
         void setWindow(size_t bytes);
         void onReadable(boost::system::error_code);
         size_t readSize() const;
+        void readOrPause();
         bool mayParse() const;
+        bool isPaused() const;
         void readOn(std::string_view bytes);
         void onReadState(RequestReader::State before, const CallerLimits&);
         void awaitRoom(RequestReader::State before);
--- a/src/gateway/tcpoptions.cc
+++ b/src/gateway/tcpoptions.cc
@@ -3,6 +3,7 @@
 
 #include <cerrno>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace turmericwing::gateway::detail {
@@ -38,6 +39,12 @@
     setOption(socket, IPPROTO_TCP, TCP_WINDOW_CLAMP, static_cast<int>(bytes));
 }
 
+bool hasPeerClosed(int socket)
+{
+    pollfd state { socket, POLLRDHUP, 0 };
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 PeekResult peekSocket(boost::asio::ip::tcp::socket& socket)
 {
     char byte = 0;
--- a/src/gateway/tcpoptions.h
+++ b/src/gateway/tcpoptions.h
@@ -24,6 +24,9 @@
 /// are accepted from a listening socket inherit its limit.
 void setReceiveWindow(int socket, size_t bytes);
 
+/// Whether the other side has closed or reset the connection, also while there are bytes to read before that.
+bool hasPeerClosed(int socket);
+
 enum class PeekResult {
     Nothing, ///< The connection is open and has no bytes to read.
     Bytes, ///< There are bytes to read; the connection may have ended after them.
--- a/test/gateway/callergone-live-test.cc
+++ b/test/gateway/callergone-live-test.cc
@@ -165,6 +165,31 @@
     close(stalling);
 }
 
+TEST_CASE("a caller that leaves is noticed behind bytes that are not read")
+{
+    // Behind an unanswered request only 16 KB are read; the end of the connection came after the rest.
+    Fixture fixture;
+    Upstream upstream(fixture.store_, "u1");
+    upstream.handler_ = [&](const httplib::Request&, httplib::Response&) {
+        if (!standin::Server::waitUntil(monotonicNow() + std::chrono::seconds(2)))
+            upstream.callerDisconnected_ = true;
+    };
+    fixture.start();
+    REQUIRE(eventually([&] { return fixture.isReady(); }));
+    const int leaving = connectTo(fixture.settings_.callerAddress_);
+    // Nothing is parsed behind a request that has to run alone.
+    std::string request = requestBytes("leaves");
+    request.replace(0, sizeof("GET /read") - 1, "POST /write");
+    REQUIRE(send(leaving, request.data(), request.size(), MSG_NOSIGNAL) > 0);
+    REQUIRE(eventually([&] { return upstream.requests_ == 1; }));
+    const std::string behind(20'000, 'x');
+    REQUIRE(send(leaving, behind.data(), behind.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(behind.size()));
+    // Not a reset, which would show at once.
+    shutdown(leaving, SHUT_WR);
+    CHECK(eventually([&] { return upstream.callerDisconnected_.load(); }));
+    close(leaving);
+}
+
 TEST_CASE("the rest of a request that is given up does not reach its upstream any more")
 {
     // The socket was closed in the ordinary way, and the system went on sending: requests that had been
