End answers that their callers do not read, where there is no room for others

What callers saw: no answer to a request with a large answer, for as long as others stayed that do not read theirs.

Cause: a complete answer held its memory until its caller read it or closed. Only unfinished answers could end, so those of the callers that read.

Change: a connection records when the system last took bytes of its answer. Where answers or requests have no room, answers end whose callers have taken nothing for a second, the longest first; in any case after the idle timeout. They end with a reset, which promises nothing. The system keeps at most 32 KB unsent for a connection (TCP_NOTSENT_LOWAT), so that what is not read shows and counts. requests-without-memory has a new field, unread.

--- a/src/gateway/answerbudget.cc
+++ b/src/gateway/answerbudget.cc
@@ -50,6 +50,34 @@
         ->first;
 }
 
+void beginSending(AnswerBudget& budget, uint64_t connection, TimePoint now)
+{
+    budget.sending_[connection] = { .progressAt_ = now };
+}
+
+void recordSent(AnswerBudget& budget, uint64_t connection, uint64_t sentBytes, TimePoint now)
+{
+    const auto known = budget.sending_.find(connection);
+    if (known != budget.sending_.end() && sentBytes > known->second.sentBytes_)
+        known->second = { .sentBytes_ = sentBytes, .progressAt_ = now };
+}
+
+void endSending(AnswerBudget& budget, uint64_t connection) { budget.sending_.erase(connection); }
+
+std::optional<uint64_t> unreadAnswer(
+    const AnswerBudget& budget, TimePoint since, std::optional<uint64_t> except)
+{
+    std::optional<uint64_t> unread;
+    TimePoint unreadSince = since;
+    for (const auto& [connection, answer] : budget.sending_) {
+        if (connection == except || answer.progressAt_ > unreadSince)
+            continue;
+        unread = connection;
+        unreadSince = answer.progressAt_;
+    }
+    return unread;
+}
+
 std::shared_ptr<const void> holdComplete(const std::shared_ptr<AnswerBudget>& budget, uint64_t bytes)
 {
     return std::make_shared<detail::CompleteAnswer>(budget, bytes);
--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -20,6 +20,7 @@
 constexpr size_t readBytes = 65536;
 /// Read at a time outside bodies, which have claimed their room.
 constexpr size_t smallReadBytes = 16384;
+constexpr size_t maxWriteBytes = 65536; ///< Passed to the system at a time.
 constexpr size_t maxReadAhead = 16384; ///< Bytes behind an unanswered request above which reading pauses.
 /// Time for the request of a caller that was accepted as the listener stopped.
 constexpr auto lastRequestTimeout = std::chrono::milliseconds(200);
@@ -74,10 +75,15 @@
     , reader_(owner_->options_.memory_, [this] { reject(503); })
 {
     owner_->connections_.insert(this);
+    owner_->options_.memory_->onUnread_.emplace(reader_.number(), [this] { endUnread(); });
     owner_->options_.memory_->host_.windowBytes_ += windowBytes_;
 }
 
-Connection::~Connection() { owner_->forget(this); }
+Connection::~Connection()
+{
+    owner_->forget(this);
+    owner_->options_.memory_->onUnread_.erase(reader_.number());
+}
 
 void Connection::start()
 {
@@ -475,16 +481,43 @@
 void Connection::write()
 {
     writing_ = true;
-    asio::async_write(socket_, messageBuffers(outgoingHead_, &outgoingBody_),
+    AnswerBudget& answers = *owner_->options_.memory_->answers_;
+    beginSending(answers, reader_.number(), monotonicNow());
+    // Called after each write of a part, before the next.
+    const auto onProgress
+        = [&answers, number = reader_.number()](error_code error, size_t sentBytes) -> size_t {
+        recordSent(answers, number, sentBytes, monotonicNow());
+        return error ? 0 : maxWriteBytes;
+    };
+    asio::async_write(socket_, messageBuffers(outgoingHead_, &outgoingBody_), onProgress,
         [self = shared_from_this()](error_code error, size_t) { self->onWritten(error); });
 }
 
-void Connection::onWritten(error_code error)
+/// Ends an answer that the caller does not read, in favour of others.
+void Connection::endUnread()
 {
-    writing_ = false;
+    if (phase_ == Phase::Closed)
+        return;
+    resetOnClose(socket_);
+    error_code ignored; // A shutdown first would end the connection in order.
+    socket_.close(ignored);
+    onDisconnect();
+    // A write that has been cancelled does not use its buffers any more.
+    freeOutgoing();
+}
+
+void Connection::freeOutgoing()
+{
+    endSending(*owner_->options_.memory_->answers_, reader_.number());
     freeText(outgoingHead_);
     outgoingBody_.clear();
     outgoingHold_ = nullptr;
+}
+
+void Connection::onWritten(error_code error)
+{
+    writing_ = false;
+    freeOutgoing();
     if (phase_ == Phase::Closed)
         return;
     if (error)
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -117,6 +117,8 @@
         void sendResponse(Reply&);
         void sendBegun(Reply&);
         void write();
+        void endUnread();
+        void freeOutgoing();
         void onWritten(boost::system::error_code);
         void onPartWritten(Reply&);
         void finishReply(bool close);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -148,6 +148,7 @@
 
     Result<void> start();
     bool mayOverlap(const Request&) const;
+    CallerLimits callerLimits() const;
     Result<void> listen(const Address&, size_t maxConnections, RequestHandler);
     void follow(const std::string& table, const std::function<void(const TableRead&, bool isFullRead)>&);
     void onStoreAnswer(const TableRead&);
@@ -210,13 +211,17 @@
     return route && route->kind_ == RequestKind::Idempotent;
 }
 
+CallerLimits Gateway::Core::callerLimits() const
+{
+    return state_.catalog_ ? state_.catalog_->configuration().limits_ : CallerLimits();
+}
+
 Result<void> Gateway::Core::start()
 {
     const Settings& settings = state_.settings_;
     callerListener_ = std::make_unique<Listener>(loop_,
         ListenerOptions { .address_ = settings.callerAddress_,
-            .limits_
-            = [this] { return state_.catalog_ ? state_.catalog_->configuration().limits_ : CallerLimits(); },
+            .limits_ = [this] { return callerLimits(); },
             .handler_ =
                 [this](Request&& request, const std::shared_ptr<Exchange>& exchange) {
                     dispatcher_.handle(std::move(request), exchange);
@@ -545,6 +550,7 @@
 {
     const TimePoint now = monotonicNow();
     stateLog_.logChanges(state_, now);
+    endUnreadAnswers(*requestMemory_, now - callerLimits().idleTimeout_);
     stateLog_.logRequests(*requestMemory_);
     upstreamClient_.closeExpired();
     hostRegistry_.removeExpiredPeers(now);
--- a/src/gateway/listener.cc
+++ b/src/gateway/listener.cc
@@ -14,6 +14,9 @@
 
 namespace detail {
 
+    /// Of a connection, in the system. What a caller does not read then stands in this process, where it
+    /// counts, and a write shows soon whether the caller reads on.
+    constexpr size_t maxUnsentBytes = size_t { 32 } << 10;
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
     /// A connection may close in favour of a new one after this time without a request or without progress.
     constexpr auto quietTime = std::chrono::seconds(1);
@@ -142,6 +145,7 @@
     state_->acceptor_.bind(endpoint, error);
     BOOST_OUTCOME_TRY(check("bind"));
     detail::setReceiveWindow(state_->acceptor_.native_handle(), state_->options_.windowBytes_);
+    detail::setUnsentLimit(state_->acceptor_.native_handle(), detail::maxUnsentBytes);
     state_->acceptor_.listen(state_->options_.queueLength_, error);
     BOOST_OUTCOME_TRY(check("listen"));
     state_->accept();
--- a/src/gateway/requestmemory.cc
+++ b/src/gateway/requestmemory.cc
@@ -45,6 +45,35 @@
         budget.lastingBytes_ = others + options.answerReserve_;
     }
 
+    /// Time without progress after which an answer may end in favour of others.
+    constexpr Duration unreadTime = std::chrono::seconds(1);
+
+    /// Ends the answer that has waited longest for its caller. Returns whether there was one.
+    bool endUnreadAnswer(RequestMemory& memory, TimePoint since, std::optional<uint64_t> except = {})
+    {
+        const auto unread = unreadAnswer(*memory.answers_, since, except);
+        if (!unread)
+            return false;
+        endSending(*memory.answers_, *unread);
+        ++memory.unreadCount_;
+        const auto handler = memory.onUnread_.find(*unread);
+        if (handler != memory.onUnread_.end())
+            handler->second();
+        return true;
+    }
+
+    Room claimOnce(RequestMemory& memory, uint64_t request, uint64_t bytes, TimePoint now)
+    {
+        updateTaken(memory, bytes, now);
+        const Claim claim = claimRoom(memory.budget_, request, bytes, now);
+        for (const uint64_t ended : claim.ended_) {
+            const auto handler = memory.onEnded_.find(ended);
+            if (handler != memory.onEnded_.end())
+                handler->second();
+        }
+        return claim.room_;
+    }
+
 } // namespace detail
 
 std::shared_ptr<RequestMemory> makeRequestMemory(uint64_t memoryBytes)
@@ -58,14 +87,11 @@
 
 Room claimMemory(RequestMemory& memory, uint64_t request, uint64_t bytes, TimePoint now)
 {
-    detail::updateTaken(memory, bytes, now);
-    const Claim claim = claimRoom(memory.budget_, request, bytes, now);
-    for (const uint64_t ended : claim.ended_) {
-        const auto handler = memory.onEnded_.find(ended);
-        if (handler != memory.onEnded_.end())
-            handler->second();
-    }
-    return claim.room_;
+    Room room = detail::claimOnce(memory, request, bytes, now);
+    while (room != Room::Granted && memory.answers_->heldBytes_ > memory.host_.options_.answerReserve_
+        && detail::endUnreadAnswer(memory, now - detail::unreadTime, request))
+        room = detail::claimOnce(memory, request, bytes, now);
+    return room;
 }
 
 bool claimConnection(RequestMemory& memory, TimePoint now)
@@ -95,6 +121,13 @@
     const uint64_t others = otherBytes(memory.host_) + requests;
     const uint64_t left = options.limit_ - std::min(options.limit_, others);
     memory.answers_->limit_ = std::clamp(left, options.answerReserve_, options.mostAnswerBytes_);
+    while (memory.answers_->heldBytes_ > memory.answers_->limit_
+        && detail::endUnreadAnswer(memory, now - detail::unreadTime)) { }
+}
+
+void endUnreadAnswers(RequestMemory& memory, TimePoint since)
+{
+    while (detail::endUnreadAnswer(memory, since)) { }
 }
 
 std::shared_ptr<const void> holdBytes(
--- a/src/gateway/requestreader.h
+++ b/src/gateway/requestreader.h
@@ -44,6 +44,7 @@
     void clear();
 
     State state() const { return state_; }
+    uint64_t number() const { return number_; } ///< Names the connection in the memory of the host.
     unsigned status() const { return status_; } ///< Of the response to a request that has failed.
     size_t keptBytes() const { return unparsed_.size(); }
     uint64_t bodyClaim() const { return bodyClaim_; } ///< Memory for the body of the request, bytes.
--- a/src/gateway/statelog.cc
+++ b/src/gateway/statelog.cc
@@ -70,11 +70,13 @@
     const uint64_t ended = budget.endedCount_ - std::exchange(endedRequests_, budget.endedCount_);
     const uint64_t closed
         = memory.connectionsClosed_ - std::exchange(closedConnections_, memory.connectionsClosed_);
-    if (refused + ended + closed == 0)
+    const uint64_t unread = memory.unreadCount_ - std::exchange(unreadAnswers_, memory.unreadCount_);
+    if (refused + ended + closed + unread == 0)
         return;
     logEvent(LogLevel::Warning, "requests-without-memory",
         { { "refused", std::to_string(refused) }, { "ended", std::to_string(ended) },
-            { "closed", std::to_string(closed) }, { "held_bytes", std::to_string(budget.heldBytes_) },
+            { "closed", std::to_string(closed) }, { "unread", std::to_string(unread) },
+            { "held_bytes", std::to_string(budget.heldBytes_) },
             { "waiting", std::to_string(waitingCount(budget)) } });
 }
 
--- a/src/gateway/statelog.h
+++ b/src/gateway/statelog.h
@@ -19,7 +19,8 @@
 public:
     /// Called once a second, which bounds the number of lines for state that changes continuously.
     void logChanges(const State&, TimePoint now);
-    /// Logs how many requests found no room, and connections closed in favour of others, since the last call.
+    /// Logs how many requests found no room, connections closed and answers ended
+    /// in favour of others, since the last call.
     void logRequests(const RequestMemory&);
 
 private:
@@ -32,6 +33,7 @@
     uint64_t refusedRequests_ = 0; ///< Logged so far.
     uint64_t endedRequests_ = 0; ///< Logged so far.
     uint64_t closedConnections_ = 0; ///< Logged so far.
+    uint64_t unreadAnswers_ = 0; ///< Logged so far.
     std::set<std::string> livePeers_; ///< Names of the peers that were alive at the previous call.
 };
 
--- a/src/gateway/tcpoptions.cc
+++ b/src/gateway/tcpoptions.cc
@@ -39,6 +39,11 @@
     setOption(socket, IPPROTO_TCP, TCP_WINDOW_CLAMP, static_cast<int>(bytes));
 }
 
+void setUnsentLimit(int socket, size_t bytes)
+{
+    setOption(socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, static_cast<int>(bytes));
+}
+
 bool hasPeerClosed(int socket)
 {
     pollfd state { socket, POLLRDHUP, 0 };
--- a/src/gateway/tcpoptions.h
+++ b/src/gateway/tcpoptions.h
@@ -24,6 +24,9 @@
 /// are accepted from a listening socket inherit its limit.
 void setReceiveWindow(int socket, size_t bytes);
 
+/// Limits the bytes that the system keeps for a connection and has not sent. Accepted connections inherit it.
+void setUnsentLimit(int socket, size_t bytes);
+
 /// Whether the other side has closed or reset the connection, also while there are bytes to read before that.
 bool hasPeerClosed(int socket);
 
--- a/test/gateway/answerbudget-test.cc
+++ b/test/gateway/answerbudget-test.cc
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+using namespace turmericwing;
 using namespace turmericwing::gateway;
 
 TEST_CASE("the largest unfinished answer ends when there is no room")
@@ -37,3 +38,25 @@
     CHECK(budget->heldBytes_ == 1);
     CHECK_FALSE(answerToEnd(*budget));
 }
+
+TEST_CASE("the answer that its caller has not read on for longest ends first")
+{
+    // Guards against callers that hold the room of all answers for as long as they stay.
+    const TimePoint start = TimePoint() + std::chrono::hours(1);
+    const auto after = [&](int seconds) { return start + std::chrono::seconds(seconds); };
+    AnswerBudget budget;
+    for (uint64_t connection = 1; connection <= 3; ++connection)
+        beginSending(budget, connection, start);
+    recordSent(budget, 1, 0, after(1));
+    recordSent(budget, 2, 1000, after(2));
+    recordSent(budget, 3, 1000, after(3));
+    CHECK_FALSE(unreadAnswer(budget, start - std::chrono::seconds(1)));
+    CHECK(unreadAnswer(budget, after(2)) == 1);
+    CHECK(unreadAnswer(budget, after(2), 1) == 2);
+    endSending(budget, 1);
+    CHECK(unreadAnswer(budget, after(3)) == 2);
+    recordSent(budget, 2, 1000, after(4)); // Nothing more.
+    CHECK(unreadAnswer(budget, after(3)) == 2);
+    recordSent(budget, 2, 1001, after(4));
+    CHECK(unreadAnswer(budget, after(3)) == 3);
+}
--- a/test/gateway/hostmemory-test.cc
+++ b/test/gateway/hostmemory-test.cc
@@ -100,3 +100,26 @@
     CHECK(memory->budget_.unfinished_.empty());
     CHECK_FALSE(hasRoomToReadAhead(*memory, 16'384));
 }
+
+TEST_CASE("answers that their callers do not read make room for others")
+{
+    const auto memory = makeMemory(160, 20);
+    std::unordered_map<uint64_t, std::shared_ptr<const void>> held;
+    for (uint64_t connection = 1; connection <= 4; ++connection) {
+        held[connection] = holdComplete(memory->answers_, 11 * mebibyte);
+        beginSending(*memory->answers_, connection, start);
+        memory->onUnread_[connection] = [&held, connection] { held.erase(connection); };
+    }
+    updateAnswerLimit(*memory, start);
+    CHECK(held.size() == 4);
+    recordSent(*memory->answers_, 1, 1, start + std::chrono::seconds(1));
+    updateAnswerLimit(*memory, start + std::chrono::seconds(1));
+    CHECK(held.size() == 3);
+    CHECK(held.contains(1));
+    // A request that has no room beside them, and does not end the answer of its own connection.
+    CHECK(claimMemory(*memory, 1, 100 * mebibyte, start + std::chrono::seconds(3)) == Room::Granted);
+    CHECK(held.contains(1));
+    endUnreadAnswers(*memory, start + std::chrono::seconds(4));
+    CHECK(held.empty());
+    CHECK(memory->unreadCount_ == 4);
+}
