Count what may be received behind a large body until its request is answered

Cause: while a large body arrives the system takes 64 KB, and counted 16 KB again as soon as the body was complete, though up to 64 KB may stand behind it.

Change: the 64 KB count until the connection is idle.

--- a/include/turmericwing/gateway/requestbudget.h
+++ b/include/turmericwing/gateway/requestbudget.h
@@ -63,9 +63,8 @@
 /// - requests without progress end, the one that stopped first before others, but a small one only for
 /// another;
 /// - for a small request, the largest unfinished one ends next;
-/// - a large request waits, unless it holds the room of a large one already: as others may wait for that, it
-/// is
-///   refused.
+/// - a large request waits, unless it holds the room of a large one already, for which others may wait: then
+///   it is refused.
 Claim claimRoom(RequestBudget&, uint64_t request, uint64_t bytes, TimePoint now);
 
 /// Records the bytes that an unfinished request has received in all.
--- a/src/gateway/callerconnection.cc
+++ b/src/gateway/callerconnection.cc
@@ -169,6 +169,7 @@
 /// Waits for the first byte of a request.
 void Connection::beginIdle()
 {
+    countWindow(owner_->options_.windowBytes_);
     idleSince_ = monotonicNow();
     startTimer(owner_->stopped_ ? Duration(lastRequestTimeout) : owner_->options_.limits_().idleTimeout_);
 }
@@ -267,7 +268,7 @@
         // A body may take any time, with at most the idle timeout between two parts.
         startTimer(limits.idleTimeout_);
         if (reader_.bodyClaim() > wideWindowBytes)
-            setWindow(std::max(wideWindowBytes, owner_->options_.windowBytes_));
+            widenWindow();
         sendContinue();
         return waitReadable();
     case RequestReader::State::Waiting:
@@ -302,12 +303,26 @@
         onDisconnect();
 }
 
-/// Lets the system receive up to `bytes` before they are read.
-void Connection::setWindow(size_t bytes)
+/// Lets the system receive more while a large body arrives.
+void Connection::widenWindow()
 {
-    if (bytes == windowBytes_)
+    if (hasWideWindow_)
         return;
-    setReceiveWindow(socket_.native_handle(), bytes);
+    hasWideWindow_ = true;
+    setReceiveWindow(socket_.native_handle(), wideWindowBytes);
+    countWindow(wideWindowBytes);
+}
+
+/// Ends that with the body. It counts on: as much may have been received behind the body, and stays until the
+/// request has been answered.
+void Connection::narrowWindow()
+{
+    if (std::exchange(hasWideWindow_, false))
+        setReceiveWindow(socket_.native_handle(), owner_->options_.windowBytes_);
+}
+
+void Connection::countWindow(size_t bytes)
+{
     owner_->options_.memory_->host_.windowBytes_ += bytes - windowBytes_;
     windowBytes_ = bytes;
 }
@@ -315,7 +330,7 @@
 void Connection::addRequest()
 {
     timer_.cancel();
-    setWindow(owner_->options_.windowBytes_);
+    narrowWindow();
     Request request = reader_.take();
     const uint64_t number = ++lastNumber_;
     pipeline_.requests_.push_back({ .number_ = number,
--- a/src/gateway/callerconnection.h
+++ b/src/gateway/callerconnection.h
@@ -98,7 +98,9 @@
         };
 
         void waitReadable();
-        void setWindow(size_t bytes);
+        void widenWindow();
+        void narrowWindow();
+        void countWindow(size_t bytes);
         void onReadable(boost::system::error_code);
         size_t readSize() const;
         void readOrPause();
@@ -135,7 +137,8 @@
         bool writing_ = false; ///< A write for the first reply is pending.
         TimePoint idleSince_ {};
         TimePoint roomUntil_ {}; ///< When a request that waits for room is refused.
-        size_t windowBytes_; ///< Received bytes that the system holds at most.
+        size_t windowBytes_; ///< Counts for the received bytes that the system holds.
+        bool hasWideWindow_ = false;
         RequestReader reader_;
         uint64_t lastNumber_ = 0;
         Pipeline pipeline_;
--- a/src/gateway/parsing.h
+++ b/src/gateway/parsing.h
@@ -35,10 +35,10 @@
 struct BodyStorage {
     using value_type = Body;
 
-    class reader {
+    class Reader {
     public:
         template <bool IsRequest, typename Fields>
-        reader(boost::beast::http::header<IsRequest, Fields>&, Body& body)
+        Reader(boost::beast::http::header<IsRequest, Fields>&, Body& body)
             : body_(body)
         {
         }
@@ -59,6 +59,7 @@
     private:
         Body& body_;
     };
+    using reader = Reader; // The name that Boost.Beast asks for.
 };
 
 /// Returns the buffers of a message that is written; the body may be null.
--- a/src/gateway/requestbudget.cc
+++ b/src/gateway/requestbudget.cc
@@ -12,7 +12,7 @@
     constexpr uint64_t reserveDivisor = 16;
     /// Waiting requests may take this part of the limit of the system: 1 / 16.
     constexpr uint64_t waitingDivisor = 16;
-    /// Received and not read, of each waiting request.
+    /// Most that the system may have received for a waiting request, bytes.
     constexpr uint64_t waitingBytes = uint64_t { 64 } << 10;
 
     bool isSmall(const RequestBudget& budget, uint64_t bytes) { return bytes <= budget.options_.smallBytes_; }
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -88,10 +88,10 @@
 struct UpstreamClient::State {
     State(asio::io_context& loop, UpstreamOptions options)
         : loop_(loop)
-        , options_(options)
-        , answerBudget_(options.memory_
-                  ? options.memory_->answers_
-                  : std::make_shared<AnswerBudget>(AnswerBudget { .limit_ = options.maxHeldAnswerBytes_ }))
+        , options_(std::move(options))
+        , answerBudget_(options_.memory_
+                  ? options_.memory_->answers_
+                  : std::make_shared<AnswerBudget>(AnswerBudget { .limit_ = options_.maxHeldAnswerBytes_ }))
     {
     }
 
@@ -554,7 +554,7 @@
 }
 
 UpstreamClient::UpstreamClient(asio::io_context& loop, UpstreamOptions options)
-    : state_(std::make_shared<State>(loop, options))
+    : state_(std::make_shared<State>(loop, std::move(options)))
 {
 }
 
--- a/test/gateway/caller-memory-process-test.cc
+++ b/test/gateway/caller-memory-process-test.cc
@@ -324,6 +324,18 @@
     fixture.checkUnderCrowd();
 }
 
+TEST_CASE("bytes behind large bodies that are not answered yet")
+{
+    // The system receives more for a connection while a large body arrives.
+    MemoryFixture fixture({ .work_ = std::chrono::seconds(20) });
+    for (size_t caller = 0; caller < 600; ++caller) {
+        fixture.add(withPath(plainRequest(caller, 70'000, 70'000), "/write/slow")
+            + plainRequest(caller, 200'000, 200'000));
+    }
+    fixture.send();
+    fixture.checkUnderCrowd();
+}
+
 TEST_CASE("trailers of many fields")
 {
     MemoryFixture fixture({ .work_ = std::chrono::seconds(10) });
