Bound what the system receives of answers that wait for their callers

Cause: while a part waits for its caller nothing more is read from the upstream, and the system goes on to receive as much as it likes.

Change: connections to upstreams receive at most 64 KB unread, and an answer whose part waits for its caller counts them in the budget of answers.

The watch of these tests now sees the unread bytes of connections to the upstream, too.

--- a/include/turmericwing/gateway/hostmemory.h
+++ b/include/turmericwing/gateway/hostmemory.h
@@ -13,6 +13,7 @@
 /// Received bytes of a connection that the system holds at most, while this process does not read them.
 constexpr size_t callerWindowBytes = size_t { 16 } << 10;
 constexpr size_t wideWindowBytes = size_t { 64 } << 10; ///< The same while a large body arrives.
+constexpr size_t upstreamWindowBytes = size_t { 64 } << 10; ///< Of connections to upstreams.
 constexpr size_t auxiliaryWindowBytes = size_t { 4 } << 10; ///< Of connections that have small requests only.
 
 struct HostMemoryOptions {
--- a/src/gateway/upstreams.cc
+++ b/src/gateway/upstreams.cc
@@ -212,6 +212,7 @@
             return;
         }
         setTcpOptions(socket_);
+        setReceiveWindow(socket_.native_handle(), upstreamWindowBytes);
         connectStarted_ = monotonicNow();
         timer_.expires_after(owner_->options_.connectTimeout_);
         timer_.async_wait([self = shared_from_this()](error_code cancelled) {
@@ -359,6 +360,8 @@
         Body part = std::exchange(parser_->get().body(), {});
         if (!parser_->is_done()) {
             partPassedAt_ = monotonicNow();
+            holdUnfinished(*owner_->answerBudget_, number_,
+                part.memoryBytes() + unparsed_.capacity() + upstreamWindowBytes);
             // Nothing else keeps the call while it does not read.
             return call_.sink_.onPart_(std::move(part), [self = shared_from_this()] { self->onTaken(); });
         }
--- a/test/gateway/caller-memory-process-test.cc
+++ b/test/gateway/caller-memory-process-test.cc
@@ -20,12 +20,14 @@
 constexpr size_t headerBytes = 16'384; ///< header_bytes of the configuration.
 constexpr size_t piece = 65'536;
 constexpr size_t wholeAnswerBytes = 5 * mebibyte; ///< Of paths that begin with /write/large.
+constexpr size_t partedAnswerBytes = mebibyte; ///< Of paths that begin with /read/large.
 
 struct CrowdOptions {
     uint64_t memoryMb_ = 48;
     size_t bodyLimit_ = 4 * mebibyte; ///< max_body_bytes of the configuration.
     rlim_t descriptors_ = 4096;
     Duration work_ {}; ///< Of the upstream, for paths that begin with /write/slow.
+    int slots_ = 4; ///< Of the upstream.
 };
 
 /// The usual configuration with other limits, and pauses that outlast the test.
@@ -52,9 +54,10 @@
 /// not read.
 class MemoryWatch {
 public:
-    MemoryWatch(const Process& process, std::vector<uint16_t> ports)
+    MemoryWatch(const Process& process, uint16_t servedPort, uint16_t calledPort)
         : process_(process)
-        , ports_(std::move(ports))
+        , servedPort_(servedPort)
+        , calledPort_(calledPort)
         , thread_([this] {
             for (; !stopping_; std::this_thread::sleep_for(std::chrono::milliseconds(20)))
                 mostKb_ = std::max(mostKb_.load(), process_.memoryKb() + unreadKb());
@@ -72,7 +75,14 @@
     uint64_t mostKb() const { return std::max(mostKb_.load(), process_.mostMemoryKb()); }
 
 private:
-    /// Reads the received bytes of connections to the ports from the system's table of sockets.
+    /// Of an address as the system writes it, such as "0100007F:1F90".
+    static unsigned long portOf(const std::string& address)
+    {
+        const size_t colon = address.find(':');
+        return colon == std::string::npos ? 0 : std::stoul(address.substr(colon + 1), nullptr, 16);
+    }
+
+    /// Reads the received bytes of the process's connections from the system's table of sockets.
     uint64_t unreadKb() const
     {
         static constexpr const char* listening = "0A";
@@ -84,19 +94,16 @@
             std::string number, local, remote, state, queues;
             if (!(words >> number >> local >> remote >> state >> queues) || state == listening)
                 continue;
-            const size_t colon = local.find(':');
             const size_t queue = queues.find(':');
-            if (colon == std::string::npos || queue == std::string::npos)
-                continue;
-            const auto port = static_cast<uint16_t>(std::stoul(local.substr(colon + 1), nullptr, 16));
-            if (std::find(ports_.begin(), ports_.end(), port) != ports_.end())
+            if (queue != std::string::npos && (portOf(local) == servedPort_ || portOf(remote) == calledPort_))
                 bytes += std::stoul(queues.substr(queue + 1), nullptr, 16);
         }
         return bytes / 1024;
     }
 
     const Process& process_;
-    const std::vector<uint16_t> ports_;
+    const uint16_t servedPort_; ///< Of callers.
+    const uint16_t calledPort_; ///< Of the upstream.
     std::atomic<bool> stopping_ = false;
     std::atomic<uint64_t> mostKb_ = 0;
     std::thread thread_;
@@ -113,9 +120,14 @@
         upstream_.handler_ = [this](const httplib::Request& request, httplib::Response& response) {
             if (request.path.starts_with("/write/slow"))
                 standin::Server::waitUntil(monotonicNow() + options_.work_);
-            const bool large = request.path.starts_with("/write/large");
-            response.set_content(large ? std::string(wholeAnswerBytes, 'a') : "answer", "text/plain");
+            if (request.path.starts_with("/write/large"))
+                return response.set_content(std::string(wholeAnswerBytes, 'a'), "text/plain");
+            if (request.path.starts_with("/read/large"))
+                return response.set_content(std::string(partedAnswerBytes, 'a'), "text/plain");
+            response.set_content("answer", "text/plain");
         };
+        upstream_.slots_ = options.slots_;
+        upstream_.publish("ready");
         store_.put("op", "config", crowdConfiguration(options));
         rlimit usual {};
         getrlimit(RLIMIT_NOFILE, &usual);
@@ -127,7 +139,8 @@
         process_ = std::make_unique<Process>(storePort_, options.memoryMb_);
         setrlimit(RLIMIT_NOFILE, &own);
         REQUIRE(eventually([&] { return process_->isReady(); }));
-        watch_ = std::make_unique<MemoryWatch>(*process_, std::vector<uint16_t> { process_->callerPort_ });
+        watch_ = std::make_unique<MemoryWatch>(
+            *process_, process_->callerPort_, static_cast<uint16_t>(upstream_.port_));
     }
 
     void add(std::string request, int receiveBytes = 0)
@@ -296,6 +309,16 @@
     fixture.checkUnderCrowd();
 }
 
+TEST_CASE("answers in parts that their callers do not read")
+{
+    // Of each, the system receives more from the upstream while the caller does not read on.
+    MemoryFixture fixture({ .slots_ = 400 });
+    for (size_t caller = 0; caller < 300; ++caller)
+        fixture.add(withPath(plainRequest(caller, 1, 1), "/read/large"), 4096);
+    fixture.send();
+    fixture.checkUnderCrowd();
+}
+
 TEST_CASE("requests and answers at the same time")
 {
     MemoryFixture fixture;
--- a/test/gateway/live.h
+++ b/test/gateway/live.h
@@ -102,7 +102,7 @@
     {
         store_.put("servers", id_,
             nlohmann::json { { "service", service_ }, { "address", "127.0.0.1:" + std::to_string(port_) },
-                { "zone", domain_ }, { "version", version_ }, { "slots", 4 }, { "state", state },
+                { "zone", domain_ }, { "version", version_ }, { "slots", slots_ }, { "state", state },
                 { "cold_left", "0ms" }, { "seq", ++seq_ }, { "born", startedMs_ } }
                 .dump());
     }
@@ -126,6 +126,7 @@
     const std::string domain_;
     const std::string version_;
     std::string service_ = "s";
+    int slots_ = 4;
     int seq_ = 0;
     int64_t startedMs_ = 1; ///< Names the incarnation in the entry.
     std::atomic<int> requests_ = 0;
