Let the stand-in of a retry test announce that it closes its connections

What was seen: gateway-stream, once, beside 15 busy processes: broken > failed failed, as one request of the first 30 got 502 and none of the last 30 met the upstream that breaks off.

Cause: the raw upstream closes each connection after a whole answer and didn't say so. Under load the next request meets the end: "reused=yes", "no answer: Connection reset by peer", while the budget of retries is still empty. Not a fault of the product, and none of what the test is about.

Change: whole answers say Connection: close. The checks stay as they are.

--- a/test/gateway/stream-live-test.cc
+++ b/test/gateway/stream-live-test.cc
@@ -134,7 +134,9 @@
     const RawUpstream faulty(fixture.store_, "u1", [&](const RawConnection& connection) {
         broken += breaks ? 1 : 0;
         const std::string part = breaks ? std::string(1000, 'x') : body;
-        connection.send(connection.head() + lengthField(bodyBytes) + part);
+        // It closes each connection, so that a whole answer says so: the next request could meet the end.
+        const std::string close = breaks ? "" : "Connection: close\r\n";
+        connection.send(connection.head() + close + lengthField(bodyBytes) + part);
     });
     Upstream sound(fixture.store_, "u2");
     sound.handler_ = [&](const httplib::Request&, httplib::Response& response) {
